--- /dev/null
+++ b/include/mimosatally/core/quantity.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+
+namespace mimosatally
+{
+
+/// \brief Integer amount of one unit; amounts of different units do not mix.
+template<class Tag>
+class Quantity
+{
+public:
+    constexpr Quantity() = default;
+
+    constexpr explicit Quantity(std::int64_t count)
+        : count_(count)
+    {
+    }
+
+    [[nodiscard]] constexpr std::int64_t count() const
+    {
+        return count_;
+    }
+
+    constexpr auto operator<=>(const Quantity &) const = default;
+
+    constexpr Quantity &operator+=(Quantity other)
+    {
+        count_ += other.count_;
+        return *this;
+    }
+
+    constexpr Quantity &operator-=(Quantity other)
+    {
+        count_ -= other.count_;
+        return *this;
+    }
+
+    friend constexpr Quantity operator+(Quantity left, Quantity right)
+    {
+        return left += right;
+    }
+
+    friend constexpr Quantity operator-(Quantity left, Quantity right)
+    {
+        return left -= right;
+    }
+
+    friend std::ostream &operator<<(std::ostream &stream, Quantity quantity)
+    {
+        return stream << quantity.count_;
+    }
+
+private:
+    std::int64_t count_ = 0;
+};
+
+/// \brief Number of model tokens.
+using Tokens = Quantity<struct TokensTag>;
+/// \brief Size in bytes.
+using Bytes = Quantity<struct BytesTag>;
+/// \brief Position of a record in a stream of the log service; the first record has offset 0.
+using Offset = Quantity<struct OffsetTag>;
+/// \brief Fencing token of a lease: the log offset of the record that acquired it.
+using Epoch = Quantity<struct EpochTag>;
+/// \brief Log offset of the record that made a configuration current; -1 before the first one.
+using ConfigurationVersion = Quantity<struct ConfigurationVersionTag>;
+
+} // namespace mimosatally
+
+template<class Tag>
+struct std::hash<mimosatally::Quantity<Tag>> {
+    std::size_t operator()(mimosatally::Quantity<Tag> quantity) const noexcept
+    {
+        return std::hash<std::int64_t>()(quantity.count());
+    }
+};
--- /dev/null
+++ b/include/mimosatally/rpc/rpcserver.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "rpccontext.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <capnp/capability.h>
+#include <memory>
+
+namespace mimosatally
+{
+
+/// \brief Accepts RPC connections and offers one capability on each of them.
+class RpcServer
+{
+public:
+    /// \param maxMessageBytes longer messages end their connection.
+    /// \throws boost::system::system_error if the address cannot be bound.
+    RpcServer(RpcContext &context, const boost::asio::ip::tcp::endpoint &address, capnp::Capability::Client bootstrap, std::size_t maxMessageBytes);
+    ~RpcServer();
+    RpcServer(const RpcServer &) = delete;
+    RpcServer &operator=(const RpcServer &) = delete;
+
+    /// \brief Bound address; gives the chosen port if port 0 was asked for.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
+
+    /// \brief Stops accepting new connections; existing ones go on.
+    void stopAccepting();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/core/finding.cpp
@@ -0,0 +1,66 @@
+#include <mimosatally/Core>
+
+namespace mimosatally
+{
+
+namespace
+{
+std::string joinLines(const std::vector<Finding> &findings)
+{
+    std::string text;
+    for (const Finding &finding : findings) {
+        if (!text.empty()) {
+            text += '\n';
+        }
+        text += toString(finding);
+    }
+    return text;
+}
+} // namespace
+
+std::string toString(const Finding &finding)
+{
+    std::string text = finding.place.file;
+    if (finding.place.line > 0) {
+        text += ':' + std::to_string(finding.place.line);
+    }
+    if (!text.empty()) {
+        text += ": ";
+    }
+    return text + finding.message;
+}
+
+void Findings::add(SourcePlace place, std::string message)
+{
+    findings_.push_back({std::move(place), std::move(message)});
+}
+
+bool Findings::empty() const
+{
+    return findings_.empty();
+}
+
+const std::vector<Finding> &Findings::all() const
+{
+    return findings_;
+}
+
+void Findings::throwIfAny() const
+{
+    if (!findings_.empty()) {
+        throw FindingsError(findings_);
+    }
+}
+
+FindingsError::FindingsError(std::vector<Finding> findings)
+    : std::runtime_error(joinLines(findings))
+    , findings_(std::move(findings))
+{
+}
+
+const std::vector<Finding> &FindingsError::findings() const
+{
+    return findings_;
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/rpc/mimosatally.capnp
@@ -0,0 +1,139 @@
+@0xd3a6f1f0b1c94e21;
+
+# Messages between the processes of mimosatally. docs/design.md, section 3.2, describes their use.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("mimosatally::schema");
+
+struct Peer {
+  process @0 :Text;
+  incarnation @1 :Text;
+  # Changes with every start of the process.
+  configurationVersion @2 :Int64;
+  # -1 before the first version.
+  leaving @3 :Bool;
+  role @4 :Text;
+  # "entry" or "agent".
+}
+
+struct StreamRecord {
+  offset @0 :Int64;
+  payload @1 :Text;
+  # JSON as in the log.
+}
+
+struct Load {
+  waitingRequests @0 :UInt32;
+  runningRequests @1 :UInt32;
+  waitingTokens @2 :Int64;
+  # Prompt and expected output tokens of waiting requests.
+  runningTokens @3 :Int64;
+  prefillTokensPerSecond @4 :Float64;
+  decodeTokensPerSecond @5 :Float64;
+  freeCacheBlocks @6 :Int64;
+  role @7 :Text;
+  # "prefill", "decode" or "mixed".
+  models @8 :List(Text);
+  healthy @9 :Bool;
+  reportAgeMs @10 :UInt32;
+  # Age of the endpoint's own last report.
+  customerServed @11 :List(CustomerServed);
+}
+
+struct CustomerServed {
+  customer @0 :Text;
+  weightedTokens @1 :Int64;
+  # Since the start of the incarnation.
+}
+
+struct Request {
+  id @0 :Text;
+  customer @1 :Text;
+  method @2 :Text;
+  path @3 :Text;
+  contentType @4 :Text;
+  body @5 :Data;
+  model @6 :Text;
+  service @7 :Text;
+  promptTokens @8 :Int64;
+  maxOutputTokens @9 :Int64;
+  remainingWaitMs @10 :Int64;
+  # Time left of the customer's longest wait when the entry sent the request.
+  agentIncarnation @11 :Text;
+  configurationVersion @12 :Int64;
+  mayRepeat @13 :Bool;
+  idempotencyKey @14 :Text;
+  claimOffset @15 :Int64;
+  # Offset of the winning claim; only meaningful if mayRepeat is false.
+  claimPartition @16 :UInt32;
+  cacheBlockHashes @17 :List(UInt64);
+  attempt @18 :UInt32;
+}
+
+enum OutcomeKind {
+  answered @0;
+  notRun @1;
+  unknown @2;
+}
+
+struct Outcome {
+  kind @0 :OutcomeKind;
+  status @1 :UInt16;
+  # HTTP status of the endpoint's answer.
+  reason @2 :Text;
+  # Machine-readable reason of a refusal.
+  retryAfterMs @3 :Int64;
+  # -1 if a retry cannot succeed.
+  configurationVersion @4 :Int64;
+  promptTokens @5 :Int64;
+  outputTokens @6 :Int64;
+  answerBytes @7 :Int64;
+  # Total number of bytes sent to the sink.
+  queuedMs @8 :Int64;
+}
+
+enum CancelWord {
+  neverStarted @0;
+  # The request has not started and never will.
+  started @1;
+  finished @2;
+}
+
+enum OrderKind {
+  drain @0;
+  withdraw @1;
+  loadModel @2;
+  unloadModel @3;
+  loadAdapter @4;
+  unloadAdapter @5;
+  changeRole @6;
+}
+
+struct Order {
+  id @0 :Text;
+  kind @1 :OrderKind;
+  argument @2 :Text;
+  epoch @3 :Int64;
+  scope @4 :Text;
+  agentIncarnation @5 :Text;
+  lifetimeMs @6 :Int64;
+}
+
+struct OrderVerdict {
+  accepted @0 :Bool;
+  reason @1 :Text;
+  highestEpoch @2 :Int64;
+}
+
+interface AnswerSink {
+  begin @0 (status :UInt16, contentType :Text) -> ();
+  chunk @1 (position :Int64, data :Data) -> stream;
+  # position is the number of answer bytes before this chunk.
+}
+
+interface Agent {
+  exchange @0 (peer :Peer, records :List(StreamRecord)) -> (peer :Peer, records :List(StreamRecord), load :Load);
+  submit @1 (request :Request, sink :AnswerSink) -> (outcome :Outcome);
+  cancel @2 (requestId :Text, agentIncarnation :Text) -> (word :CancelWord);
+  order @3 (order :Order) -> (verdict :OrderVerdict);
+}
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
