--- /dev/null
+++ b/include/mimosatally/audit/decisionchain.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "decisionrecord.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosatally
+{
+
+/// \brief Chains the decisions of one process incarnation by hash and keeps them until they are shipped to the log.
+class DecisionChain
+{
+public:
+    /// \param maxBufferedBytes bound on unshipped records; beyond it the oldest are replaced by one `gap` record.
+    DecisionChain(ProcessId process, IncarnationId incarnation, Bytes maxBufferedBytes);
+
+    /// \brief Adds a decision. \return its receipt.
+    Receipt append(const Decision &decision);
+
+    /// \brief A batch as one JSON payload for stream `audit`, at most \a maxBytes unless one record is larger; nothing if all is shipped.
+    [[nodiscard]] std::optional<std::string> nextBatch(Bytes maxBytes);
+
+    /// \brief The batch of the last nextBatch() is in the log.
+    void confirmBatch();
+
+    /// \brief The batch of the last nextBatch() may not be in the log; nextBatch() gives the same batch with the same id again.
+    void retryBatch();
+
+    [[nodiscard]] Bytes bufferedBytes() const;
+
+private:
+    struct Entry {
+        std::int64_t sequence;
+        std::string text;
+    };
+
+    ProcessId process_;
+    IncarnationId incarnation_;
+    Bytes maxBufferedBytes_;
+    std::int64_t nextSequence_ = 0;
+    std::string lastHash_;
+    std::deque<Entry> buffer_;
+    Bytes bufferedBytes_;
+    std::optional<std::string> pendingBatch_;
+    std::size_t pendingCount_ = 0;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/include/mimosatally/claims/claimgate.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "claimrecord.h"
+
+#include <map>
+
+namespace mimosatally
+{
+
+/// \brief The agent's decision about a submit of a claimed call.
+enum class ClaimAdmission {
+    Run,
+    /// \brief The claim is running or has run here.
+    AlreadyRun,
+    /// \brief The agent has given its word that the claim never starts.
+    Renounced,
+    /// \brief The claim names another incarnation.
+    OtherIncarnation,
+};
+
+/// \brief Agent side of at-most-once: runs each claim at most once in one incarnation.
+class ClaimGate
+{
+public:
+    explicit ClaimGate(IncarnationId incarnation);
+
+    ClaimAdmission admit(int partition, Offset claim, const IncarnationId &addressedTo);
+
+    /// \brief Gives the word that a claim never starts; false if it has been admitted.
+    bool renounce(int partition, Offset claim);
+
+private:
+    enum class State {
+        Admitted,
+        Renounced,
+    };
+
+    struct ClaimId {
+        int partition;
+        Offset offset;
+
+        auto operator<=>(const ClaimId &) const = default;
+    };
+
+    IncarnationId incarnation_;
+    std::map<ClaimId, State> claims_;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/include/mimosatally/claims/claimtable.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "claimrecord.h"
+
+#include <memory>
+#include <optional>
+
+namespace mimosatally
+{
+
+/// \brief Current meaning of a key, derived from the records up to some offset.
+struct ClaimState {
+    /// \brief Offset and record of the winning claim.
+    Offset offset;
+    ClaimRecord claim;
+    std::optional<OutcomeRecord> outcome;
+};
+
+/// \brief What a claim that was appended turned out to be.
+enum class ClaimVerdict {
+    /// \brief The partition has not been read up to the claim's record.
+    Pending,
+    /// \brief This claim is the valid one; only its entry may submit.
+    Won,
+    /// \brief Another claim for the key is valid.
+    Lost,
+    /// \brief Another claim for the key is valid, and it was made for another body.
+    LostToOtherBody,
+};
+
+/// \brief Folds the records of one claims partition; the same rule in every reader.
+class ClaimTable
+{
+public:
+    ClaimTable();
+    ~ClaimTable();
+    ClaimTable(ClaimTable &&) noexcept;
+    ClaimTable &operator=(ClaimTable &&) noexcept;
+
+    /// \brief Applies the record at \a offset; records at or below the last applied offset are ignored.
+    /// Records whose id was seen before are void. Malformed payloads are void.
+    void apply(Offset offset, const std::string &payload);
+
+    /// \brief Offset from which to read next.
+    [[nodiscard]] Offset nextOffset() const;
+
+    /// \brief The valid claim of \a key; nothing if there is none or it was voided.
+    [[nodiscard]] std::optional<ClaimState> find(const ClaimKey &key) const;
+
+    /// \brief Verdict about the claim with record id \a id.
+    [[nodiscard]] ClaimVerdict verdict(const RecordId &id) const;
+
+    /// \brief Offset of the claim record \a id, once applied.
+    [[nodiscard]] std::optional<Offset> offsetOf(const RecordId &id) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace mimosatally
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -167,9 +167,10 @@
             connection.stream.expires_never();
             boost::asio::steady_timer timer(io_, limits_.transferTimeout);
             const auto expired = std::make_shared<bool>(false);
-            timer.async_wait([expired, &connection](const boost::system::error_code &timerError) {
-                if (!timerError) {
-                    *expired = true;
+            timer.async_wait([weak = std::weak_ptr<bool>(expired), &connection](const boost::system::error_code &timerError) {
+                const auto reading = weak.lock();
+                if (!timerError && reading) {
+                    *reading = true;
                     connection.stream.cancel();
                 }
             });
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -43,7 +43,7 @@
 struct CustomerServed {
   customer @0 :Text;
   weightedTokens @1 :Int64;
-  # Since the start of the incarnation.
+  # From an agent: since the start of its incarnation. From an entry: sum over the other endpoints of the same model.
 }
 
 struct Request {
@@ -132,7 +132,7 @@
 }
 
 interface Agent {
-  exchange @0 (peer :Peer, records :List(StreamRecord)) -> (peer :Peer, records :List(StreamRecord), load :Load);
+  exchange @0 (peer :Peer, records :List(StreamRecord), served :List(CustomerServed)) -> (peer :Peer, records :List(StreamRecord), load :Load);
   submit @1 (request :Request, sink :AnswerSink) -> (outcome :Outcome);
   cancel @2 (requestId :Text, agentIncarnation :Text) -> (word :CancelWord);
   order @3 (order :Order) -> (verdict :OrderVerdict);
