--- a/include/mimosatally/core/logevent.h
+++ b/include/mimosatally/core/logevent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <string_view>
 
 namespace mimosatally
@@ -30,6 +31,9 @@
     std::string_view text;
 };
 
+/// \brief Descriptions of all events.
+std::span<const LogEventDescription> allLogEvents();
+
 /// \brief Description of \a event.
 const LogEventDescription &describe(LogEvent event);
 
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -15,6 +15,11 @@
 });
 } // namespace
 
+std::span<const LogEventDescription> allLogEvents()
+{
+    return DESCRIPTIONS;
+}
+
 const LogEventDescription &describe(LogEvent event)
 {
     const auto found = std::ranges::find(DESCRIPTIONS, event, &LogEventDescription::event);
