Add first versions of modules Claims and Audit

Records of each decision kind have typed inputs, chains start and end with a record of their own, and a claim's verdict is fixed at its offset.

--- a/include/mimosatally/audit/decisionchain.h
+++ b/include/mimosatally/audit/decisionchain.h
@@ -17,6 +17,12 @@
     /// \param maxBufferedBytes bound on unshipped records; beyond it the oldest are replaced by one `gap` record.
     DecisionChain(ProcessId process, IncarnationId incarnation, Bytes maxBufferedBytes);
 
+    /// \brief Adds the first record, which states process, incarnation and \a role (`entry` or `agent`).
+    Receipt start(const std::string &role, ConfigurationVersion version, Time now);
+
+    /// \brief Adds the closing record of a graceful shutdown; append() must not be called after it.
+    Receipt close(ConfigurationVersion version, Time now);
+
     /// \brief Adds a decision. \return its receipt.
     Receipt append(const Decision &decision);
 
@@ -35,8 +41,11 @@
     struct Entry {
         std::int64_t sequence;
         std::string text;
+        std::string hash;
     };
 
+    void dropOldest();
+
     ProcessId process_;
     IncarnationId incarnation_;
     Bytes maxBufferedBytes_;
@@ -46,6 +55,11 @@
     Bytes bufferedBytes_;
     std::optional<std::string> pendingBatch_;
     std::size_t pendingCount_ = 0;
+    bool closed_ = false;
+    /// \brief Oldest records that were dropped because the buffer was full.
+    std::int64_t droppedFrom_ = 0;
+    std::int64_t droppedCount_ = 0;
+    std::string droppedHash_;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/audit/decisionrecord.h
+++ b/include/mimosatally/audit/decisionrecord.h
@@ -23,10 +23,16 @@
     ServiceReported,
     OrderAccepted,
     OrderRefused,
+    /// \brief Closing record of a graceful shutdown.
+    ProcessStopped,
 };
 
+/// \brief Name of the kind in records, for example `ConfigurationApplied`.
 std::string_view toString(DecisionKind kind);
 
+/// \throws MalformedInputError
+DecisionKind parseDecisionKind(std::string_view name);
+
 /// \brief One decision before it is chained.
 struct Decision {
     DecisionKind kind;
--- a/include/mimosatally/claims/claimgate.h
+++ b/include/mimosatally/claims/claimgate.h
@@ -29,6 +29,9 @@
     /// \brief Gives the word that a claim never starts; false if it has been admitted.
     bool renounce(int partition, Offset claim);
 
+    /// \brief Drops claims below \a firstKept of \a partition; admit() refuses them from then on.
+    void forgetBefore(int partition, Offset firstKept);
+
 private:
     enum class State {
         Admitted,
@@ -44,6 +47,7 @@
 
     IncarnationId incarnation_;
     std::map<ClaimId, State> claims_;
+    std::map<int, Offset> firstKept_;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/claims/claimtable.h
+++ b/include/mimosatally/claims/claimtable.h
@@ -26,9 +26,14 @@
     Lost,
     /// \brief Another claim for the key is valid, and it was made for another body.
     LostToOtherBody,
+    /// \brief The claim won and was voided; nobody may submit it.
+    Voided,
 };
 
 /// \brief Folds the records of one claims partition; the same rule in every reader.
+///
+/// The verdict about a claim is fixed at its offset: it wins if its key has no valid claim there. A claim that lost stays lost when
+/// the winner is voided, because its entry may have answered in the meantime; a caller's next claim can win then.
 class ClaimTable
 {
 public:
@@ -53,6 +58,17 @@
     /// \brief Offset of the claim record \a id, once applied.
     [[nodiscard]] std::optional<Offset> offsetOf(const RecordId &id) const;
 
+    /// \brief Drops keys whose claim is below \a firstKept, the first record that the log still keeps.
+    void forgetBefore(Offset firstKept);
+
+    /// \brief Number of remembered keys.
+    [[nodiscard]] std::size_t size() const;
+
+    /// \brief Number of records that contradict an earlier one: an outcome of a voided claim or a void of a claim with an outcome.
+    ///
+    /// They have no effect. One of them means that a guarantee was broken, or that the log holds a forged record.
+    [[nodiscard]] std::size_t contradictions() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/claims/claimgate.cpp
@@ -0,0 +1,45 @@
+#include <mimosatally/Claims>
+
+namespace mimosatally
+{
+
+ClaimGate::ClaimGate(IncarnationId incarnation)
+    : incarnation_(std::move(incarnation))
+{
+}
+
+ClaimAdmission ClaimGate::admit(int partition, Offset claim, const IncarnationId &addressedTo)
+{
+    if (addressedTo != incarnation_) {
+        return ClaimAdmission::OtherIncarnation;
+    }
+    const auto kept = firstKept_.find(partition);
+    if (kept != firstKept_.end() && claim < kept->second) {
+        return ClaimAdmission::AlreadyRun;
+    }
+    const auto [place, isNew] = claims_.try_emplace(ClaimId {partition, claim}, State::Admitted);
+    if (isNew) {
+        return ClaimAdmission::Run;
+    }
+    return place->second == State::Admitted ? ClaimAdmission::AlreadyRun : ClaimAdmission::Renounced;
+}
+
+bool ClaimGate::renounce(int partition, Offset claim)
+{
+    const auto kept = firstKept_.find(partition);
+    if (kept != firstKept_.end() && claim < kept->second) {
+        return false;
+    }
+    return claims_.try_emplace(ClaimId {partition, claim}, State::Renounced).first->second == State::Renounced;
+}
+
+void ClaimGate::forgetBefore(int partition, Offset firstKept)
+{
+    Offset &kept = firstKept_[partition];
+    kept = std::max(kept, firstKept);
+    std::erase_if(claims_, [&](const auto &entry) {
+        return entry.first.partition == partition && entry.first.offset < kept;
+    });
+}
+
+} // namespace mimosatally
