--- a/src/claims/claimtable.cpp
+++ b/src/claims/claimtable.cpp
@@ -49,7 +49,7 @@
             neverRun.insert(offset);
             verdict = place->second.claim.bodyHash == record.bodyHash ? ClaimVerdict::Lost : ClaimVerdict::LostToOtherBody;
         }
-        ids[record.id] = Verdict {offset, verdict};
+        ids[record.id] = {offset, verdict};
     }
 
     void applyRecord(Offset /*offset*/, const OutcomeRecord &record)
