--- a/include/mimosatally/supervision/supervisor.h
+++ b/include/mimosatally/supervision/supervisor.h
@@ -35,8 +35,8 @@
     Supervisor &operator=(const Supervisor &) = delete;
 
     /// \brief Starts a task. \param onStop called when the task has to end, for what TaskContext::stop() does not reach.
-    /// \return the task's context, for wake(); valid as long as the supervisor.
-    TaskContext &start(std::string name, Task task, std::function<void()> onStop = {});
+    /// \return the task's context, for wake() and to end this task alone.
+    std::shared_ptr<TaskContext> start(std::string name, Task task, std::function<void()> onStop = {});
 
     /// \brief Stops all tasks in the reverse order of their start; each has ended before the next is stopped.
     boost::asio::awaitable<void> stop();
@@ -56,12 +56,13 @@
         std::string name;
         Task task;
         std::function<void()> onStop;
-        TaskContext context;
+        std::shared_ptr<TaskContext> context;
         boost::asio::steady_timer ended;
         bool hasEnded = false;
     };
 
-    boost::asio::awaitable<void> run(Child &child);
+    void dropEnded();
+    boost::asio::awaitable<void> run(std::shared_ptr<Child> child);
     boost::asio::awaitable<bool> runOnce(Child &child, std::string &failure);
     Duration jittered(Duration backoff);
 
@@ -69,7 +70,7 @@
     std::mt19937_64 random_;
     Options options_;
     EscalationHandler onEscalation_;
-    std::vector<std::unique_ptr<Child>> children_;
+    std::vector<std::shared_ptr<Child>> children_;
     std::uint64_t restarts_ = 0;
     bool escalated_ = false;
 };
--- a/src/supervision/supervisor.cpp
+++ b/src/supervision/supervisor.cpp
@@ -15,7 +15,7 @@
     : name(std::move(childName))
     , task(std::move(childTask))
     , onStop(std::move(stopHandler))
-    , context(io)
+    , context(std::make_shared<TaskContext>(io))
     , ended(io, boost::asio::steady_timer::time_point::max())
 {
 }
@@ -28,21 +28,29 @@
 {
 }
 
-TaskContext &Supervisor::start(std::string name, Task task, std::function<void()> onStop)
+std::shared_ptr<TaskContext> Supervisor::start(std::string name, Task task, std::function<void()> onStop)
 {
-    children_.push_back(std::make_unique<Child>(io_, std::move(name), std::move(task), std::move(onStop)));
-    Child &child = *children_.back();
+    dropEnded();
+    const auto child = std::make_shared<Child>(io_, std::move(name), std::move(task), std::move(onStop));
+    children_.push_back(child);
     boost::asio::co_spawn(io_, run(child), boost::asio::detached);
-    return child.context;
+    return child->context;
 }
 
-awaitable<void> Supervisor::run(Child &child)
+void Supervisor::dropEnded()
+{
+    std::erase_if(children_, [](const std::shared_ptr<Child> &child) {
+        return child->hasEnded;
+    });
+}
+
+awaitable<void> Supervisor::run(std::shared_ptr<Child> child)
 {
     Duration backoff = options_.firstBackoff;
-    while (!child.context.isStopping()) {
+    while (!child->context->isStopping()) {
         const Time started = MilliClock::now();
         std::string failure;
-        if (co_await runOnce(child, failure)) {
+        if (co_await runOnce(*child, failure)) {
             break;
         }
         if (MilliClock::now() - started >= options_.stableAfter) {
@@ -50,21 +58,21 @@
         }
         const Duration pause = jittered(backoff);
         ++restarts_;
-        logEvent(LogEvent::ChildTaskRestarted, {{"task", child.name}, {"error", failure}, {"backoff_ms", pause}});
-        if (!co_await child.context.sleep(pause)) {
+        logEvent(LogEvent::ChildTaskRestarted, {{"task", child->name}, {"error", failure}, {"backoff_ms", pause}});
+        if (!co_await child->context->sleep(pause)) {
             break;
         }
         backoff = std::min(backoff * 2, options_.maxBackoff);
     }
-    child.hasEnded = true;
-    child.ended.cancel();
+    child->hasEnded = true;
+    child->ended.cancel();
 }
 
 /// \return whether the task is finished; otherwise \a failure says why it has to be restarted.
 awaitable<bool> Supervisor::runOnce(Child &child, std::string &failure)
 {
     try {
-        co_await child.task(child.context);
+        co_await child.task(*child.context);
         co_return true;
     } catch (const InvariantViolation &violation) {
         escalate(violation);
@@ -78,17 +86,16 @@
 awaitable<void> Supervisor::stop()
 {
     while (!children_.empty()) {
-        // The child stays in the list until it has ended, so that references to its context stay valid.
-        Child &child = *children_.back();
-        child.context.stop();
-        if (child.onStop) {
-            child.onStop();
+        const std::shared_ptr<Child> child = children_.back();
+        children_.pop_back();
+        child->context->stop();
+        if (child->onStop) {
+            child->onStop();
         }
-        if (!child.hasEnded) {
+        if (!child->hasEnded) {
             boost::system::error_code ignored;
-            co_await child.ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await child->ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
         }
-        children_.pop_back();
     }
 }
 
