Add the configuration document, process settings and the rule for configuration records

Cause: entries and agents need contracts, the fleet and their own settings as checked values. Change: parseConfiguration, parseEntrySettings and parseAgentSettings report all findings with their line; ConfigurationLog applies publish, drain, replace and withdraw records. Ids of repeated appends are compared with accepted records only, so that readers which learn from peers reach the same verdicts.

--- a/include/mimosatally/config/configuration.h
+++ b/include/mimosatally/config/configuration.h
@@ -113,6 +113,8 @@
 /// \brief One published configuration: contracts and fleet. A value; versions are compared by ConfigurationVersion.
 /// \sa parseConfiguration
 struct Configuration {
+    /// \brief Models that engines may serve.
+    std::vector<ModelId> models;
     std::vector<DataCentre> dataCentres;
     std::vector<Operator> operators;
     std::vector<Contract> contracts;
--- /dev/null
+++ b/include/mimosatally/config/configurationrecord.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <mimosatally/Core>
+
+#include <optional>
+#include <string>
+
+namespace mimosatally
+{
+
+/// \brief One record of stream `configuration` as the log keeps it.
+struct ConfigurationRecord {
+    Offset offset;
+    /// \brief JSON text.
+    std::string payload;
+
+    bool operator==(const ConfigurationRecord &) const = default;
+};
+
+/// \brief What an operator can ask of one instance.
+enum class InstanceAction {
+    /// \brief The instance finishes its work and receives no new work.
+    Drain,
+    /// \brief A drained instance was replaced and is in service again.
+    Replace,
+    /// \brief As Drain; the instance cannot return under its name.
+    Withdraw,
+};
+
+std::string_view toString(InstanceAction action);
+
+/// \brief Signed `publish` record as JSON text.
+/// \param base offset of the last accepted `publish` record, -1 for the first.
+/// \throws MalformedInputError if the private key is invalid.
+std::string makePublishRecord(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document, const std::string &privateKey);
+
+/// \brief Signed record about one instance as JSON text. \throws MalformedInputError if the private key is invalid.
+std::string makeInstanceRecord(
+    const RecordId &id, InstanceAction action, const InstanceId &instance, const OperatorId &operatorId, const std::string &privateKey);
+
+} // namespace mimosatally
--- /dev/null
+++ b/include/mimosatally/config/processsettings.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "configuration.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosatally
+{
+
+/// \brief Bounds on what one HTTP caller may use.
+struct HttpSettings {
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxConnections = 4096;
+    /// \brief Time for a complete request after its first byte, and for each write to the peer.
+    Duration transferTimeout = Duration(15000);
+    /// \brief Time that a connection may stay without a request.
+    Duration idleTimeout = Duration(60000);
+};
+
+/// \brief Settings that every process has. Addresses have the form `ip:port` and were checked.
+struct ProcessSettings {
+    /// \brief Name in logs and audit records.
+    ProcessId process;
+    InstanceId instance;
+    RegionId region;
+    DataCentreId dataCentre;
+    /// \brief Address of the append-only log service.
+    std::string logService;
+    /// \brief Address of the instance list.
+    std::string instanceList;
+    /// \brief Operators that may sign the first configuration.
+    std::vector<Operator> bootstrapOperators;
+    /// \brief Limits of the HTTP server.
+    HttpSettings http;
+    LogLevel logLevel = LogLevel::Info;
+    /// \brief Seed of all random choices; 0 takes a seed from the system.
+    std::uint64_t seed = 0;
+    /// \brief An entry writes a snapshot after so many accepted records since the last one.
+    std::int64_t snapshotEvery = 64;
+};
+
+struct EntrySettings : ProcessSettings {
+    /// \brief Address of the HTTP API.
+    std::string listen;
+};
+
+struct AgentSettings : ProcessSettings {
+    /// \brief Address for RPC from entries.
+    std::string listen;
+    /// \brief Address for `/healthz`, `/readyz` and `/metrics`.
+    std::string statusListen;
+    EndpointId endpoint;
+    /// \brief HTTP address of the endpoint.
+    std::string endpointAddress;
+};
+
+/// \throws FindingsError with all findings and their lines.
+EntrySettings parseEntrySettings(const std::string &toml, const std::string &fileName);
+
+/// \throws FindingsError with all findings and their lines.
+AgentSettings parseAgentSettings(const std::string &toml, const std::string &fileName);
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/config/configurationlog.cpp
@@ -0,0 +1,202 @@
+#include "recordtext.h"
+
+#include <mimosatally/Config>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace mimosatally
+{
+
+namespace
+{
+/// \brief How many accepted records the id of a repeated append is compared with. A repeated append comes within seconds.
+constexpr std::size_t REMEMBERED_IDS = 1024;
+
+ApplyResult voidResult(std::string reason)
+{
+    return {ApplyResult::Verdict::Void, std::move(reason)};
+}
+
+ApplyResult acceptedResult()
+{
+    return {ApplyResult::Verdict::Accepted, {}};
+}
+
+std::string textField(const nlohmann::json &json, const char *name)
+{
+    const auto found = json.find(name);
+    return found != json.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+} // namespace
+
+struct ConfigurationLog::ParsedRecord {
+    std::string kind;
+    RecordId id;
+    Offset base;
+    OperatorId operatorId;
+    InstanceId instance;
+    std::string document;
+    std::string signature;
+
+    [[nodiscard]] std::string signedText() const
+    {
+        return kind == "publish" ? internal::publishText(id, base, operatorId, document) : internal::instanceText(id, kind, instance, operatorId);
+    }
+
+    [[nodiscard]] bool isWellFormed() const
+    {
+        const auto isLine = [](const std::string &text) {
+            return !text.empty() && text.find('\n') == std::string::npos;
+        };
+        return isLine(id.value()) && isLine(operatorId.value()) && (kind == "publish" || isLine(instance.value()));
+    }
+
+    static ParsedRecord parse(const nlohmann::json &json)
+    {
+        ParsedRecord record;
+        record.kind = textField(json, "kind");
+        record.id = RecordId(textField(json, "id"));
+        record.base = Offset(json.contains("base") && json["base"].is_number_integer() ? json["base"].get<std::int64_t>() : -2);
+        record.operatorId = OperatorId(textField(json, "operator"));
+        record.instance = InstanceId(textField(json, "instance"));
+        record.document = textField(json, "document");
+        record.signature = textField(json, "signature");
+        return record;
+    }
+};
+
+ConfigurationLog::ConfigurationLog(std::vector<Operator> bootstrapOperators)
+    : bootstrapOperators_(std::move(bootstrapOperators))
+{
+}
+
+ApplyResult ConfigurationLog::apply(Offset offset, const std::string &payload)
+{
+    if (offset < nextOffset_) {
+        return {ApplyResult::Verdict::Ignored, "applied before"};
+    }
+    ApplyResult result = decide(offset, payload);
+    nextOffset_ = offset + Offset(1);
+    if (result.isAccepted()) {
+        const ConfigurationVersion version(offset.count());
+        invariant(state_.version < version, "a configuration version never reverts");
+        state_.version = version;
+    }
+    return result;
+}
+
+ApplyResult ConfigurationLog::decide(Offset offset, const std::string &payload)
+{
+    const nlohmann::json json = nlohmann::json::parse(payload, nullptr, false);
+    if (!json.is_object()) {
+        return voidResult("record is not a JSON object");
+    }
+    const ParsedRecord record = ParsedRecord::parse(json);
+    if (!record.isWellFormed()) {
+        return voidResult("record lacks a field or has a line break in one");
+    }
+    if (wasAccepted(record.id)) {
+        return voidResult("a record with this id was accepted before");
+    }
+    const ApplyResult result = record.kind == "publish" ? publish(offset, record) : changeInstance(record);
+    if (result.isAccepted()) {
+        remember(offset, payload, record.id);
+    }
+    return result;
+}
+
+ApplyResult ConfigurationLog::publish(Offset offset, const ParsedRecord &record)
+{
+    if (record.base != state_.documentOffset) {
+        return voidResult("base is not current: it is " + std::to_string(record.base.count()) + ", the last accepted publish record is "
+                          + std::to_string(state_.documentOffset.count()));
+    }
+    if (!isSignedByOperator(record)) {
+        return voidResult("signature does not match an operator of the current configuration");
+    }
+    try {
+        state_.configuration = parseConfiguration(record.document, "document");
+    } catch (const FindingsError &error) {
+        return voidResult(std::string("document has findings: ") + error.what());
+    }
+    state_.documentOffset = offset;
+    std::set<InstanceId> instances;
+    for (const Endpoint &endpoint : state_.configuration.endpoints) {
+        instances.insert(endpoint.instance);
+    }
+    std::erase_if(state_.instanceStates, [&instances](const auto &entry) {
+        return !instances.contains(entry.first);
+    });
+    return acceptedResult();
+}
+
+ApplyResult ConfigurationLog::changeInstance(const ParsedRecord &record)
+{
+    if (record.kind != "drain" && record.kind != "replace" && record.kind != "withdraw") {
+        return voidResult("kind \"" + record.kind + "\" is not known");
+    }
+    if (!isSignedByOperator(record)) {
+        return voidResult("signature does not match an operator of the current configuration");
+    }
+    const auto &endpoints = state_.configuration.endpoints;
+    if (std::ranges::find(endpoints, record.instance, &Endpoint::instance) == endpoints.end()) {
+        return voidResult("no endpoint of the current configuration has instance \"" + record.instance.value() + '"');
+    }
+    const InstanceState before = state_.stateOf(record.instance);
+    if (before == InstanceState::Withdrawn) {
+        return voidResult("instance is withdrawn");
+    }
+    if (record.kind == "replace") {
+        if (before != InstanceState::Draining) {
+            return voidResult("instance is not draining; drain it before it is replaced");
+        }
+        state_.instanceStates.erase(record.instance);
+    } else {
+        state_.instanceStates[record.instance] = record.kind == "drain" ? InstanceState::Draining : InstanceState::Withdrawn;
+    }
+    return acceptedResult();
+}
+
+bool ConfigurationLog::isSignedByOperator(const ParsedRecord &record) const
+{
+    const bool isFirst = state_.documentOffset < Offset(0);
+    const std::vector<Operator> &operators = isFirst ? bootstrapOperators_ : state_.configuration.operators;
+    const auto found = std::ranges::find(operators, record.operatorId, &Operator::id);
+    return found != operators.end() && verifySignature(found->publicKey, record.signedText(), record.signature);
+}
+
+bool ConfigurationLog::wasAccepted(const RecordId &id) const
+{
+    return std::ranges::find(acceptedIds_, id) != acceptedIds_.end();
+}
+
+void ConfigurationLog::remember(Offset offset, const std::string &payload, const RecordId &id)
+{
+    acceptedIds_.push_back(id);
+    if (acceptedIds_.size() > REMEMBERED_IDS) {
+        acceptedIds_.pop_front();
+    }
+    accepted_.push_back({offset, payload});
+}
+
+const ConfigurationState &ConfigurationLog::state() const
+{
+    return state_;
+}
+
+std::vector<ConfigurationRecord> ConfigurationLog::acceptedAfter(ConfigurationVersion version) const
+{
+    const auto first = std::ranges::find_if(accepted_, [version](const ConfigurationRecord &record) {
+        return record.offset.count() > version.count();
+    });
+    return {first, accepted_.end()};
+}
+
+Offset ConfigurationLog::nextOffset() const
+{
+    return nextOffset_;
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/config/configurationrecord.cpp
@@ -0,0 +1,65 @@
+#include "recordtext.h"
+
+#include <mimosatally/Config>
+
+#include <nlohmann/json.hpp>
+
+namespace mimosatally
+{
+
+namespace internal
+{
+
+// The signed text has one field a line; ids with line breaks are void, so two records never share a text.
+std::string publishText(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document)
+{
+    return "mimosatally publish\n" + id.value() + '\n' + std::to_string(base.count()) + '\n' + operatorId.value() + '\n' + sha256Hex(document) + '\n';
+}
+
+std::string instanceText(const RecordId &id, std::string_view kind, const InstanceId &instance, const OperatorId &operatorId)
+{
+    return "mimosatally " + std::string(kind) + '\n' + id.value() + '\n' + instance.value() + '\n' + operatorId.value() + '\n';
+}
+
+} // namespace internal
+
+std::string_view toString(InstanceAction action)
+{
+    switch (action) {
+    case InstanceAction::Drain:
+        return "drain";
+    case InstanceAction::Replace:
+        return "replace";
+    case InstanceAction::Withdraw:
+        return "withdraw";
+    }
+    return "";
+}
+
+std::string makePublishRecord(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document, const std::string &privateKey)
+{
+    return nlohmann::json {
+        {"kind", "publish"},
+        {"id", id.value()},
+        {"base", base.count()},
+        {"operator", operatorId.value()},
+        {"document", document},
+        {"signature", signMessage(privateKey, internal::publishText(id, base, operatorId, document))},
+    }
+        .dump();
+}
+
+std::string makeInstanceRecord(
+    const RecordId &id, InstanceAction action, const InstanceId &instance, const OperatorId &operatorId, const std::string &privateKey)
+{
+    return nlohmann::json {
+        {"kind", toString(action)},
+        {"id", id.value()},
+        {"instance", instance.value()},
+        {"operator", operatorId.value()},
+        {"signature", signMessage(privateKey, internal::instanceText(id, toString(action), instance, operatorId))},
+    }
+        .dump();
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/config/processsettings.cpp
@@ -0,0 +1,102 @@
+#include "tomltable.h"
+
+#include <mimosatally/Config>
+
+#include <utility>
+
+namespace mimosatally
+{
+
+namespace
+{
+using internal::TomlTable;
+
+constexpr std::int64_t LARGEST_LIMIT = 1LL << 30;
+const std::vector<std::string> LOG_LEVELS = {"debug", "info", "warning", "error"};
+
+std::size_t size(TomlTable &table, const std::string &key, std::size_t byDefault)
+{
+    return static_cast<std::size_t>(table.integer(key, static_cast<std::int64_t>(byDefault), 1, LARGEST_LIMIT));
+}
+
+HttpSettings readHttp(TomlTable &root)
+{
+    HttpSettings result;
+    TomlTable table = root.table("http");
+    result.maxHeaderBytes = size(table, "max_header_bytes", result.maxHeaderBytes);
+    result.maxBodyBytes = size(table, "max_body_bytes", result.maxBodyBytes);
+    result.maxConnections = size(table, "max_connections", result.maxConnections);
+    result.transferTimeout = table.duration("transfer_timeout", result.transferTimeout);
+    result.idleTimeout = table.duration("idle_timeout", result.idleTimeout);
+    table.reportUnknownKeys();
+    return result;
+}
+
+std::vector<Operator> readBootstrapOperators(TomlTable &root)
+{
+    std::vector<Operator> result;
+    for (TomlTable &table : root.tables("bootstrap_operators")) {
+        Operator item;
+        item.id = OperatorId(table.requiredString("id"));
+        item.publicKey = table.requiredHash("public_key");
+        item.apiKeyHash = table.has("api_key_hash") ? table.requiredHash("api_key_hash") : std::string();
+        table.reportUnknownKeys();
+        result.push_back(std::move(item));
+    }
+    if (result.empty()) {
+        root.addFinding("bootstrap_operators", "must name at least one operator, or no first configuration could be accepted");
+    }
+    return result;
+}
+
+void readCommon(TomlTable &root, ProcessSettings &result)
+{
+    result.process = ProcessId(root.requiredString("process"));
+    result.instance = InstanceId(root.string("instance", result.process.value()));
+    result.region = RegionId(root.requiredString("region"));
+    result.dataCentre = DataCentreId(root.requiredString("data_centre"));
+    result.logService = root.address("log_service");
+    result.instanceList = root.address("instance_list");
+    result.bootstrapOperators = readBootstrapOperators(root);
+    result.http = readHttp(root);
+    result.logLevel = static_cast<LogLevel>(root.choice("log_level", LOG_LEVELS, static_cast<std::size_t>(result.logLevel)));
+    result.seed = static_cast<std::uint64_t>(root.integer("seed", 0, 0));
+    result.snapshotEvery = root.integer("snapshot_every", result.snapshotEvery, 1, 1'000'000);
+}
+
+/// \brief Parses a settings file; \a readOwn reads the keys of one kind of process.
+template<class Settings, class ReadOwn>
+Settings parseSettings(const std::string &toml, const std::string &fileName, ReadOwn readOwn)
+{
+    Findings findings;
+    Settings result;
+    const std::optional<toml::value> parsed = internal::parseToml(toml, fileName, findings);
+    if (parsed) {
+        TomlTable root(*parsed, {}, fileName, findings);
+        readCommon(root, result);
+        readOwn(root, result);
+        root.reportUnknownKeys();
+    }
+    findings.throwIfAny();
+    return result;
+}
+} // namespace
+
+EntrySettings parseEntrySettings(const std::string &toml, const std::string &fileName)
+{
+    return parseSettings<EntrySettings>(toml, fileName, [](TomlTable &root, EntrySettings &result) {
+        result.listen = root.address("listen");
+    });
+}
+
+AgentSettings parseAgentSettings(const std::string &toml, const std::string &fileName)
+{
+    return parseSettings<AgentSettings>(toml, fileName, [](TomlTable &root, AgentSettings &result) {
+        result.listen = root.address("listen");
+        result.statusListen = root.address("status_listen", "127.0.0.1:0");
+        result.endpoint = EndpointId(root.requiredString("endpoint"));
+        result.endpointAddress = root.address("endpoint_address");
+    });
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/config/recordtext.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <mimosatally/Core>
+
+#include <string>
+#include <string_view>
+
+namespace mimosatally::internal
+{
+
+/// \brief Text that the signature of a `publish` record covers.
+std::string publishText(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document);
+
+/// \brief Text that the signature of a record about one instance covers.
+std::string instanceText(const RecordId &id, std::string_view kind, const InstanceId &instance, const OperatorId &operatorId);
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/config/tomltable.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <mimosatally/Core>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <toml.hpp>
+#include <vector>
+
+namespace mimosatally::internal
+{
+
+/// \brief Reads one TOML table and collects findings about its keys instead of stopping at the first.
+///
+/// A getter whose key is missing or wrong adds a finding and returns the default.
+class TomlTable
+{
+public:
+    TomlTable(const toml::value &table, std::string name, const std::string &file, Findings &findings);
+
+    std::string requiredString(const std::string &key);
+    std::string string(const std::string &key, const std::string &byDefault);
+    std::int64_t integer(const std::string &key, std::int64_t byDefault, std::int64_t least, std::int64_t most = std::numeric_limits<std::int64_t>::max());
+    double number(const std::string &key, double byDefault, double least);
+    bool boolean(const std::string &key, bool byDefault);
+    /// \brief Text with the unit ms, s, min, h or d; at least 1 ms.
+    Duration duration(const std::string &key, std::optional<Duration> byDefault);
+    /// \brief Text such as `12.5%`, in millionths.
+    std::int64_t requiredShare(const std::string &key);
+    std::vector<std::string> strings(const std::string &key);
+    /// \brief Text `ip:port`. \param byDefault nothing means that the key is required.
+    std::string address(const std::string &key, const std::optional<std::string> &byDefault = std::nullopt);
+    /// \brief 64 hexadecimal digits, returned in lower case.
+    std::string requiredHash(const std::string &key);
+    std::vector<std::string> hashes(const std::string &key);
+    /// \brief One of the given words. \return its position.
+    std::size_t choice(const std::string &key, const std::vector<std::string> &words, std::size_t byDefault);
+    std::vector<TomlTable> tables(const std::string &key);
+    /// \brief Table under a key; empty if the key is missing.
+    TomlTable table(const std::string &key);
+
+    [[nodiscard]] bool has(const std::string &key) const;
+    /// \brief Adds a finding at the line of a key, or of the table if the key is missing.
+    void addFinding(const std::string &key, const std::string &message);
+    /// \brief Adds a finding for every key that was not read.
+    void reportUnknownKeys();
+
+private:
+    const toml::value *find(const std::string &key);
+    const toml::value *require(const std::string &key);
+    [[nodiscard]] SourcePlace placeOf(const toml::value &value) const;
+    [[nodiscard]] std::string described(const std::string &key) const;
+
+    const toml::value *table_;
+    std::string name_;
+    const std::string *file_;
+    Findings *findings_;
+    std::set<std::string> read_;
+};
+
+/// \brief Parses TOML; a syntax error becomes a finding.
+/// \return nothing if there was one.
+std::optional<toml::value> parseToml(const std::string &text, const std::string &file, Findings &findings);
+
+} // namespace mimosatally::internal
