--- /dev/null
+++ b/include/mimosatally/entry/entryprocess.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <mimosatally/Config>
+
+namespace mimosatally
+{
+
+/// \brief Runs an entry until SIGTERM or SIGINT and its last request is answered.
+/// \return the exit code: 0 after a graceful shutdown, 1 after an invariant violation.
+/// \throws boost::system::system_error if an address cannot be bound.
+int runEntry(const EntrySettings &settings);
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/entry/agentlink.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "mimosatally.capnp.h"
+
+#include <mimosatally/Config>
+#include <mimosatally/Queueing>
+#include <mimosatally/Rpc>
+#include <mimosatally/Supervision>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace mimosatally::internal
+{
+
+struct EntryState;
+
+/// \brief Keeps one RPC connection to the agent of an endpoint and exchanges heartbeats over it.
+class AgentLink
+{
+public:
+    AgentLink(EntryState &entry, Endpoint endpoint);
+    AgentLink(const AgentLink &) = delete;
+    AgentLink &operator=(const AgentLink &) = delete;
+
+    /// \brief Task of the supervisor: connects again until \a context stops.
+    boost::asio::awaitable<void> run(TaskContext &context);
+
+    /// \brief Ends the connection; calls in progress fail as disconnected.
+    void disconnect();
+
+    /// \brief Whether the agent has answered on the current connection.
+    [[nodiscard]] bool isConnected() const;
+
+    /// \brief Capability of the connected agent. \throws DisconnectedError
+    [[nodiscard]] schema::Agent::Client agent() const;
+
+    /// \brief Incarnation of the connected agent; empty without a connection.
+    [[nodiscard]] const IncarnationId &incarnation() const;
+
+    [[nodiscard]] const Endpoint &endpoint() const;
+    void setEndpoint(Endpoint endpoint);
+
+    /// \brief Last reported load, for the status page.
+    [[nodiscard]] const std::optional<QueueLoad> &load() const;
+    [[nodiscard]] const std::string &role() const;
+
+private:
+    using ExchangeResponse = capnp::Response<schema::Agent::ExchangeResults>;
+
+    boost::asio::awaitable<bool> connect(TaskContext &context);
+    boost::asio::awaitable<void> exchangeUntilStopped(TaskContext &context);
+    boost::asio::awaitable<void> exchangeOnce();
+    void fillRequest(schema::Agent::ExchangeParams::Builder params) const;
+    void takeAnswer(schema::Agent::ExchangeResults::Reader answer);
+    void takeLoad(schema::Load::Reader load, const IncarnationId &incarnation);
+
+    EntryState &entry_;
+    Endpoint endpoint_;
+    std::unique_ptr<RpcConnection> connection_;
+    std::optional<schema::Agent::Client> agent_;
+    IncarnationId incarnation_;
+    ConfigurationVersion peerVersion_ = ConfigurationVersion(-1);
+    std::optional<QueueLoad> load_;
+    std::string role_;
+};
+
+} // namespace mimosatally::internal
--- a/src/entry/answerrelay.cpp
+++ b/src/entry/answerrelay.cpp
@@ -62,6 +62,11 @@
     return ++attempt_;
 }
 
+void AnswerRelay::ignoreLostCaller()
+{
+    ignoresLostCaller_ = true;
+}
+
 void AnswerRelay::begin(int attempt, unsigned status, std::string contentType)
 {
     constexpr unsigned lowestStatus = 200;
@@ -89,9 +94,12 @@
     std::exception_ptr failure;
     try {
         co_await take(std::move(data));
-    } catch (const std::exception &) {
-        failure = std::current_exception();
-        failed_ = true;
+    } catch (const boost::system::system_error &) {
+        callerGone_ = true;
+        if (!ignoresLostCaller_) {
+            failure = std::current_exception();
+            failed_ = true;
+        }
     }
     writing_ = false;
     changed_.cancel();
@@ -120,6 +128,9 @@
 
 awaitable<void> AnswerRelay::relay(std::string_view data)
 {
+    if (callerGone_) {
+        co_return;
+    }
     if (!relayed_) {
         relayed_ = true;
         co_await exchange_.beginStream(makeHeader());
@@ -194,6 +205,11 @@
     return status_ != 0;
 }
 
+bool AnswerRelay::isCallerGone() const
+{
+    return callerGone_;
+}
+
 bool AnswerRelay::isEventStream() const
 {
     return eventStream_;
--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -52,6 +52,9 @@
     /// \return the number of the attempt, by which late pieces of earlier attempts are recognised.
     int startAttempt();
 
+    /// \brief Takes the whole answer even if the caller goes away, so that the agent is not stopped.
+    void ignoreLostCaller();
+
     /// \brief Status and content type of the answer. \throws MalformedInputError if it is out of order.
     void begin(int attempt, unsigned status, std::string contentType);
 
@@ -74,6 +77,9 @@
     /// \brief Whether the caller has been sent a part of an answer.
     [[nodiscard]] bool hasRelayed() const;
     [[nodiscard]] bool hasBegun() const;
+
+    /// \brief Whether a write to the caller failed.
+    [[nodiscard]] bool isCallerGone() const;
     [[nodiscard]] bool isEventStream() const;
     [[nodiscard]] unsigned status() const;
     [[nodiscard]] const std::string &contentType() const;
@@ -108,6 +114,8 @@
     bool closed_ = true;
     bool writing_ = false;
     bool failed_ = false;
+    bool callerGone_ = false;
+    bool ignoresLostCaller_ = false;
 };
 
 } // namespace mimosatally::internal
--- /dev/null
+++ b/src/entry/callrunner.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "answerrelay.h"
+#include "call.h"
+#include "entrystate.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosatally::internal
+{
+
+/// \brief How one attempt at one endpoint ended.
+struct AttemptEnd {
+    enum class Kind {
+        Answered,
+        /// \brief The agent states that the call was not run and will not be.
+        NotRun,
+        /// \brief The call may have been run; no whole answer came.
+        Lost,
+        /// \brief The caller went away.
+        CallerGone,
+    };
+
+    Kind kind = Kind::Lost;
+    std::string reason;
+    std::optional<Duration> retryAfter;
+    TokenUsage usage;
+};
+
+/// \brief Right to run a call that may not be repeated.
+struct ClaimRight {
+    int partition = 0;
+    Offset claim;
+};
+
+/// \brief Tells a CallRunner that its caller went away; outlives the runner where the exchange does.
+class CallerWatch
+{
+public:
+    using SubmitResponse = capnp::Response<schema::Agent::SubmitResults>;
+
+    /// \brief Promise that is rejected when the caller goes away.
+    kj::Promise<SubmitResponse> whenGone();
+    void markGone();
+    [[nodiscard]] bool isGone() const;
+
+private:
+    kj::Own<kj::PromiseFulfiller<SubmitResponse>> fulfiller_;
+    bool gone_ = false;
+};
+
+/// \brief Routes one call, sends it to agents and relays the answer. Lives until the call has ended.
+class CallRunner
+{
+public:
+    CallRunner(EntryState &entry, HttpExchange &exchange, Call call);
+
+    /// \brief Runs the call to its answer or refusal.
+    boost::asio::awaitable<void> run();
+
+private:
+    using SubmitResponse = CallerWatch::SubmitResponse;
+
+    boost::asio::awaitable<void> runRepeatable();
+    boost::asio::awaitable<void> runClaimed();
+    boost::asio::awaitable<void> runWithClaim(RouteDecision decision, ClaimRecord record, ClaimResult claim);
+    boost::asio::awaitable<void> followClaim(ClaimKey key, ClaimResult claim);
+    boost::asio::awaitable<void> answerFromOutcome(const OutcomeRecord &outcome);
+
+    /// \brief Chooses a connected endpoint. \return nothing if there is none; refusal_ says why.
+    std::optional<RouteDecision> route();
+    boost::asio::awaitable<AttemptEnd> attempt(const RouteDecision &decision, std::optional<ClaimRight> right);
+    boost::asio::awaitable<AttemptEnd> submit(AgentLink &link, std::optional<ClaimRight> right, int relayAttempt);
+    boost::asio::awaitable<AttemptEnd> readOutcome(schema::Outcome::Reader outcome);
+    void fillRequest(schema::Request::Builder request, const AgentLink &link, std::optional<ClaimRight> right) const;
+    void noteEnd(const RouteDecision &decision, const IncarnationId &incarnation, const AttemptEnd &end);
+    /// \brief Whether another attempt is allowed after \a end; if not, refusal_ is set.
+    bool mayTryAgain(const AttemptEnd &end);
+    [[nodiscard]] CallRefusal refusalAfter(const AttemptEnd &end) const;
+
+    boost::asio::awaitable<void> finishAnswer(const EndpointId &endpoint, const AttemptEnd &end);
+    boost::asio::awaitable<void> refuse(const CallRefusal &refusal);
+    boost::asio::awaitable<void> cancelAtAgent(schema::Agent::Client agent, IncarnationId incarnation);
+    [[nodiscard]] RouteRequest routeRequest() const;
+
+    EntryState &entry_;
+    HttpExchange &exchange_;
+    Call call_;
+    std::shared_ptr<AnswerRelay> relay_;
+    std::string receipt_;
+    std::vector<EndpointId> tried_;
+    int attempts_ = 0;
+    bool mayHaveRun_ = false;
+    CallRefusal refusal_;
+    std::shared_ptr<CallerWatch> watch_ = std::make_shared<CallerWatch>();
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/entry/claimedcall.cpp
@@ -0,0 +1,122 @@
+#include "callrunner.h"
+
+#include <chrono>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+/// \brief Time to come back when the log gives no claim; an outage is usually much longer than one reconnection.
+constexpr Duration RETRY_WITHOUT_CLAIMS = Duration(2000);
+/// \brief Time to come back when nothing but this one attempt stood in the way.
+constexpr Duration RETRY_SOON = Duration(1000);
+
+std::int64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+/// \brief Whether the log keeps only the hash of the answer, because the answer is large.
+bool isBodyOmitted(const OutcomeRecord &outcome)
+{
+    return outcome.body.empty() && !outcome.answerHash.empty() && outcome.answerHash != sha256Hex("");
+}
+} // namespace
+
+awaitable<void> CallRunner::runClaimed()
+{
+    if (entry_.decisions.basis().unconfirmed) {
+        co_await refuse(notRun("configuration-unconfirmed", RETRY_WITHOUT_CLAIMS));
+        co_return;
+    }
+    const std::optional<RouteDecision> decision = route();
+    if (!decision) {
+        co_await refuse(refusal_);
+        co_return;
+    }
+    ClaimRecord record;
+    record.id = RecordId(newUniqueId());
+    record.key = {call_.customer, call_.idempotencyKey};
+    record.bodyHash = sha256Hex(call_.method + '\n' + std::string(exchange_.request().target()) + '\n' + call_.body);
+    record.endpoint = *decision->endpoint;
+    record.agentIncarnation = entry_.fleet.find(*decision->endpoint)->incarnation();
+    record.entry = entry_.settings.process;
+    record.timeMs = wallClockMs();
+    const ClaimResult claim = co_await entry_.claims.claim(record, call_.startDeadline);
+    switch (claim.kind) {
+    case ClaimResult::Kind::Won:
+        co_await runWithClaim(*decision, record, claim);
+        break;
+    case ClaimResult::Kind::Lost:
+        co_await followClaim(record.key, claim);
+        break;
+    case ClaimResult::Kind::LostToOtherBody:
+        co_await refuse({.status = status::OTHER_BODY,
+                         .reason = "idempotency-key-reused",
+                         .message = "the idempotency key was used with another request",
+                         .param = "Idempotency-Key",
+                         .retryAfter = std::nullopt});
+        break;
+    case ClaimResult::Kind::Unavailable:
+        co_await refuse(notRun("claims-unavailable", RETRY_WITHOUT_CLAIMS));
+        break;
+    }
+}
+
+/// Submits at most once: the agent's answer, whatever it is, ends the call.
+awaitable<void> CallRunner::runWithClaim(RouteDecision decision, ClaimRecord record, ClaimResult claim)
+{
+    const std::shared_ptr<AgentLink> link = entry_.fleet.find(record.endpoint);
+    if (!link || link->incarnation() != record.agentIncarnation) {
+        entry_.claims.voidClaim(record);
+        co_await refuse(notRun("endpoint-changed", RETRY_SOON));
+        co_return;
+    }
+    relay_->ignoreLostCaller();
+    const AttemptEnd end = co_await attempt(decision, ClaimRight {claim.partition, claim.claim});
+    if (end.kind == AttemptEnd::Kind::Answered) {
+        co_await finishAnswer(record.endpoint, end);
+        co_return;
+    }
+    if (end.kind == AttemptEnd::Kind::NotRun) {
+        entry_.claims.voidClaim(record);
+    }
+    co_await refuse(refusalAfter(end));
+}
+
+awaitable<void> CallRunner::followClaim(ClaimKey key, ClaimResult claim)
+{
+    const std::optional<OutcomeRecord> outcome = co_await entry_.claims.awaitOutcome(key, claim.claim, call_.startDeadline);
+    if (outcome) {
+        co_await answerFromOutcome(*outcome);
+        co_return;
+    }
+    if (entry_.claims.isVoided(key, claim.record)) {
+        co_await refuse(notRun("claim-voided", RETRY_SOON));
+        co_return;
+    }
+    CallRefusal refusal = outcomeUnknown(status::UNKNOWN_WITHIN_WAIT, "no-outcome-within-wait");
+    refusal.retryAfter = RETRY_SOON;
+    co_await refuse(refusal);
+}
+
+awaitable<void> CallRunner::answerFromOutcome(const OutcomeRecord &outcome)
+{
+    AnswerSummary summary;
+    summary.status = static_cast<unsigned>(outcome.status);
+    summary.answerBytes = Bytes(static_cast<std::int64_t>(outcome.body.size()));
+    summary.answerHash = outcome.answerHash;
+    receipt_ = entry_.decisions.answered(call_, summary);
+    HttpResponse response = makeHttpResponse(summary.status, outcome.contentType, outcome.body);
+    response.set("X-Request-Id", call_.id.value());
+    response.set("X-Mimosatally-Receipt", receipt_);
+    response.set("X-Mimosatally-Recorded", isBodyOmitted(outcome) ? "hash-only" : "whole");
+    response.set("X-Mimosatally-Answer-Sha256", outcome.answerHash);
+    co_await exchange_.respond(std::move(response));
+}
+
+} // namespace mimosatally::internal
