--- /dev/null
+++ b/src/agent/endpointclient.cpp
@@ -0,0 +1,109 @@
+#include "endpointclient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mimosatally::internal
+{
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+using nlohmann::json;
+
+namespace
+{
+/// \brief Longest time without data from the endpoint; a long prompt or a plain answer gives no byte before its end.
+constexpr Duration ENDPOINT_IDLE_LIMIT(300000);
+constexpr Duration CONTROL_TIMEOUT(2000);
+constexpr unsigned STATUS_OK = 200;
+
+HttpClient::Options requestOptions(std::size_t maxConcurrentRequests)
+{
+    HttpClient::Options options;
+    options.maxIdleConnections = maxConcurrentRequests;
+    return options;
+}
+
+HttpRequest toHttp(const AgentRequest &request)
+{
+    HttpRequest message = makeHttpRequest(http::verb::post, request.path, request.contentType, request.body);
+    message.method_string(request.method);
+    message.set("X-Request-Id", request.id.value());
+    if (!request.idempotencyKey.empty()) {
+        message.set("Idempotency-Key", request.idempotencyKey);
+    }
+    return message;
+}
+
+EndpointReport parseReport(const std::string &text)
+{
+    EndpointReport report;
+    try {
+        const json body = json::parse(text);
+        report.healthy = true;
+        report.lag = Duration(body.value("age_ms", std::int64_t(0)));
+        report.freeCacheBlocks = body.value("cache_blocks_free", std::int64_t(0));
+        report.prefillTokensPerSecond = body.value("prefill_tokens_per_second", 0.0);
+        report.decodeTokensPerSecond = body.value("decode_tokens_per_second", 0.0);
+        report.role = body.value("role", "");
+        for (const json &model : body.value("models", json::array())) {
+            report.models.emplace_back(model.get<std::string>());
+        }
+        report.orderInProgress = body.contains("order_in_progress") && !body["order_in_progress"].is_null();
+        report.lastOrder = body.value("last_order", "");
+    } catch (const json::exception &error) {
+        throw MalformedInputError(std::string("the endpoint's load report: ") + error.what());
+    }
+    return report;
+}
+} // namespace
+
+EndpointClient::EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address, std::size_t maxConcurrentRequests)
+    : client_(io, address, requestOptions(maxConcurrentRequests))
+    , control_(io, address)
+{
+}
+
+awaitable<EndpointReport> EndpointClient::report(Duration timeout)
+{
+    const HttpResponse response = co_await control_.send(makeHttpRequest(http::verb::get, "/load"), timeout);
+    if (response.result_int() != STATUS_OK) {
+        // A plain service need not report load; any answer shows that it is alive.
+        EndpointReport report;
+        report.healthy = true;
+        report.at = MilliClock::now();
+        co_return report;
+    }
+    EndpointReport report = parseReport(response.body());
+    report.at = MilliClock::now();
+    co_return report;
+}
+
+awaitable<void> EndpointClient::dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData)
+{
+    co_await client_.stream(toHttp(request), ENDPOINT_IDLE_LIMIT, std::move(onHead), std::move(onData));
+}
+
+awaitable<void> EndpointClient::cancel(RequestId id)
+{
+    try {
+        const json body = {{"request", id.value()}};
+        co_await control_.send(makeHttpRequest(http::verb::post, "/cancel", "application/json", body.dump()), CONTROL_TIMEOUT);
+    } catch (const UnreachableError &) {
+        // The request ends with the endpoint's connection.
+    }
+}
+
+awaitable<EndpointVerdict> EndpointClient::order(EndpointOrder order, Duration timeout)
+{
+    const json body = {{"id", order.id}, {"kind", order.kind}, {"argument", order.argument}, {"epoch", order.epoch.count()}};
+    try {
+        const HttpResponse response = co_await control_.send(makeHttpRequest(http::verb::post, "/orders", "application/json", body.dump()), timeout);
+        co_return response.result_int() == STATUS_OK ? EndpointVerdict::Done : EndpointVerdict::Refused;
+    } catch (const ConnectError &) {
+        co_return EndpointVerdict::Refused;
+    } catch (const UnreachableError &) {
+        co_return EndpointVerdict::Unknown;
+    }
+}
+
+} // namespace mimosatally::internal
