--- /dev/null
+++ b/src/agent/answerwriter.cpp
@@ -0,0 +1,31 @@
+#include "answerwriter.h"
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+AnswerWriter::AnswerWriter(boost::asio::io_context &io, schema::AnswerSink::Client sink)
+    : io_(io)
+    , sink_(kj::mv(sink))
+{
+}
+
+awaitable<void> AnswerWriter::begin(unsigned status, std::string contentType)
+{
+    auto call = sink_.beginRequest();
+    call.setStatus(static_cast<std::uint16_t>(status));
+    call.setContentType(contentType.c_str());
+    co_await awaitPromise(io_, call.send().ignoreResult());
+}
+
+awaitable<void> AnswerWriter::write(std::string_view data)
+{
+    auto call = sink_.chunkRequest();
+    call.setPosition(position_);
+    call.setData(kj::arrayPtr(reinterpret_cast<const kj::byte *>(data.data()), data.size()));
+    position_ += static_cast<std::int64_t>(data.size());
+    co_await awaitPromise(io_, call.send());
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/agent/requestqueue.cpp
@@ -0,0 +1,225 @@
+#include "requestqueue.h"
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief Time to come back when the agent's memory for waiting requests is full.
+constexpr Duration FULL_RETRY_AFTER(1000);
+
+bool sameCapacity(const EndpointCapacity &left, const EndpointCapacity &right)
+{
+    return left.maxConcurrentRequests == right.maxConcurrentRequests && left.prefillTokensPerSecond == right.prefillTokensPerSecond
+        && left.decodeTokensPerSecond == right.decodeTokensPerSecond;
+}
+
+RefusedInputs refusedInputs(RefusalStage stage, const Refusal &refusal)
+{
+    RefusedInputs inputs;
+    inputs.stage = stage;
+    inputs.reason = std::string(toString(refusal.reason));
+    inputs.retryAfter = refusal.retryAfter;
+    return inputs;
+}
+} // namespace
+
+RequestQueue::RequestQueue(EndpointId endpoint, AgentDecisions &decisions, QueueLimits limits)
+    : endpoint_(std::move(endpoint))
+    , decisions_(decisions)
+    , limits_(limits)
+{
+}
+
+void RequestQueue::configure(const Configuration &configuration, EndpointCapacity capacity, Time now)
+{
+    contracts_ = configuration.contracts;
+    costs_ = configuration.tokenCosts;
+    if (!scheduler_) {
+        capacity_ = capacity;
+        buildScheduler(now);
+        return;
+    }
+    pendingCapacity_ = sameCapacity(capacity, capacity_) ? std::nullopt : std::optional(capacity);
+    scheduler_->applyContracts(contracts_, costs_, now);
+    recordConfiguration(now);
+    applyPendingCapacity(now);
+    advance(now);
+}
+
+void RequestQueue::buildScheduler(Time now)
+{
+    scheduler_.emplace(Scheduler::Builder().capacity(capacity_).contracts(contracts_).tokenCosts(costs_).build());
+    recordConfiguration(now);
+}
+
+void RequestQueue::recordConfiguration(Time now)
+{
+    decisions_.add(DecisionKind::ConfigurationApplied, {}, {}, now, ConfigurationInputs {contracts_, costs_, capacity_, endpoint_});
+}
+
+void RequestQueue::applyPendingCapacity(Time now)
+{
+    if (pendingCapacity_ && requests_.empty()) {
+        capacity_ = *pendingCapacity_;
+        pendingCapacity_.reset();
+        buildScheduler(now);
+    }
+}
+
+bool RequestQueue::isConfigured() const
+{
+    return scheduler_.has_value();
+}
+
+std::optional<RequestOutcome> RequestQueue::add(const Request &request, Time now)
+{
+    if (requests_.size() >= limits_.maxRequests || bytes_ + request->body.size() > limits_.maxBytes) {
+        const RequestOutcome outcome = notRun("queue-full", FULL_RETRY_AFTER);
+        recordRefusal(*request, outcome, now);
+        return outcome;
+    }
+    const QueuedRequest queued {request->id, request->customer, request->expected, request->startDeadline};
+    if (const auto refusal = scheduler_->enqueue(queued, now)) {
+        RefusedInputs inputs = refusedInputs(RefusalStage::Enqueue, *refusal);
+        inputs.expected = request->expected;
+        inputs.startDeadline = request->startDeadline;
+        decisions_.add(DecisionKind::Refused, request->id, request->customer, now, inputs);
+        return notRun(inputs.reason, refusal->retryAfter);
+    }
+    const QueuedInputs inputs {request->expected, request->startDeadline, request->mayRepeat, request->claimPartition, request->claim};
+    decisions_.add(DecisionKind::Queued, request->id, request->customer, now, inputs);
+    requests_.emplace(request->id, request);
+    bytes_ += request->body.size();
+    request->state = RequestState::Waiting;
+    return std::nullopt;
+}
+
+void RequestQueue::advance(Time now)
+{
+    if (!scheduler_) {
+        return;
+    }
+    for (const Refusal &refusal : scheduler_->expire(now)) {
+        refuse(refusal, now);
+    }
+    while (!paused_) {
+        const auto next = scheduler_->dispatchNext(now);
+        if (!next) {
+            break;
+        }
+        const auto found = requests_.find(*next);
+        invariant(found != requests_.end(), "a dispatched request is known");
+        AgentRequest &request = *found->second;
+        invariant(request.state == RequestState::Waiting, "a request is dispatched once");
+        ++running_;
+        request.dispatchedAt = now;
+        decisions_.add(DecisionKind::Dispatched, request.id, request.customer, now, DispatchedInputs {now - request.receivedAt});
+        setState(request, RequestState::Dispatched);
+    }
+}
+
+void RequestQueue::refuse(const Refusal &refusal, Time now)
+{
+    const Request request = find(refusal.id);
+    invariant(request != nullptr, "an expired request is known");
+    const RefusedInputs inputs = refusedInputs(RefusalStage::Expire, refusal);
+    decisions_.add(DecisionKind::Refused, request->id, request->customer, now, inputs);
+    request->refusal = notRun(inputs.reason, refusal.retryAfter);
+    request->refusal->queued = now - request->receivedAt;
+    end(request);
+}
+
+void RequestQueue::complete(const Request &request, const CompletedInputs &result, Time now)
+{
+    invariant(request->state == RequestState::Dispatched, "only a dispatched request completes");
+    scheduler_->complete(request->id, result.actual, now);
+    decisions_.add(DecisionKind::Completed, request->id, request->customer, now, result);
+    --running_;
+    end(request);
+    applyPendingCapacity(now);
+    advance(now);
+}
+
+CancelWord RequestQueue::cancel(const Request &request, Time now)
+{
+    const CancelWord word = scheduler_->cancel(request->id, now);
+    decisions_.add(DecisionKind::Cancelled, request->id, request->customer, now, CancelledInputs {word});
+    if (word == CancelWord::NeverStarted) {
+        request->refusal = notRun("cancelled", std::nullopt);
+        request->refusal->queued = now - request->receivedAt;
+        end(request);
+        applyPendingCapacity(now);
+    }
+    return word;
+}
+
+void RequestQueue::recordRefusal(const AgentRequest &request, const RequestOutcome &outcome, Time now)
+{
+    RefusedInputs inputs;
+    inputs.stage = RefusalStage::Gate;
+    inputs.reason = outcome.reason;
+    inputs.outcome = outcome.kind == OutcomeKind::Unknown ? "outcome_unknown" : "not_run";
+    inputs.retryAfter = outcome.retryAfter;
+    decisions_.add(DecisionKind::Refused, request.id, request.customer, now, inputs);
+}
+
+void RequestQueue::setRemoteService(std::vector<CustomerService> served, Time now)
+{
+    if (!scheduler_) {
+        return;
+    }
+    scheduler_->setRemoteService(served, now);
+    decisions_.add(DecisionKind::ServiceReported, {}, {}, now, ServiceReportedInputs {std::move(served)});
+}
+
+void RequestQueue::setPaused(bool paused)
+{
+    paused_ = paused;
+}
+
+void RequestQueue::end(const Request &request)
+{
+    bytes_ -= request->body.size();
+    setState(*request, RequestState::Ended);
+    requests_.erase(request->id);
+}
+
+void RequestQueue::setState(AgentRequest &request, RequestState state)
+{
+    request.state = state;
+    request.signal.cancel();
+}
+
+RequestQueue::Request RequestQueue::find(const RequestId &id) const
+{
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : found->second;
+}
+
+QueueLoad RequestQueue::load() const
+{
+    return scheduler_ ? scheduler_->load() : QueueLoad();
+}
+
+std::vector<CustomerService> RequestQueue::service() const
+{
+    return scheduler_ ? scheduler_->service() : std::vector<CustomerService>();
+}
+
+std::optional<Time> RequestQueue::nextDeadline() const
+{
+    return scheduler_ ? scheduler_->nextDeadline() : std::nullopt;
+}
+
+bool RequestQueue::isEmpty() const
+{
+    return requests_.empty();
+}
+
+std::size_t RequestQueue::running() const
+{
+    return running_;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/agent/requestqueue.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "agentrequest.h"
+#include "agentdecisions.h"
+
+#include <mimosatally/Config>
+#include <mimosatally/Queueing>
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosatally::internal
+{
+
+/// \brief Bounds on what waits at one agent.
+struct QueueLimits {
+    std::size_t maxRequests = 4096;
+    /// \brief Sum of the request bodies of waiting and running requests.
+    std::size_t maxBytes = 8 * 1024 * 1024;
+};
+
+/// \brief The requests of one endpoint from their submit to their end: calls the Scheduler and records each call.
+class RequestQueue
+{
+public:
+    using Request = std::shared_ptr<AgentRequest>;
+
+    RequestQueue(EndpointId endpoint, AgentDecisions &decisions, QueueLimits limits);
+
+    /// \brief Applies contracts, costs and capacity. A changed capacity takes effect once nothing waits or runs.
+    void configure(const Configuration &configuration, EndpointCapacity capacity, Time now);
+
+    [[nodiscard]] bool isConfigured() const;
+
+    /// \brief Adds a request. \return its outcome if it is refused, or nothing if it waits.
+    std::optional<RequestOutcome> add(const Request &request, Time now);
+
+    /// \brief Refuses what cannot start in time and dispatches while the endpoint has room.
+    void advance(Time now);
+
+    /// \brief Ends a dispatched request.
+    void complete(const Request &request, const CompletedInputs &result, Time now);
+
+    /// \brief Ends a waiting request as cancelled; a dispatched one goes on. \return the word about it.
+    CancelWord cancel(const Request &request, Time now);
+
+    /// \brief Records a refusal that was decided before the queue.
+    void recordRefusal(const AgentRequest &request, const RequestOutcome &outcome, Time now);
+
+    void setRemoteService(std::vector<CustomerService> served, Time now);
+
+    /// \brief Stops or resumes dispatching, for example during an order.
+    void setPaused(bool paused);
+
+    /// \brief A request that has not ended; null if there is none.
+    [[nodiscard]] Request find(const RequestId &id) const;
+
+    [[nodiscard]] QueueLoad load() const;
+    [[nodiscard]] std::vector<CustomerService> service() const;
+    [[nodiscard]] std::optional<Time> nextDeadline() const;
+    [[nodiscard]] bool isEmpty() const;
+    [[nodiscard]] std::size_t running() const;
+
+private:
+    void buildScheduler(Time now);
+    void recordConfiguration(Time now);
+    void applyPendingCapacity(Time now);
+    void refuse(const Refusal &refusal, Time now);
+    void end(const Request &request);
+    void setState(AgentRequest &request, RequestState state);
+
+    EndpointId endpoint_;
+    AgentDecisions &decisions_;
+    QueueLimits limits_;
+    std::optional<Scheduler> scheduler_;
+    std::vector<Contract> contracts_;
+    TokenCosts costs_;
+    EndpointCapacity capacity_;
+    std::optional<EndpointCapacity> pendingCapacity_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::size_t bytes_ = 0;
+    std::size_t running_ = 0;
+    bool paused_ = false;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/agent/requestservice.cpp
@@ -0,0 +1,235 @@
+#include "requestservice.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+/// \brief Longest time that an answer waits for its outcome record.
+constexpr Duration OUTCOME_APPEND_LIMIT(500);
+/// \brief Answers up to this size are part of their outcome record.
+constexpr std::size_t MAX_RECORDED_BODY = 16 * 1024;
+/// \brief Time to come back after a refusal that concerns this agent only; another endpoint may serve at once.
+constexpr Duration REFUSED_RETRY_AFTER(1000);
+
+/// \brief Decrements a counter when a submit ends.
+class ActiveGuard
+{
+public:
+    explicit ActiveGuard(std::size_t &count)
+        : count_(count)
+    {
+        ++count_;
+    }
+
+    ~ActiveGuard()
+    {
+        --count_;
+    }
+
+    ActiveGuard(const ActiveGuard &) = delete;
+    ActiveGuard &operator=(const ActiveGuard &) = delete;
+
+private:
+    std::size_t &count_;
+};
+} // namespace
+
+RequestService::RequestService(
+    boost::asio::io_context &io, IncarnationId incarnation, RequestQueue &queue, EndpointClient &endpoint, OutcomeAppender &outcomes)
+    : io_(io)
+    , incarnation_(std::move(incarnation))
+    , queue_(queue)
+    , endpoint_(endpoint)
+    , outcomes_(outcomes)
+    , claims_(incarnation_)
+{
+}
+
+awaitable<RequestOutcome> RequestService::serve(Request request, std::shared_ptr<AnswerWriter> writer)
+{
+    const ActiveGuard guard(active_);
+    RequestOutcome outcome;
+    if (auto refused = checkGate(*request)) {
+        queue_.recordRefusal(*request, *refused, MilliClock::now());
+        request->state = RequestState::Ended;
+        outcome = std::move(*refused);
+    } else {
+        outcome = co_await serveAdmitted(request, std::move(writer));
+    }
+    count(outcome);
+    co_return outcome;
+}
+
+std::optional<RequestOutcome> RequestService::checkGate(const AgentRequest &request)
+{
+    if (request.addressedTo != incarnation_) {
+        return notRun("other-incarnation", Duration(0));
+    }
+    if (!refusal_.empty()) {
+        return notRun(refusal_, REFUSED_RETRY_AFTER);
+    }
+    if (!queue_.isConfigured()) {
+        return notRun("no-configuration", REFUSED_RETRY_AFTER);
+    }
+    if (queue_.find(request.id)) {
+        // The first submit of this id may run, so "not run" would be wrong.
+        return outcomeUnknown("already-submitted");
+    }
+    if (memory_.isRenounced(request.id)) {
+        return notRun("cancelled", std::nullopt);
+    }
+    return request.mayRepeat ? std::nullopt : checkClaim(request);
+}
+
+std::optional<RequestOutcome> RequestService::checkClaim(const AgentRequest &request)
+{
+    if (request.claim < Offset(0) || request.claimPartition < 0) {
+        return notRun("claim-missing", std::nullopt);
+    }
+    switch (claims_.admit(request.claimPartition, request.claim, request.addressedTo)) {
+    case ClaimAdmission::Run:
+        return std::nullopt;
+    case ClaimAdmission::AlreadyRun:
+        return outcomeUnknown("claim-already-run");
+    case ClaimAdmission::Renounced:
+        return notRun("claim-renounced", std::nullopt);
+    case ClaimAdmission::OtherIncarnation:
+        return notRun("other-incarnation", Duration(0));
+    }
+    return outcomeUnknown("claim-already-run");
+}
+
+awaitable<RequestOutcome> RequestService::serveAdmitted(Request request, std::shared_ptr<AnswerWriter> writer)
+{
+    const Time now = MilliClock::now();
+    if (const auto refused = queue_.add(request, now)) {
+        request->state = RequestState::Ended;
+        co_return *refused;
+    }
+    queue_.advance(now);
+    while (request->state == RequestState::Waiting) {
+        boost::system::error_code ignored;
+        co_await request->signal.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    if (request->state == RequestState::Ended) {
+        invariant(request->refusal.has_value(), "a request that ends in the queue has a refusal");
+        co_return *request->refusal;
+    }
+    co_return co_await run(request, std::move(writer));
+}
+
+awaitable<RequestOutcome> RequestService::run(Request request, std::shared_ptr<AnswerWriter> writer)
+{
+    const Duration queued = request->dispatchedAt - request->receivedAt;
+    logEvent(LogEvent::RequestDispatched, {{"request", request->id}, {"customer", request->customer}, {"queued_ms", queued}});
+    Dispatch dispatch(endpoint_, request, std::move(writer));
+    RequestOutcome outcome = co_await dispatch.run();
+    outcome.queued = queued;
+    if (outcome.kind != OutcomeKind::NotRun) {
+        memory_.noteRun(request->id);
+    }
+    logEvent(LogEvent::RequestCompleted,
+             {{"request", request->id},
+              {"customer", request->customer},
+              {"status", outcome.status},
+              {"prompt_tokens", outcome.usage.prompt},
+              {"output_tokens", outcome.usage.output}});
+    queue_.complete(request, CompletedInputs {outcome.status, outcome.usage, outcome.answerBytes}, MilliClock::now());
+    if (!request->mayRepeat && outcome.kind == OutcomeKind::Answered) {
+        co_await recordOutcome(request, outcome, dispatch);
+        co_await dispatch.release();
+    }
+    co_return outcome;
+}
+
+awaitable<void> RequestService::recordOutcome(Request request, const RequestOutcome &outcome, const Dispatch &dispatch)
+{
+    OutcomeRecord record;
+    record.id = RecordId(newUniqueId());
+    record.key = {request->customer, request->idempotencyKey};
+    record.claim = request->claim;
+    record.status = outcome.status;
+    record.contentType = dispatch.contentType();
+    if (const std::string *answer = dispatch.heldAnswer()) {
+        record.answerHash = sha256Hex(*answer);
+        record.body = answer->size() <= MAX_RECORDED_BODY ? *answer : std::string();
+    }
+    co_await outcomes_.append(request->claimPartition, std::move(record), OUTCOME_APPEND_LIMIT);
+}
+
+CancelWord RequestService::cancel(const RequestId &id, const IncarnationId &addressedTo, Time now)
+{
+    if (addressedTo != incarnation_) {
+        throw MalformedInputError("the request was addressed to another incarnation of this agent");
+    }
+    if (const Request request = queue_.find(id)) {
+        const CancelWord word = queue_.cancel(request, now);
+        if (word == CancelWord::NeverStarted) {
+            memory_.renounce(id);
+        } else {
+            stopRunning(request);
+        }
+        return word;
+    }
+    if (memory_.mayHaveRun(id)) {
+        return CancelWord::Finished;
+    }
+    return memory_.renounce(id) ? CancelWord::NeverStarted : CancelWord::Started;
+}
+
+void RequestService::stopRunning(const Request &request)
+{
+    if (!request->mayRepeat || request->cancelled) {
+        return;
+    }
+    request->cancelled = true;
+    if (!request->model.empty()) {
+        boost::asio::co_spawn(io_, endpoint_.cancel(request->id), boost::asio::detached);
+    }
+}
+
+void RequestService::abandon(const Request &request, Time now)
+{
+    if (!request->mayRepeat) {
+        return;
+    }
+    if (request->state == RequestState::Waiting) {
+        queue_.cancel(request, now);
+    } else if (request->state == RequestState::Dispatched) {
+        stopRunning(request);
+    }
+}
+
+void RequestService::setRefusal(std::string reason)
+{
+    refusal_ = std::move(reason);
+}
+
+std::size_t RequestService::active() const
+{
+    return active_;
+}
+
+void RequestService::count(const RequestOutcome &outcome)
+{
+    counts_.answered += outcome.kind == OutcomeKind::Answered ? 1 : 0;
+    counts_.notRun += outcome.kind == OutcomeKind::NotRun ? 1 : 0;
+    counts_.unknown += outcome.kind == OutcomeKind::Unknown ? 1 : 0;
+    counts_.promptTokens += outcome.usage.prompt.count();
+    counts_.outputTokens += outcome.usage.output.count();
+}
+
+const RequestService::Counts &RequestService::counts() const
+{
+    return counts_;
+}
+
+} // namespace mimosatally::internal
