Add module Authority: leases by log offset and fenced orders

Each reader folds stream authority by the same rule. The agent's gate reads the stream before each order, admits one at a time and requires a read-back of the endpoint's state after it, so it does not rely on fencing tokens.

--- /dev/null
+++ b/include/mimosatally/authority/leasetable.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "leaserecord.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace mimosatally
+{
+
+/// \brief Newest lease of a scope.
+struct LeaseState {
+    Epoch epoch;
+    ProcessId holder;
+    IncarnationId incarnation;
+    Duration ttl = Duration(0);
+    /// \brief Offset of the last record that acquired or extended the lease.
+    Offset lastRecord;
+};
+
+/// \brief Folds the records of stream `authority`; the same rule in every reader.
+class LeaseTable
+{
+public:
+    /// \brief Applies the record at \a offset. \return the record if it had an effect.
+    ///
+    /// Records at or below the last applied offset, with an id that was seen before, or malformed ones have none.
+    std::optional<LeaseRecord> apply(Offset offset, const std::string &payload);
+
+    /// \brief Offset from which to read next.
+    [[nodiscard]] Offset nextOffset() const;
+
+    /// \brief The newest lease of \a scope; nothing if it was never acquired.
+    [[nodiscard]] std::optional<LeaseState> find(const LeaseScope &scope) const;
+
+    /// \brief Drops the ids of records below \a firstKept, which the log no longer keeps; leases stay.
+    void forgetBefore(Offset firstKept);
+
+private:
+    bool applyRecord(Offset offset, const AcquireRecord &record);
+    bool applyRecord(Offset offset, const RenewRecord &record);
+
+    Offset next_;
+    std::map<LeaseScope, LeaseState> leases_;
+    std::map<RecordId, Offset> seenIds_;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/include/mimosatally/authority/ordergate.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "leasetable.h"
+
+#include <set>
+
+namespace mimosatally
+{
+
+enum class OrderKind {
+    Drain,
+    Withdraw,
+    LoadModel,
+    UnloadModel,
+    LoadAdapter,
+    UnloadAdapter,
+    ChangeRole,
+};
+
+using OrderId = StrongId<struct OrderTag>;
+
+/// \brief Order for the endpoint of one agent, sent by the holder of its scope's lease.
+struct Order {
+    OrderId id;
+    OrderKind kind = OrderKind::Drain;
+    std::string argument;
+    LeaseScope scope;
+    Epoch epoch;
+    IncarnationId agentIncarnation;
+    /// \brief Counted by the agent from the receipt of the order.
+    Duration lifetime = Duration(0);
+};
+
+enum class OrderRefusal {
+    OtherIncarnation,
+    UnknownScope,
+    /// \brief The id was received before.
+    Repeated,
+    /// \brief Another order is being decided or carried out.
+    Busy,
+    /// \brief The state of the endpoint must be read back first.
+    ReadBackPending,
+    /// \brief The stream could not be read.
+    AuthorityUnread,
+    /// \brief A newer epoch of the scope is known.
+    OldEpoch,
+    /// \brief The stream has no lease with this epoch.
+    UnknownEpoch,
+    Expired,
+    /// \brief The order's lifetime is longer than the gate admits.
+    LifetimeTooLong,
+};
+
+/// \brief Name of the reason in records and verdicts, for example `old-epoch`.
+std::string_view toString(OrderRefusal refusal);
+
+enum class OrderGateState {
+    /// \brief The state of the endpoint is unknown; also the first state, since an order of a predecessor may have been under way.
+    ReadBackPending,
+    /// \brief Ready for an order.
+    Ready,
+    /// \brief An order was received; the stream is read before it is decided.
+    AuthorityPending,
+    /// \brief The order was written to the endpoint.
+    Writing,
+};
+
+/// \brief Agent side of fenced orders: admits one order at a time, only under the newest epoch, and only after a read-back of the
+/// endpoint's state.
+///
+/// Sequence: receive(); read stream `authority` to its end with apply(); authorize(); write the order to the endpoint in the same turn;
+/// finishWrite(); read the endpoint's state; finishReadBack(). It does not rely on the endpoint's own check of fencing tokens.
+///
+/// The agent must bound the write by remainingLifetime(). Not covered: a write that takes effect after the order's lifetime.
+class OrderGate
+{
+public:
+    /// \param start start of the agent. An order that its predecessor wrote before it died can take effect for \a longestLifetime, so a
+    /// read-back counts only after that.
+    OrderGate(IncarnationId incarnation, std::set<LeaseScope> scopes, Time start, Duration longestLifetime);
+
+    /// \brief Replaces the scopes of the endpoint.
+    void setScopes(std::set<LeaseScope> scopes);
+
+    /// \brief Applies a record of stream `authority`.
+    void apply(Offset offset, const std::string &payload);
+
+    /// \brief Offset of stream `authority` from which to read next.
+    [[nodiscard]] Offset nextOffset() const;
+
+    /// \return the refusal, or nothing if the stream is to be read now.
+    std::optional<OrderRefusal> receive(const Order &order, Time now);
+
+    /// \brief A read of stream `authority` that started at \a readStart reached its end.
+    /// \return the refusal, or nothing if the order is to be written to the endpoint at once.
+    /// ReadBackPending if the endpoint restarted in the meantime.
+    std::optional<OrderRefusal> authorize(Time readStart, Time now);
+
+    /// \brief The stream could not be read; the received order is refused.
+    OrderRefusal abandon();
+
+    /// \brief The write ended. \param answered whether the endpoint answered it; without an answer it may still take effect.
+    void finishWrite(bool answered, Time now);
+
+    /// \brief The endpoint crashed or restarted: orders written to it before have ended, and its state is unknown.
+    void endpointRestarted(Time now);
+
+    /// \brief The endpoint's state was read by a request that started at \a readStart.
+    /// \return whether orders are admitted now. After a write without an answer a read-back counts only once the order's lifetime is over.
+    bool finishReadBack(Time readStart);
+
+    [[nodiscard]] OrderGateState state() const;
+
+    /// \brief Order being decided or carried out.
+    [[nodiscard]] const std::optional<Order> &current() const;
+
+    /// \brief Time left for the write of the current order; zero if there is none.
+    [[nodiscard]] Duration remainingLifetime(Time now) const;
+
+    /// \brief Newest epoch known of a scope; -1 if there is none.
+    [[nodiscard]] Epoch highestEpoch(const LeaseScope &scope) const;
+
+private:
+    [[nodiscard]] std::optional<OrderRefusal> check(const Order &order) const;
+    [[nodiscard]] std::optional<OrderRefusal> checkEpoch(const Order &order) const;
+    void forgetOldOrders(const LeaseScope &scope);
+    void requireReadBack(Time from);
+
+    IncarnationId incarnation_;
+    std::set<LeaseScope> scopes_;
+    Duration longestLifetime_;
+    LeaseTable table_;
+    OrderGateState state_ = OrderGateState::ReadBackPending;
+    std::optional<Order> current_;
+    Time received_;
+    /// \brief Earliest start of a read-back that counts.
+    Time readBackFrom_;
+    /// \brief Received orders of the newest epoch of each scope; older ones are refused by their epoch.
+    std::map<OrderId, std::pair<LeaseScope, Epoch>> seenOrders_;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/authority/leaseholder.cpp
@@ -0,0 +1,141 @@
+#include <mimosatally/Authority>
+
+namespace mimosatally
+{
+
+namespace
+{
+/// \brief Part of the ttl after which the holder renews; two lost renewals in a row do not lose the lease.
+constexpr int RENEWALS_PER_TTL = 3;
+} // namespace
+
+LeaseHolder::LeaseHolder(LeaseScope scope, ProcessId process, IncarnationId incarnation, Duration ttl)
+    : scope_(std::move(scope))
+    , process_(std::move(process))
+    , incarnation_(std::move(incarnation))
+    , ttl_(ttl)
+{
+    invariant(ttl_ > Duration(0), "the ttl of a lease is positive");
+}
+
+std::vector<LeaseAction> LeaseHolder::tick(Time now)
+{
+    std::vector<LeaseAction> actions;
+    loseIfExpired(now, actions);
+    if (held_ && now >= held_->lastAppend + ttl_ / RENEWALS_PER_TTL) {
+        held_->lastAppend = now;
+        actions.push_back(renew(held_->epoch, now));
+    }
+    return actions;
+}
+
+std::vector<LeaseAction> LeaseHolder::apply(Offset offset, const std::string &payload, Time now)
+{
+    std::vector<LeaseAction> actions;
+    loseIfExpired(now, actions);
+    const auto record = table_.apply(offset, payload);
+    if (!record) {
+        return actions;
+    }
+    if (const auto *acquired = std::get_if<AcquireRecord>(&*record); acquired && acquired->scope == scope_) {
+        applied(*acquired, now, actions);
+    }
+    if (const auto *renewed = std::get_if<RenewRecord>(&*record); renewed && renewed->scope == scope_) {
+        applied(*renewed, now);
+    }
+    return actions;
+}
+
+std::vector<LeaseAction> LeaseHolder::endOfStream(Time readStart, Time now)
+{
+    std::vector<LeaseAction> actions;
+    loseIfExpired(now, actions);
+    if (!held_ && mayAcquire(readStart)) {
+        actions.push_back(acquire(now));
+    }
+    return actions;
+}
+
+std::optional<Epoch> LeaseHolder::epoch(Time now) const
+{
+    return held_ && now < held_->expiry ? std::optional(held_->epoch) : std::nullopt;
+}
+
+Offset LeaseHolder::nextOffset() const
+{
+    return table_.nextOffset();
+}
+
+LeaseAction LeaseHolder::acquire(Time now)
+{
+    const RecordId id(newUniqueId());
+    pending_.clear();
+    pending_.emplace(id, now);
+    lastAcquire_ = now;
+    return {LeaseActionKind::AppendAcquire, toJson(AcquireRecord {id, scope_, process_, incarnation_, ttl_}), Epoch(-1)};
+}
+
+LeaseAction LeaseHolder::renew(Time now)
+{
+    const RecordId id(newUniqueId());
+    pending_.emplace(id, now);
+    held_->lastAppend = now;
+    return {LeaseActionKind::AppendRenew, toJson(RenewRecord {id, scope_, held_->epoch}), Epoch(-1)};
+}
+
+bool LeaseHolder::mayAcquire(Time readStart) const
+{
+    // An own append that is still under way may have been lost; it is tried again after a ttl.
+    if (lastAcquire_ && readStart < *lastAcquire_ + ttl_) {
+        return false;
+    }
+    const auto lease = table_.find(scope_);
+    return !lease || lease->incarnation == incarnation_ || readStart >= lastSeen_ + lease->ttl;
+}
+
+void LeaseHolder::applied(const AcquireRecord &record, Time now, std::vector<LeaseAction> &actions)
+{
+    lastSeen_ = now;
+    if (held_) {
+        actions.push_back({LeaseActionKind::Lost, {}, held_->epoch});
+        held_.reset();
+    }
+    const auto own = pending_.find(record.id);
+    if (own == pending_.end()) {
+        return;
+    }
+    const Time sent = own->second;
+    pending_.clear();
+    lastAcquire_.reset();
+    if (now < sent + ttl_) {
+        const auto lease = table_.find(scope_);
+        invariant(lease && lease->incarnation == incarnation_, "a lease that is held is the newest one of its scope");
+        held_ = HeldLease {lease->epoch, sent + ttl_, sent};
+        actions.push_back({LeaseActionKind::Held, {}, held_->epoch});
+    }
+}
+
+void LeaseHolder::applied(const RenewRecord &record, Time now)
+{
+    lastSeen_ = now;
+    const auto own = pending_.find(record.id);
+    if (own == pending_.end()) {
+        return;
+    }
+    if (held_) {
+        invariant(held_->epoch == record.epoch, "a renewal that took effect names the lease that is held");
+        held_->expiry = std::max(held_->expiry, own->second + ttl_);
+    }
+    pending_.erase(own);
+}
+
+void LeaseHolder::loseIfExpired(Time now, std::vector<LeaseAction> &actions)
+{
+    if (held_ && now >= held_->expiry) {
+        actions.push_back({LeaseActionKind::Lost, {}, held_->epoch});
+        held_.reset();
+        pending_.clear();
+    }
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/authority/ordergate.cpp
@@ -0,0 +1,203 @@
+#include <mimosatally/Authority>
+
+namespace mimosatally
+{
+
+std::string_view toString(OrderRefusal refusal)
+{
+    switch (refusal) {
+    case OrderRefusal::OtherIncarnation:
+        return "other-incarnation";
+    case OrderRefusal::UnknownScope:
+        return "unknown-scope";
+    case OrderRefusal::Repeated:
+        return "repeated";
+    case OrderRefusal::Busy:
+        return "busy";
+    case OrderRefusal::ReadBackPending:
+        return "read-back-pending";
+    case OrderRefusal::AuthorityUnread:
+        return "authority-unread";
+    case OrderRefusal::OldEpoch:
+        return "old-epoch";
+    case OrderRefusal::UnknownEpoch:
+        return "unknown-epoch";
+    case OrderRefusal::Expired:
+        return "expired";
+    case OrderRefusal::LifetimeTooLong:
+        return "lifetime-too-long";
+    }
+    return "unknown";
+}
+
+OrderGate::OrderGate(IncarnationId incarnation, std::set<LeaseScope> scopes, Time start, Duration longestLifetime)
+    : incarnation_(std::move(incarnation))
+    , scopes_(std::move(scopes))
+    , longestLifetime_(longestLifetime)
+    , readBackFrom_(start + longestLifetime)
+{
+}
+
+void OrderGate::setScopes(std::set<LeaseScope> scopes)
+{
+    scopes_ = std::move(scopes);
+}
+
+void OrderGate::apply(Offset offset, const std::string &payload)
+{
+    const auto record = table_.apply(offset, payload);
+    if (!record) {
+        return;
+    }
+    if (const auto *acquired = std::get_if<AcquireRecord>(&*record)) {
+        forgetOldOrders(acquired->scope);
+    }
+}
+
+Offset OrderGate::nextOffset() const
+{
+    return table_.nextOffset();
+}
+
+std::optional<OrderRefusal> OrderGate::receive(const Order &order, Time now)
+{
+    if (const auto refusal = check(order)) {
+        return refusal;
+    }
+    seenOrders_.emplace(order.id, std::pair(order.scope, order.epoch));
+    current_ = order;
+    received_ = now;
+    state_ = OrderGateState::AuthorityPending;
+    return std::nullopt;
+}
+
+std::optional<OrderRefusal> OrderGate::check(const Order &order) const
+{
+    if (order.agentIncarnation != incarnation_) {
+        return OrderRefusal::OtherIncarnation;
+    }
+    if (!scopes_.contains(order.scope)) {
+        return OrderRefusal::UnknownScope;
+    }
+    if (order.lifetime > longestLifetime_) {
+        return OrderRefusal::LifetimeTooLong;
+    }
+    if (order.epoch < highestEpoch(order.scope)) {
+        return OrderRefusal::OldEpoch;
+    }
+    if (seenOrders_.contains(order.id)) {
+        return OrderRefusal::Repeated;
+    }
+    if (state_ == OrderGateState::ReadBackPending) {
+        return OrderRefusal::ReadBackPending;
+    }
+    if (state_ != OrderGateState::Ready) {
+        return OrderRefusal::Busy;
+    }
+    return std::nullopt;
+}
+
+std::optional<OrderRefusal> OrderGate::authorize(Time readStart, Time now)
+{
+    if (state_ != OrderGateState::AuthorityPending || !current_) {
+        return OrderRefusal::ReadBackPending;
+    }
+    const Order &order = *current_;
+    std::optional<OrderRefusal> refusal = checkEpoch(order);
+    if (readStart < received_) {
+        refusal = OrderRefusal::AuthorityUnread;
+    } else if (now >= received_ + order.lifetime) {
+        refusal = OrderRefusal::Expired;
+    }
+    if (refusal) {
+        current_.reset();
+        state_ = OrderGateState::Ready;
+        return refusal;
+    }
+    invariant(order.epoch == highestEpoch(order.scope), "an order that is written has the newest epoch of its scope");
+    state_ = OrderGateState::Writing;
+    return std::nullopt;
+}
+
+std::optional<OrderRefusal> OrderGate::checkEpoch(const Order &order) const
+{
+    const Epoch highest = highestEpoch(order.scope);
+    if (order.epoch < highest) {
+        return OrderRefusal::OldEpoch;
+    }
+    if (order.epoch > highest) {
+        return OrderRefusal::UnknownEpoch;
+    }
+    return std::nullopt;
+}
+
+OrderRefusal OrderGate::abandon()
+{
+    if (state_ != OrderGateState::AuthorityPending) {
+        return OrderRefusal::ReadBackPending;
+    }
+    current_.reset();
+    state_ = OrderGateState::Ready;
+    return OrderRefusal::AuthorityUnread;
+}
+
+void OrderGate::finishWrite(bool answered, Time now)
+{
+    // endpointRestarted() may have ended the write already.
+    if (state_ != OrderGateState::Writing || !current_) {
+        return;
+    }
+    requireReadBack(answered ? now : std::max(now, received_ + current_->lifetime));
+}
+
+void OrderGate::endpointRestarted(Time now)
+{
+    // An order that is not written yet is given up as well: it was meant for the state before the restart.
+    requireReadBack(now);
+}
+
+void OrderGate::requireReadBack(Time from)
+{
+    current_.reset();
+    readBackFrom_ = from;
+    state_ = OrderGateState::ReadBackPending;
+}
+
+bool OrderGate::finishReadBack(Time readStart)
+{
+    if (state_ == OrderGateState::ReadBackPending && readStart >= readBackFrom_) {
+        state_ = OrderGateState::Ready;
+    }
+    return state_ == OrderGateState::Ready;
+}
+
+OrderGateState OrderGate::state() const
+{
+    return state_;
+}
+
+const std::optional<Order> &OrderGate::current() const
+{
+    return current_;
+}
+
+Duration OrderGate::remainingLifetime(Time now) const
+{
+    return current_ ? std::max(Duration(0), received_ + current_->lifetime - now) : Duration(0);
+}
+
+Epoch OrderGate::highestEpoch(const LeaseScope &scope) const
+{
+    const auto lease = table_.find(scope);
+    return lease ? lease->epoch : Epoch(-1);
+}
+
+void OrderGate::forgetOldOrders(const LeaseScope &scope)
+{
+    const Epoch highest = highestEpoch(scope);
+    std::erase_if(seenOrders_, [&](const auto &entry) {
+        return entry.second.first == scope && entry.second.second < highest;
+    });
+}
+
+} // namespace mimosatally
