--- a/src/authority/leaseholder.cpp
+++ b/src/authority/leaseholder.cpp
@@ -75,12 +75,15 @@
     return {LeaseActionKind::AppendAcquire, toJson(AcquireRecord {id, scope_, process_, incarnation_, ttl_}), Epoch(-1)};
 }
 
-LeaseAction LeaseHolder::renew(Time now)
+LeaseAction LeaseHolder::renew(Epoch epoch, Time now)
 {
+    // An append from a ttl ago cannot extend the lease any more.
+    std::erase_if(pending_, [&](const auto &entry) {
+        return entry.second + ttl_ <= now;
+    });
     const RecordId id(newUniqueId());
     pending_.emplace(id, now);
-    held_->lastAppend = now;
-    return {LeaseActionKind::AppendRenew, toJson(RenewRecord {id, scope_, held_->epoch}), Epoch(-1)};
+    return {LeaseActionKind::AppendRenew, toJson(RenewRecord {id, scope_, epoch}), Epoch(-1)};
 }
 
 bool LeaseHolder::mayAcquire(Time readStart) const
@@ -108,10 +111,11 @@
     pending_.clear();
     lastAcquire_.reset();
     if (now < sent + ttl_) {
+        const Epoch epoch(table_.nextOffset().count() - 1);
         const auto lease = table_.find(scope_);
-        invariant(lease && lease->incarnation == incarnation_, "a lease that is held is the newest one of its scope");
-        held_ = HeldLease {lease->epoch, sent + ttl_, sent};
-        actions.push_back({LeaseActionKind::Held, {}, held_->epoch});
+        invariant(lease && lease->incarnation == incarnation_ && lease->epoch == epoch, "a lease that is held is the newest one of its scope");
+        held_ = HeldLease {epoch, sent + ttl_, sent};
+        actions.push_back({LeaseActionKind::Held, {}, epoch});
     }
 }
 
