--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -181,7 +181,7 @@
     return !incarnation_.empty();
 }
 
-schema::Agent::Client AgentLink::agent() const
+schema::Agent::Client AgentLink::agent()
 {
     if (!agent_ || !isConnected()) {
         throw DisconnectedError("the agent is not connected");
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -35,7 +35,7 @@
     [[nodiscard]] bool isConnected() const;
 
     /// \brief Capability of the connected agent. \throws DisconnectedError
-    [[nodiscard]] schema::Agent::Client agent() const;
+    [[nodiscard]] schema::Agent::Client agent();
 
     /// \brief Incarnation of the connected agent; empty without a connection.
     [[nodiscard]] const IncarnationId &incarnation() const;
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -18,6 +18,14 @@
 /// \brief Time to come back after a lost attempt of a repeatable call: health and load reports are new by then.
 constexpr Duration RETRY_AFTER_LOSS = Duration(1000);
 
+AttemptEnd endOf(AttemptEnd::Kind kind, std::string reason)
+{
+    AttemptEnd end;
+    end.kind = kind;
+    end.reason = std::move(reason);
+    return end;
+}
+
 /// \brief Waits for \a promise; a failure is returned as its text.
 template<class Response>
 awaitable<std::optional<Response>> awaitOrFailure(boost::asio::io_context &io, kj::Promise<Response> promise, std::string &failure)
@@ -127,7 +135,7 @@
     // The link stays alive when the configuration drops the endpoint during the call.
     const std::shared_ptr<AgentLink> link = entry_.fleet.find(*decision.endpoint);
     if (!link || !link->isConnected()) {
-        co_return AttemptEnd {.kind = AttemptEnd::Kind::NotRun, .reason = "not-connected"};
+        co_return endOf(AttemptEnd::Kind::NotRun, "not-connected");
     }
     const IncarnationId incarnation = link->incarnation();
     receipt_ = entry_.decisions.routed(call_, decision, incarnation, ++attempts_);
@@ -160,13 +168,13 @@
     std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenGone()), failure);
     if (call_.mayRepeat && (watch_->isGone() || relay_->isCallerGone())) {
         co_await cancelAtAgent(agent, incarnation);
-        co_return AttemptEnd {.kind = AttemptEnd::Kind::CallerGone, .reason = "caller-gone"};
+        co_return endOf(AttemptEnd::Kind::CallerGone, "caller-gone");
     }
     if (!response) {
         logEvent(LogEvent::AttemptLost, {{"request", call_.id}, {"endpoint", link.endpoint().id}, {"error", failure}});
         // The next exchange finds out whether the connection is still there.
         entry_.fleet.exchangeNow(link.endpoint().id);
-        co_return AttemptEnd {.kind = AttemptEnd::Kind::Lost, .reason = "endpoint-lost"};
+        co_return endOf(AttemptEnd::Kind::Lost, "endpoint-lost");
     }
     co_return co_await readOutcome(response->getOutcome());
 }
--- a/src/entry/claimedcall.cpp
+++ b/src/entry/claimedcall.cpp
@@ -14,6 +14,16 @@
 /// \brief Time to come back when nothing but this one attempt stood in the way.
 constexpr Duration RETRY_SOON = Duration(1000);
 
+CallRefusal keyReused()
+{
+    CallRefusal refusal;
+    refusal.status = status::OTHER_BODY;
+    refusal.reason = "idempotency-key-reused";
+    refusal.message = "the idempotency key was used with another request";
+    refusal.param = "Idempotency-Key";
+    return refusal;
+}
+
 std::int64_t wallClockMs()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -55,11 +65,7 @@
         co_await followClaim(record.key, claim);
         break;
     case ClaimResult::Kind::LostToOtherBody:
-        co_await refuse({.status = status::OTHER_BODY,
-                         .reason = "idempotency-key-reused",
-                         .message = "the idempotency key was used with another request",
-                         .param = "Idempotency-Key",
-                         .retryAfter = std::nullopt});
+        co_await refuse(keyReused());
         break;
     case ClaimResult::Kind::Unavailable:
         co_await refuse(notRun("claims-unavailable", RETRY_WITHOUT_CLAIMS));
@@ -77,7 +83,8 @@
         co_return;
     }
     relay_->ignoreLostCaller();
-    const AttemptEnd end = co_await attempt(decision, ClaimRight {claim.partition, claim.claim});
+    const ClaimRight right {claim.partition, claim.claim};
+    const AttemptEnd end = co_await attempt(decision, right);
     if (end.kind == AttemptEnd::Kind::Answered) {
         co_await finishAnswer(record.endpoint, end);
         co_return;
