--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -11,7 +11,7 @@
 bool sameCapacity(const EndpointCapacity &left, const EndpointCapacity &right)
 {
     return left.maxConcurrentRequests == right.maxConcurrentRequests && left.prefillTokensPerSecond == right.prefillTokensPerSecond
-        && left.decodeTokensPerSecond == right.decodeTokensPerSecond;
+           && left.decodeTokensPerSecond == right.decodeTokensPerSecond;
 }
 
 RefusedInputs refusedInputs(RefusalStage stage, const Refusal &refusal)
@@ -92,6 +92,9 @@
     requests_.emplace(request->id, request);
     bytes_ += request->body.size();
     request->state = RequestState::Waiting;
+    if (onQueued_) {
+        onQueued_(request->startDeadline);
+    }
     return std::nullopt;
 }
 
@@ -173,6 +176,11 @@
     decisions_.add(DecisionKind::ServiceReported, {}, {}, now, ServiceReportedInputs {std::move(served)});
 }
 
+void RequestQueue::onQueued(std::function<void(Time)> callback)
+{
+    onQueued_ = std::move(callback);
+}
+
 void RequestQueue::setPaused(bool paused)
 {
     paused_ = paused;
--- a/src/agent/requestqueue.h
+++ b/src/agent/requestqueue.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "agentrequest.h"
 #include "agentdecisions.h"
+#include "agentrequest.h"
 
 #include <mimosatally/Config>
 #include <mimosatally/Queueing>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -51,6 +52,9 @@
 
     void setRemoteService(std::vector<CustomerService> served, Time now);
 
+    /// \brief Calls \a callback with the start deadline of each request that begins to wait.
+    void onQueued(std::function<void(Time)> callback);
+
     /// \brief Stops or resumes dispatching, for example during an order.
     void setPaused(bool paused);
 
@@ -83,6 +87,7 @@
     std::size_t bytes_ = 0;
     std::size_t running_ = 0;
     bool paused_ = false;
+    std::function<void(Time)> onQueued_;
 };
 
 } // namespace mimosatally::internal
--- a/src/agent/requestservice.cpp
+++ b/src/agent/requestservice.cpp
@@ -42,8 +42,7 @@
 };
 } // namespace
 
-RequestService::RequestService(
-    boost::asio::io_context &io, IncarnationId incarnation, RequestQueue &queue, EndpointClient &endpoint, OutcomeAppender &outcomes)
+RequestService::RequestService(boost::asio::io_context &io, IncarnationId incarnation, RequestQueue &queue, EndpointClient &endpoint, OutcomeAppender &outcomes)
     : io_(io)
     , incarnation_(std::move(incarnation))
     , queue_(queue)
