Add Scheduler, Router and RetryBudget

The other parts need these interfaces to link. Scheduler orders customers by share, priority and longest wait in integer virtual time; Router predicts waits from reports and own dispatches; RetryBudget bounds retries to a tenth of the requests.

--- a/include/mimosatally/routing/retrybudget.h
+++ b/include/mimosatally/routing/retrybudget.h
@@ -18,9 +18,9 @@
     bool tryRetry(const CustomerId &customer, Time now);
 
 private:
-    /// \brief Budget in thousandths of a retry.
+    /// \brief Budget in thousandths of a retry; starts with a small constant.
     struct Account {
-        std::int64_t milliRetries = 0;
+        std::int64_t milliRetries = 3000;
     };
 
     std::map<CustomerId, Account> accounts_;
--- /dev/null
+++ b/src/queueing/contractchange.cpp
@@ -0,0 +1,134 @@
+#include "schedulerimpl.h"
+
+#include <algorithm>
+
+namespace mimosatally
+{
+
+using internal::CustomerQueue;
+using internal::WaitingRequest;
+
+namespace
+{
+/// \brief A customer whose requests reach this endpoint alone is taken to be at most this many rounds behind its share.
+constexpr std::int64_t REMOTE_LAG_ROUNDS = 4;
+/// \brief Service elsewhere puts a customer at most this many rounds ahead of its share: it may have been lent there, and a lent
+/// round is not held against the borrower for longer than one round here.
+constexpr std::int64_t REMOTE_LEAD_ROUNDS = 1;
+
+/// \brief The customer under its new contract, with the virtual times that it had.
+CustomerQueue continued(const Contract &contract, const CustomerQueue *old)
+{
+    CustomerQueue queue;
+    if (old != nullptr) {
+        queue = *old;
+        queue.waiting.clear();
+        queue.waitingWeight = 0;
+    }
+    queue.id = contract.customer;
+    queue.share = contract.shareMillionths;
+    queue.priority = contract.priority;
+    return queue;
+}
+} // namespace
+
+void Scheduler::Impl::replaceCustomers(const std::vector<Contract> &contracts)
+{
+    std::vector<CustomerQueue> old = std::exchange(customers, {});
+    std::vector<Contract> sorted = contracts;
+    std::sort(sorted.begin(), sorted.end(), [](const Contract &left, const Contract &right) {
+        return left.customer < right.customer;
+    });
+    std::map<CustomerId, const CustomerQueue *> oldById;
+    for (const CustomerQueue &queue : old) {
+        oldById.emplace(queue.id, &queue);
+    }
+    for (const Contract &contract : sorted) {
+        const auto found = oldById.find(contract.customer);
+        customers.push_back(continued(contract, found == oldById.end() ? nullptr : found->second));
+    }
+    remapRequests(old);
+}
+
+void Scheduler::Impl::remapRequests(const std::vector<CustomerQueue> &old)
+{
+    for (auto &[id, request] : running) {
+        if (request.customer != REMOVED_CUSTOMER) {
+            request.customer = findCustomer(old[request.customer].id).value_or(REMOVED_CUSTOMER);
+        }
+    }
+    order.clear();
+    waiting.clear();
+    deadlines.clear();
+    waitingWeight = 0;
+    waitingMicros = 0;
+    waitingTokens = Tokens(0);
+    std::vector<WaitingRequest> requests;
+    for (const CustomerQueue &queue : old) {
+        requests.insert(requests.end(), queue.waiting.begin(), queue.waiting.end());
+    }
+    std::sort(requests.begin(), requests.end(), [](const WaitingRequest &left, const WaitingRequest &right) {
+        return left.arrival < right.arrival;
+    });
+    for (WaitingRequest &request : requests) {
+        const auto position = findCustomer(request.request.customer);
+        if (!position) {
+            overdue.push_back({request.request.id, RefusalReason::UnknownCustomer, std::nullopt});
+            continue;
+        }
+        request.weight = weightOf(request.request.expected);
+        append(*position, std::move(request));
+    }
+}
+
+void Scheduler::applyContracts(const std::vector<Contract> &contracts, TokenCosts costs, Time now)
+{
+    impl_->dropOverdue(now);
+    impl_->costs = costs;
+    impl_->setRound();
+    impl_->replaceCustomers(contracts);
+}
+
+void Scheduler::Impl::addRemoteService(CustomerQueue &customer, Weight delta)
+{
+    if (delta > 0) {
+        const Weight ahead = std::max(customer.shareTag, totalService + REMOTE_LEAD_ROUNDS * roundWeight);
+        customer.shareTag = std::min(customer.shareTag + customer.atShare(delta), ahead);
+    }
+    customer.shareTag = std::max(customer.shareTag, totalService - REMOTE_LAG_ROUNDS * roundWeight);
+}
+
+Scheduler::Impl::Weight Scheduler::Impl::remoteGrowth(CustomerQueue &customer, Weight served) const
+{
+    const Weight change = served - customer.remoteServed;
+    customer.remoteServed = served;
+    if (change < 0) {
+        // Corrections lower the sum a little. A larger drop is a restarted counter and is not held against the customer.
+        customer.remoteDebt = std::min(customer.remoteDebt - change, roundWeight);
+        return 0;
+    }
+    const Weight repaid = std::min(change, customer.remoteDebt);
+    customer.remoteDebt -= repaid;
+    return change - repaid;
+}
+
+void Scheduler::setRemoteService(const std::vector<CustomerService> &served, Time now)
+{
+    impl_->dropOverdue(now);
+    std::vector<Impl::Weight> growth(impl_->customers.size(), 0);
+    Impl::Weight total = 0;
+    for (const CustomerService &service : served) {
+        if (const auto position = impl_->findCustomer(service.customer)) {
+            growth[*position] = impl_->remoteGrowth(impl_->customers[*position], service.weightedTokens);
+            total += growth[*position];
+        }
+    }
+    impl_->order.clear();
+    impl_->totalService += total;
+    for (Impl::Position position = 0; position < impl_->customers.size(); ++position) {
+        impl_->addRemoteService(impl_->customers[position], growth[position]);
+        impl_->addToOrder(position);
+    }
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/queueing/schedulerimpl.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "customerqueue.h"
+#include "servicespeed.h"
+
+#include <limits>
+#include <unordered_map>
+
+namespace mimosatally
+{
+
+/// \brief State of a Scheduler.
+///
+/// The total service is the sum of all weighted tokens served; it is the virtual time of the promised shares. A customer's
+/// share tag advances by weight / share for each request that it is served as part of its share. Capacity that others leave
+/// unused does not advance the share tag, so lending it out costs the borrower nothing later.
+struct Scheduler::Impl {
+    using Position = internal::CustomerOrder::Position;
+    using Weight = internal::Weight;
+
+    /// \brief Position of a running request whose customer has no contract any more.
+    static constexpr Position REMOVED_CUSTOMER = std::numeric_limits<Position>::max();
+
+    struct WaitingPlace {
+        Position customer;
+        std::list<internal::WaitingRequest>::iterator request;
+    };
+
+    struct RunningRequest {
+        Position customer = 0;
+        Weight weight = 0;
+        std::int64_t engineMicros = 0;
+        Tokens tokens;
+        /// \brief Whether it was served as part of the share.
+        bool withinShare = false;
+        std::uint64_t busyPeriod = 0;
+    };
+
+    Impl(EndpointCapacity endpointCapacity, const std::vector<Contract> &contracts, TokenCosts tokenCosts);
+
+    [[nodiscard]] Weight weightOf(TokenUsage usage) const;
+    [[nodiscard]] std::optional<Position> findCustomer(const CustomerId &customer) const;
+
+    void append(Position position, internal::WaitingRequest waiting);
+    /// \brief Takes a waiting request out of all indexes.
+    internal::WaitingRequest remove(const WaitingPlace &place);
+    void removeFromOrder(Position position);
+    void addToOrder(Position position);
+
+    /// \brief Moves requests whose deadline has passed to `overdue`.
+    void dropOverdue(Time now);
+    /// \brief Gives up on waiting requests of a few customers whose queue no longer fits their deadlines.
+    void dropHopeless(Time now);
+    void dropHopelessTail(Position position, Time now);
+    [[nodiscard]] Position selectCustomer(bool &withinShare);
+    void charge(Position position, Weight weight, bool withinShare);
+    void correct(const RunningRequest &running, Weight actual);
+
+    /// \brief Expected wait of a request of the customer behind \a ownWeight of its own waiting requests.
+    [[nodiscard]] Duration expectedWait(Position position, Weight ownWeight) const;
+    [[nodiscard]] Weight weightAhead(const internal::CustomerQueue &customer, Weight ownWeight) const;
+    [[nodiscard]] Weight untilServedByShare(const internal::CustomerQueue &customer, Weight ownWeight) const;
+    [[nodiscard]] Refusal refuseWaiting(const internal::WaitingRequest &waiting, RefusalReason reason, Duration wait, Time now) const;
+
+    void replaceCustomers(const std::vector<Contract> &contracts);
+    void remapRequests(const std::vector<internal::CustomerQueue> &old);
+    void setRound();
+    /// \brief Growth of the service at other endpoints since the last report.
+    [[nodiscard]] Weight remoteGrowth(internal::CustomerQueue &customer, Weight served) const;
+    void addRemoteService(internal::CustomerQueue &customer, Weight delta);
+
+    EndpointCapacity capacity;
+    TokenCosts costs;
+    internal::ServiceSpeed speed;
+    /// \brief Weighted tokens of about one second of full use; the unit of all bounds.
+    Weight roundWeight = 1;
+
+    std::vector<internal::CustomerQueue> customers;
+    internal::CustomerOrder order;
+    std::unordered_map<RequestId, WaitingPlace> waiting;
+    std::map<std::pair<Time, std::uint64_t>, RequestId> deadlines;
+    std::unordered_map<RequestId, RunningRequest> running;
+    std::vector<Refusal> overdue;
+
+    Weight totalService = 0;
+    /// \brief Start tags of the last unused capacity served, by priority.
+    std::map<int, Weight> unusedTime;
+    std::uint64_t arrivals = 0;
+    Position nextReview = 0;
+
+    Weight waitingWeight = 0;
+    std::int64_t waitingMicros = 0;
+    Tokens waitingTokens;
+    Weight runningWeight = 0;
+    std::int64_t runningMicros = 0;
+    Tokens runningTokens;
+};
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/queueing/servicespeed.cpp
@@ -0,0 +1,44 @@
+#include "servicespeed.h"
+
+#include <algorithm>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+constexpr std::int64_t MICROS_PER_SECOND = 1'000'000;
+constexpr std::int64_t MICROS_PER_MILLISECOND = 1'000;
+} // namespace
+
+std::int64_t ServiceSpeed::nominalMicros(TokenUsage usage) const
+{
+    const std::int64_t prefill = usage.prompt.count() * MICROS_PER_SECOND / std::max<std::int64_t>(capacity_.prefillTokensPerSecond, 1);
+    const std::int64_t decode = usage.output.count() * MICROS_PER_SECOND / std::max<std::int64_t>(capacity_.decodeTokensPerSecond, 1);
+    return prefill + decode;
+}
+
+void ServiceSpeed::becameFull(Time now)
+{
+    fullSince_ = std::max(fullSince_, now);
+}
+
+void ServiceSpeed::completedWhileFull(std::int64_t nominalMicros, Time now)
+{
+    elapsedSum_ += std::max(now - fullSince_, Duration(0)).count() * MICROS_PER_MILLISECOND;
+    nominalSum_ += nominalMicros;
+    fullSince_ = now;
+    if (nominalSum_ > WINDOW_MICROS) {
+        nominalSum_ /= 2;
+        elapsedSum_ /= 2;
+    }
+}
+
+Duration ServiceSpeed::expected(std::int64_t nominalMicros) const
+{
+    // Milliseconds are enough here and keep the product within 64 bits.
+    const std::int64_t milliseconds = nominalMicros / MICROS_PER_MILLISECOND;
+    return Duration(milliseconds * elapsedSum_ / std::max<std::int64_t>(nominalSum_, 1));
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/routing/cacheindex.cpp
@@ -0,0 +1,104 @@
+#include "cacheindex.h"
+
+#include <algorithm>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief Superseded uses that are kept per known block before the order of uses is cleaned up.
+constexpr std::size_t USES_PER_BLOCK = 4;
+} // namespace
+
+void CacheIndex::setCapacity(EndpointIndex endpoint, std::size_t blocks)
+{
+    if (endpoint >= endpoints_.size()) {
+        endpoints_.resize(endpoint + 1);
+    }
+    endpoints_[endpoint].capacity = blocks;
+    trim(endpoint, endpoints_[endpoint]);
+}
+
+void CacheIndex::store(EndpointIndex endpoint, std::uint64_t block)
+{
+    EndpointBlocks &blocks = endpoints_[endpoint];
+    if (blocks.capacity == 0) {
+        return;
+    }
+    const std::uint64_t use = nextUse_++;
+    if (blocks.lastUse.insert_or_assign(block, use).second) {
+        holders_[block].push_back(endpoint);
+    }
+    blocks.uses.push_back({block, use});
+    trim(endpoint, blocks);
+}
+
+void CacheIndex::evict(EndpointIndex endpoint, std::uint64_t block)
+{
+    if (endpoints_[endpoint].lastUse.erase(block) > 0) {
+        removeHolder(endpoint, block);
+    }
+}
+
+void CacheIndex::clear(EndpointIndex endpoint)
+{
+    for (const auto &[block, use] : endpoints_[endpoint].lastUse) {
+        removeHolder(endpoint, block);
+    }
+    endpoints_[endpoint].lastUse.clear();
+    endpoints_[endpoint].uses.clear();
+}
+
+std::size_t CacheIndex::cachedBlocks(EndpointIndex endpoint, const std::vector<std::uint64_t> &blocks) const
+{
+    const auto &known = endpoints_[endpoint].lastUse;
+    for (std::size_t count = blocks.size(); count > 0; --count) {
+        if (known.contains(blocks[count - 1])) {
+            return count;
+        }
+    }
+    return 0;
+}
+
+std::vector<CacheIndex::EndpointIndex> CacheIndex::holders(const std::vector<std::uint64_t> &blocks, std::size_t limit) const
+{
+    std::vector<EndpointIndex> result;
+    for (auto block = blocks.rbegin(); block != blocks.rend() && result.size() < limit; ++block) {
+        const auto found = holders_.find(*block);
+        if (found == holders_.end()) {
+            continue;
+        }
+        // The newest holders are the least likely to have evicted the block unnoticed.
+        for (auto endpoint = found->second.rbegin(); endpoint != found->second.rend() && result.size() < limit; ++endpoint) {
+            if (std::find(result.begin(), result.end(), *endpoint) == result.end()) {
+                result.push_back(*endpoint);
+            }
+        }
+    }
+    return result;
+}
+
+void CacheIndex::removeHolder(EndpointIndex endpoint, std::uint64_t block)
+{
+    const auto found = holders_.find(block);
+    std::erase(found->second, endpoint);
+    if (found->second.empty()) {
+        holders_.erase(found);
+    }
+}
+
+void CacheIndex::trim(EndpointIndex endpoint, EndpointBlocks &blocks)
+{
+    while (blocks.lastUse.size() > blocks.capacity || blocks.uses.size() > USES_PER_BLOCK * blocks.capacity) {
+        const Use oldest = blocks.uses.front();
+        blocks.uses.pop_front();
+        const auto found = blocks.lastUse.find(oldest.block);
+        if (found != blocks.lastUse.end() && found->second == oldest.number) {
+            blocks.lastUse.erase(found);
+            removeHolder(endpoint, oldest.block);
+        }
+    }
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/routing/routerimpl.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "cacheindex.h"
+#include "endpointestimate.h"
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace mimosatally
+{
+
+/// \brief State of a Router.
+struct Router::Impl {
+    using Index = internal::CacheIndex::EndpointIndex;
+    using Seconds = internal::Seconds;
+
+    /// \brief Endpoints of one model or service by their distance.
+    struct Pool {
+        std::vector<Index> sameDataCentre;
+        std::vector<Index> sameRegion;
+        std::vector<Index> otherRegions;
+    };
+
+    struct Candidate {
+        Index endpoint = 0;
+        Tokens cached;
+        Seconds startWait = 0;
+        Seconds cost = 0;
+    };
+
+    /// \brief Running mean of the output tokens of a customer's requests to a model.
+    struct OutputMean {
+        double tokens = 0;
+        bool known = false;
+    };
+
+    Index indexOf(const Endpoint &endpoint);
+    void addToPool(Pool &pool, Index endpoint) const;
+    [[nodiscard]] const Pool *findPool(const RouteRequest &request) const;
+
+    /// \brief Adds all of \a from, or a random sample of a long list.
+    void sample(const std::vector<Index> &from, std::vector<Index> &into);
+    /// \brief Adds the endpoints of \a distance that hold the longest prefixes of the prompt.
+    void addHolders(const RouteRequest &request, bool otherRegions, std::vector<Index> &into) const;
+    [[nodiscard]] std::vector<Candidate> evaluate(const RouteRequest &request, const std::vector<Index> &endpoints, Time now);
+    [[nodiscard]] bool admitted(const RouteRequest &request, Index endpoint, Time now);
+    [[nodiscard]] Candidate pick(const std::vector<Candidate> &candidates);
+    [[nodiscard]] std::vector<Candidate> candidatesInRegion(const RouteRequest &request, const Pool &pool, Time now);
+    [[nodiscard]] std::vector<Candidate> candidatesElsewhere(const RouteRequest &request, const Pool &pool, Time now);
+    /// \brief Whether a refusal in this region shows that the customer's contract is in danger here.
+    [[nodiscard]] bool mayLeaveRegion(const RouteRequest &request, Time now) const;
+    [[nodiscard]] bool serves(const RouteRequest &request, Index endpoint) const;
+    [[nodiscard]] RouteDecision decide(const Candidate &chosen) const;
+    [[nodiscard]] bool inOtherRegion(Index endpoint) const;
+
+    RegionId region;
+    DataCentreId dataCentre;
+    std::mt19937_64 random;
+    Tokens cacheBlockTokens = Tokens(2000);
+
+    std::vector<internal::EndpointEstimate> endpoints;
+    std::unordered_map<EndpointId, Index> indexes;
+    std::unordered_map<ModelId, Pool> models;
+    std::unordered_map<ServiceId, Pool> services;
+    internal::CacheIndex cache;
+    std::map<std::pair<CustomerId, ModelId>, OutputMean> outputs;
+    /// \brief When an endpoint of this region last refused a request of the customer.
+    std::unordered_map<CustomerId, Time> refusedHere;
+    Bytes crossRegionBytes;
+};
+
+} // namespace mimosatally
