--- a/src/config/processsettings.cpp
+++ b/src/config/processsettings.cpp
@@ -96,6 +96,9 @@
         result.statusListen = root.address("status_listen", "127.0.0.1:0");
         result.endpoint = EndpointId(root.requiredString("endpoint"));
         result.endpointAddress = root.address("endpoint_address");
+        result.maxQueuedRequests = size(root, "max_queued_requests", result.maxQueuedRequests);
+        result.maxQueuedBytes = size(root, "max_queued_bytes", result.maxQueuedBytes);
+        result.longestOrderLifetime = root.duration("longest_order_lifetime", result.longestOrderLifetime);
     });
 }
 
