--- /dev/null
+++ b/bench/policy/enginemodel.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include <mimosatally/Placement>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosatally::bench
+{
+
+/// \brief Request as the engine model runs it.
+struct EngineJob {
+    std::size_t request = 0;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    std::vector<std::uint64_t> blocks;
+};
+
+struct EngineSettings {
+    double prefillTokensPerSecond = 8000;
+    double decodeTokensPerSecond = 600;
+    /// \brief Sequences that reach the full decode speed; a smaller batch is slower in proportion.
+    int fullDecodeBatch = 4;
+    std::int64_t blockTokens = 2000;
+    std::size_t cacheBlocks = 96;
+    RoleSpeeds speeds;
+    /// \brief Time that a role change takes after the running requests have ended.
+    Duration changeTime = Duration(5000);
+};
+
+/// \brief Model of one engine in virtual time: batched prefill and decode, prefix cache in blocks, role changes.
+///
+/// Prefill is served in order of arrival, decode in one batch; if both have work, each gets half of the engine's time. A request
+/// holds the blocks of its prompt and output while it runs; finished requests leave their prompt blocks in the prefix cache,
+/// from which the least recently used block goes first.
+class EngineModel
+{
+public:
+    struct Events {
+        std::vector<std::size_t> started;
+        std::vector<std::size_t> finished;
+        std::vector<std::uint64_t> stored;
+        std::vector<std::uint64_t> evicted;
+    };
+
+    EngineModel(EngineSettings settings, EngineRole role)
+        : settings_(settings)
+        , role_(role)
+    {
+    }
+
+    void submit(EngineJob job)
+    {
+        arrivals_.push_back(std::move(job));
+    }
+
+    /// \brief Orders a role change; it begins when all submitted requests have ended.
+    void changeRole(EngineRole role)
+    {
+        target_ = role;
+    }
+
+    [[nodiscard]] bool changing() const
+    {
+        return target_.has_value();
+    }
+
+    [[nodiscard]] EngineRole role() const
+    {
+        return role_;
+    }
+
+    [[nodiscard]] std::size_t activeRequests() const
+    {
+        return arrivals_.size() + prefill_.size() + decode_.size();
+    }
+
+    /// \brief Runs the engine for \a tick.
+    Events advance(Duration tick)
+    {
+        Events events;
+        if (advanceChange(tick, events)) {
+            return events;
+        }
+        startArrivals(events);
+        const double seconds = static_cast<double>(tick.count()) / 1000;
+        const double half = prefill_.empty() || decode_.empty() ? 1.0 : 0.5;
+        const double prefillTime = prefill_.empty() ? 0 : seconds * half;
+        const double decodeTime = decode_.empty() ? 0 : seconds * half;
+        advanceDecode(decodeTime, events);
+        advancePrefill(prefillTime);
+        return events;
+    }
+
+private:
+    struct Running {
+        EngineJob job;
+        double prefillLeft = 0;
+        double outputLeft = 0;
+        std::size_t heldBlocks = 0;
+    };
+
+    struct CachedBlock {
+        std::list<std::uint64_t>::iterator place;
+    };
+
+    [[nodiscard]] double phaseSpeed(double nominal, EngineRole favoured) const
+    {
+        if (role_ == EngineRole::Mixed) {
+            return nominal * settings_.speeds.mixed / 1000;
+        }
+        return nominal * (role_ == favoured ? settings_.speeds.favoured : settings_.speeds.other) / 1000;
+    }
+
+    /// \return whether the engine is out of service.
+    bool advanceChange(Duration tick, Events &events)
+    {
+        if (!target_ || activeRequests() > 0) {
+            return false;
+        }
+        if (changeElapsed_ == Duration(0)) {
+            events.evicted.assign(recency_.begin(), recency_.end());
+            recency_.clear();
+            cached_.clear();
+        }
+        changeElapsed_ += tick;
+        if (changeElapsed_ >= settings_.changeTime) {
+            role_ = *target_;
+            target_.reset();
+            changeElapsed_ = Duration(0);
+        }
+        return true;
+    }
+
+    void startArrivals(Events &events)
+    {
+        while (!arrivals_.empty()) {
+            const EngineJob &job = arrivals_.front();
+            const std::int64_t tokens = job.promptTokens + job.outputTokens;
+            const auto needed = static_cast<std::size_t>((tokens + settings_.blockTokens - 1) / settings_.blockTokens);
+            if (heldBlocks_ + needed > settings_.cacheBlocks && heldBlocks_ > 0) {
+                return;
+            }
+            start(arrivals_.front(), needed, events);
+            arrivals_.pop_front();
+        }
+    }
+
+    void start(const EngineJob &job, std::size_t needed, Events &events)
+    {
+        std::size_t hits = 0;
+        while (hits < job.blocks.size() && cached_.contains(job.blocks[hits])) {
+            touch(job.blocks[hits]);
+            ++hits;
+        }
+        heldBlocks_ += needed;
+        evictTo(settings_.cacheBlocks > heldBlocks_ ? settings_.cacheBlocks - heldBlocks_ : 0, events);
+        const std::int64_t cachedTokens = std::min(static_cast<std::int64_t>(hits) * settings_.blockTokens, job.promptTokens);
+        prefill_.push_back({job, static_cast<double>(job.promptTokens - cachedTokens), static_cast<double>(job.outputTokens), needed});
+        events.started.push_back(job.request);
+    }
+
+    void advancePrefill(double seconds)
+    {
+        double tokens = seconds * phaseSpeed(settings_.prefillTokensPerSecond, EngineRole::Prefill);
+        while (!prefill_.empty() && prefill_.front().prefillLeft <= tokens) {
+            tokens -= prefill_.front().prefillLeft;
+            decode_.push_back(std::move(prefill_.front()));
+            prefill_.pop_front();
+        }
+        if (!prefill_.empty()) {
+            prefill_.front().prefillLeft -= tokens;
+        }
+    }
+
+    void advanceDecode(double seconds, Events &events)
+    {
+        const double batch = std::min(1.0, static_cast<double>(decode_.size()) / settings_.fullDecodeBatch);
+        const double tokens = seconds * batch * phaseSpeed(settings_.decodeTokensPerSecond, EngineRole::Decode);
+        const double each = decode_.empty() ? 0 : tokens / static_cast<double>(decode_.size());
+        for (Running &running : decode_) {
+            running.outputLeft -= each;
+            if (running.outputLeft <= 0) {
+                finish(running, events);
+            }
+        }
+        std::erase_if(decode_, [](const Running &running) {
+            return running.outputLeft <= 0;
+        });
+    }
+
+    void finish(const Running &running, Events &events)
+    {
+        heldBlocks_ -= running.heldBlocks;
+        for (const std::uint64_t block : running.job.blocks) {
+            if (!cached_.contains(block)) {
+                recency_.push_back(block);
+                cached_.emplace(block, CachedBlock {std::prev(recency_.end())});
+                events.stored.push_back(block);
+            }
+        }
+        evictTo(settings_.cacheBlocks > heldBlocks_ ? settings_.cacheBlocks - heldBlocks_ : 0, events);
+        events.finished.push_back(running.job.request);
+    }
+
+    void touch(std::uint64_t block)
+    {
+        recency_.splice(recency_.end(), recency_, cached_.at(block).place);
+    }
+
+    void evictTo(std::size_t blocks, Events &events)
+    {
+        while (recency_.size() > blocks) {
+            events.evicted.push_back(recency_.front());
+            cached_.erase(recency_.front());
+            recency_.pop_front();
+        }
+    }
+
+    EngineSettings settings_;
+    EngineRole role_;
+    std::optional<EngineRole> target_;
+    Duration changeElapsed_ = Duration(0);
+    std::deque<EngineJob> arrivals_;
+    std::deque<Running> prefill_;
+    std::vector<Running> decode_;
+    std::size_t heldBlocks_ = 0;
+    /// \brief Cached blocks, the least recently used first.
+    std::list<std::uint64_t> recency_;
+    std::unordered_map<std::uint64_t, CachedBlock> cached_;
+};
+
+} // namespace mimosatally::bench
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "routerimpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mimosatally
 {
@@ -114,7 +115,7 @@
 {
     const auto found = impl_->outputs.find({customer, model});
     const double tokens = found == impl_->outputs.end() ? INITIAL_OUTPUT_TOKENS : found->second.tokens;
-    return Tokens(static_cast<std::int64_t>(tokens + 0.5));
+    return Tokens(std::lround(tokens));
 }
 
 Bytes Router::crossRegionBytes() const
--- /dev/null
+++ b/tests/unit/roleplannertest.cpp
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Placement>
+
+using namespace mimosatally;
+
+namespace
+{
+Time at(std::int64_t milliseconds)
+{
+    return Time(Duration(milliseconds));
+}
+
+EngineStatus engine(const std::string &id, EngineRole role = EngineRole::Mixed)
+{
+    return EngineStatus {EndpointId(id), role, true, 1000, 1000, 0};
+}
+
+RolePlanner makePlanner(double price = 1)
+{
+    return RolePlanner::Builder().policy({price}).changeTime(Duration(5000)).build();
+}
+
+/// \brief Reports \a engines and a constant demand (engine seconds per second) each second, until a change or the end.
+std::optional<RoleChange> run(RolePlanner &planner, const std::vector<EngineStatus> &engines, double prefill, double decode, int from = 0, int to = 60)
+{
+    for (int second = from; second < to; ++second) {
+        for (const EngineStatus &status : engines) {
+            planner.reportEngine(status, at(second * 1000));
+        }
+        const PhaseWork arrived {Tokens(static_cast<std::int64_t>(prefill * 1000)), Tokens(static_cast<std::int64_t>(decode * 1000))};
+        planner.reportDemand({arrived, {}}, at(second * 1000));
+        if (const auto change = planner.plan(at(second * 1000))) {
+            return change;
+        }
+    }
+    return std::nullopt;
+}
+
+const std::vector<EngineStatus> FOUR_MIXED = {engine("a"), engine("b"), engine("c"), engine("d")};
+} // namespace
+
+// Guards against changes that spare capacity or mixed batches make unnecessary.
+TEST_CASE("Roles stay while the present roles serve the demand", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    CHECK_FALSE(run(planner, FOUR_MIXED, 3.0, 0.2));
+}
+
+// Guards against a planner that leaves work unserved which another role would serve, and against an order without figures.
+TEST_CASE("A lasting shortage changes one role", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    const auto change = run(planner, FOUR_MIXED, 6.0, 0.2);
+    REQUIRE(change);
+    CHECK(change->role == EngineRole::Prefill);
+    CHECK(change->reason == "prefill-short");
+    CHECK(change->figures.gain > change->figures.price);
+    CHECK(change->figures.servedAfter > change->figures.servedBefore);
+    RolePlanner other = makePlanner();
+    CHECK(run(other, FOUR_MIXED, 0.2, 6.0)->role == EngineRole::Decode);
+}
+
+// Guards against a price without effect.
+TEST_CASE("A higher price prevents a change", "[placement]")
+{
+    RolePlanner planner = makePlanner(10);
+    CHECK_FALSE(run(planner, FOUR_MIXED, 6.0, 0.2));
+}
+
+// Guards against two engines out of service at once, and against a change that blocks all others for ever.
+TEST_CASE("One change at a time until it ends, fails or the engine is withdrawn", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    REQUIRE(run(planner, FOUR_MIXED, 6.0, 0.2, 0, 30));
+    CHECK_FALSE(run(planner, FOUR_MIXED, 6.0, 0.2, 30, 34));
+    planner.removeEngine(EndpointId("a"));
+    const std::vector<EngineStatus> three = {engine("b"), engine("c"), engine("d")};
+    const auto next = run(planner, three, 6.0, 0.2, 34, 60);
+    REQUIRE(next);
+    CHECK(next->engine != EndpointId("a"));
+    // The second change never ends; after its timeout another one may start.
+    CHECK(run(planner, three, 6.0, 0.2, 60, 120));
+}
+
+// Guards against a fleet that cannot serve one of the phases.
+TEST_CASE("Each phase keeps an engine", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    CHECK_FALSE(run(planner, {engine("a", EngineRole::Prefill), engine("b")}, 6.0, 0.01));
+    RolePlanner other = makePlanner();
+    CHECK_FALSE(run(other, {engine("a", EngineRole::Decode), engine("b")}, 0.01, 6.0));
+}
+
+// Guards against decisions on reports that no longer describe the fleet.
+TEST_CASE("Nothing is planned on stale input", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    run(planner, FOUR_MIXED, 6.0, 0.2, 0, 2);
+    for (int second = 2; second < 40; ++second) {
+        planner.reportDemand({{Tokens(6000), Tokens(200)}, {}}, at(second * 1000));
+        CHECK((second <= 4 || !planner.plan(at(second * 1000))));
+    }
+}
+
+// Guards against role changes that follow a burst of a few seconds.
+TEST_CASE("A short burst changes no role", "[placement]")
+{
+    RolePlanner planner = makePlanner();
+    run(planner, FOUR_MIXED, 2.0, 0.2, 0, 30);
+    CHECK_FALSE(run(planner, FOUR_MIXED, 7.0, 0.2, 30, 33));
+    CHECK_FALSE(run(planner, FOUR_MIXED, 2.0, 0.2, 33, 60));
+}
