--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -314,7 +314,7 @@
     try {
         const CancelResponse response = co_await awaitPromise(entry_.io, kj::Promise<CancelResponse>(request.send()), CANCEL_TIMEOUT);
         word = response.getWord() == schema::CancelWord::NEVER_STARTED ? CancelWord::NeverStarted
-            : response.getWord() == schema::CancelWord::STARTED        ? CancelWord::Started
+               : response.getWord() == schema::CancelWord::STARTED     ? CancelWord::Started
                                                                        : CancelWord::Finished;
     } catch (const Error &) {
         // The agent cancels by itself when the connection ends; the record keeps the weakest word.
--- a/src/entry/httpapi.cpp
+++ b/src/entry/httpapi.cpp
@@ -163,20 +163,18 @@
     const std::string body = list.dump();
     HttpResponse response = makeHttpResponse(status::OK, "application/json", body);
     response.set("X-Request-Id", request.value());
-    response.set("X-Mimosatally-Receipt",
-                 entry_.decisions.answered(call,
-                                           {.endpoint = {},
-                                            .status = status::OK,
-                                            .usage = {},
-                                            .answerBytes = Bytes(static_cast<std::int64_t>(body.size())),
-                                            .answerHash = sha256Hex(body)}));
+    response.set(
+        "X-Mimosatally-Receipt",
+        entry_.decisions.answered(
+            call,
+            {.endpoint = {}, .status = status::OK, .usage = {}, .answerBytes = Bytes(static_cast<std::int64_t>(body.size())), .answerHash = sha256Hex(body)}));
     co_await exchange.respond(std::move(response));
 }
 
 awaitable<void> HttpApi::refuse(HttpExchange &exchange, const CallRefusal &refusal, RequestId request, CustomerId customer)
 {
-    const std::string receipt = refusal.status == status::UNKNOWN_KEY ? entry_.decisions.callerRejected(request, refusal.reason)
-                                                                      : entry_.decisions.refused(request, customer, refusal);
+    const std::string receipt =
+        refusal.status == status::UNKNOWN_KEY ? entry_.decisions.callerRejected(request, refusal.reason) : entry_.decisions.refused(request, customer, refusal);
     HttpResponse response = refusalResponse(refusal, {request, customer, entry_.decisions.basis().version});
     response.set("X-Request-Id", request.value());
     response.set("X-Mimosatally-Receipt", receipt);
