--- a/include/mimosatally/config/configurationlog.h
+++ b/include/mimosatally/config/configurationlog.h
@@ -4,6 +4,7 @@
 #include "configurationrecord.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,17 @@
     /// \brief Applies one record; records below nextOffset() are ignored.
     ApplyResult apply(Offset offset, const std::string &payload);
 
+    /// \brief Takes over the state of a `snapshot` record that covers more than was applied.
+    ///
+    /// The caller has checked that every record after the covered offset can still be applied.
+    ApplyResult restore(const std::string &snapshot);
+
+    /// \brief The state as a `snapshot` record. Equal states give equal texts but for the id.
+    [[nodiscard]] std::string snapshot(const RecordId &id) const;
+
+    /// \brief Offset that a record covers if it is a `snapshot`, otherwise nothing.
+    static std::optional<Offset> snapshotCovers(const std::string &payload);
+
     [[nodiscard]] const ConfigurationState &state() const;
 
     /// \brief Records that bring a peer from \a version to the own version, in order. One snapshot record if the records
@@ -58,7 +70,9 @@
     struct ParsedRecord;
 
     ApplyResult decide(Offset offset, const std::string &payload);
-    ApplyResult publish(Offset offset, const ParsedRecord &record);
+    ApplyResult applyRecord(Offset offset, const ParsedRecord &record);
+    ApplyResult applyDocument(Offset offset, const ParsedRecord &record);
+    void forgetRemovedInstances();
     ApplyResult changeInstance(const ParsedRecord &record);
     [[nodiscard]] bool isSignedByOperator(const ParsedRecord &record) const;
     [[nodiscard]] bool wasAccepted(const RecordId &id) const;
@@ -68,7 +82,11 @@
     ConfigurationState state_;
     Offset nextOffset_;
     std::deque<RecordId> acceptedIds_;
+    /// \brief Recent accepted records for peers; bounded in bytes.
     std::deque<ConfigurationRecord> accepted_;
+    std::size_t acceptedBytes_ = 0;
+    /// \brief Version after which accepted_ is complete.
+    ConfigurationVersion acceptedSince_ = ConfigurationVersion(-1);
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/config/configurationparser.h
+++ b/include/mimosatally/config/configurationparser.h
@@ -7,9 +7,22 @@
 namespace mimosatally
 {
 
-/// \brief Reads a configuration document; docs/configuration.md describes every key.
+/// \brief Reads a configuration document; docs/configuration.md describes every key. Lists are sorted by id.
 /// \param fileName is used in the places of findings only.
 /// \throws FindingsError with all findings and their lines.
 Configuration parseConfiguration(const std::string &toml, const std::string &fileName);
 
+/// \brief Writes a document that parseConfiguration() reads back as an equal value.
+std::string formatConfiguration(const Configuration &configuration);
+
+/// \brief Document with the difference between two configurations; empty if there is none.
+///
+/// It has the keys of a whole document. Its items replace those of the same id or are added; `[remove]` lists ids to remove.
+/// \sa applyChange
+std::string formatChange(const Configuration &before, const Configuration &after);
+
+/// \brief Applies a document made by formatChange(). The result is checked like a whole document.
+/// \throws FindingsError with all findings; findings about the whole name the item instead of a line.
+Configuration applyChange(const Configuration &before, const std::string &change, const std::string &fileName);
+
 } // namespace mimosatally
--- a/include/mimosatally/config/configurationrecord.h
+++ b/include/mimosatally/config/configurationrecord.h
@@ -29,10 +29,25 @@
 
 std::string_view toString(InstanceAction action);
 
-/// \brief Signed `publish` record as JSON text.
-/// \param base offset of the last accepted `publish` record, -1 for the first.
-/// \throws MalformedInputError if the private key is invalid.
-std::string makePublishRecord(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document, const std::string &privateKey);
+/// \brief How a document of an operator forms the next configuration.
+enum class DocumentKind {
+    /// \brief The document is the whole configuration; kind `publish`.
+    Whole,
+    /// \brief The document has the difference to the base; kind `change`. \sa formatChange
+    Change,
+};
+
+std::string_view toString(DocumentKind kind);
+
+/// \brief Signed record with a document as JSON text.
+/// \param base offset of the last accepted `publish` or `change` record, -1 for the first.
+/// \throws MalformedInputError if the private key is invalid or the document is not UTF-8.
+std::string makePublishRecord(const RecordId &id,
+                              Offset base,
+                              const OperatorId &operatorId,
+                              const std::string &document,
+                              const std::string &privateKey,
+                              DocumentKind kind = DocumentKind::Whole);
 
 /// \brief Signed record about one instance as JSON text. \throws MalformedInputError if the private key is invalid.
 std::string makeInstanceRecord(
--- a/include/mimosatally/config/processsettings.h
+++ b/include/mimosatally/config/processsettings.h
@@ -12,8 +12,8 @@
 
 /// \brief Bounds on what one HTTP caller may use.
 struct HttpSettings {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 16'384;
+    std::size_t maxBodyBytes = 8'388'608;
     std::size_t maxConnections = 4096;
     /// \brief Time for a complete request after its first byte, and for each write to the peer.
     Duration transferTimeout = Duration(15000);
@@ -39,8 +39,10 @@
     LogLevel logLevel = LogLevel::Info;
     /// \brief Seed of all random choices; 0 takes a seed from the system.
     std::uint64_t seed = 0;
-    /// \brief An entry writes a snapshot after so many accepted records since the last one.
-    std::int64_t snapshotEvery = 64;
+    /// \brief An entry writes a snapshot when the configuration stream has so many records after the last one; 0 writes none.
+    std::int64_t snapshotEvery = 256;
+    /// \brief An entry also writes a snapshot at this age of the last one. Set it to less than half of the log's retention time.
+    Duration snapshotAge = Duration(21'600'000);
 };
 
 struct EntrySettings : ProcessSettings {
--- a/src/config/configurationcheck.cpp
+++ b/src/config/configurationcheck.cpp
@@ -1,4 +1,7 @@
 #include "configurationcheck.h"
+#include "percent.h"
+
+#include <algorithm>
 
 namespace mimosatally::internal
 {
@@ -6,100 +9,139 @@
 namespace
 {
 constexpr std::int64_t WHOLE_SHARE = 1'000'000;
-constexpr std::int64_t MILLIONTHS_PER_PERCENT = 10'000;
 
-std::string percent(std::int64_t millionths)
+void checkUnique(const ReportFinding &report, const std::string &key, const std::string &value, std::set<std::string> &seen)
 {
-    std::string decimals = std::to_string(millionths % MILLIONTHS_PER_PERCENT);
-    decimals.insert(0, 4 - decimals.size(), '0');
-    return std::to_string(millionths / MILLIONTHS_PER_PERCENT) + '.' + decimals + '%';
+    if (!value.empty() && !seen.insert(value).second) {
+        report(key, "is used twice: \"" + value + '"');
+    }
 }
-} // namespace
 
-void ConfigurationCheck::checkUnique(TomlTable &table, const std::string &key, const std::string &value, std::set<std::string> &seen)
+template<class Tag>
+void checkUnique(const ReportFinding &report, const std::string &key, const StrongId<Tag> &id, std::set<StrongId<Tag>> &seen)
 {
-    if (!value.empty() && !seen.insert(value).second) {
-        table.addFinding(key, "is used twice: \"" + value + '"');
+    if (!id.empty() && !seen.insert(id).second) {
+        report(key, "is used twice: \"" + id.value() + '"');
     }
 }
 
-void ConfigurationCheck::checkModels(TomlTable &root, const std::vector<ModelId> &models)
+template<class Item, class Id>
+void checkAll(ConfigurationCheck &check, std::vector<Item> &items, const std::string &list, Id Item::*id, const std::string &file, Findings &findings)
+{
+    for (Item &item : items) {
+        const ReportFinding report = [&](const std::string &key, const std::string &message) {
+            std::string text = '`' + list + '.' + key;
+            text += "` of \"" + (item.*id).value();
+            text += "\" " + message;
+            findings.add({file, 0}, std::move(text));
+        };
+        check.check(report, item);
+    }
+}
+} // namespace
+
+void ConfigurationCheck::checkModels(const ReportFinding &report, const std::vector<ModelId> &models)
 {
     for (const ModelId &model : models) {
-        if (!models_.insert(model).second) {
-            root.addFinding("models", "has \"" + model.value() + "\" twice");
-        }
+        checkUnique(report, "models", model, models_);
     }
 }
 
-void ConfigurationCheck::check(TomlTable &table, const DataCentre &item)
+void ConfigurationCheck::check(const ReportFinding &report, const DataCentre &item)
 {
-    checkUnique(table, "id", item.id.value(), dataCentreIds_);
-    dataCentres_.emplace(item.id, item.region);
+    if (!item.id.empty() && !dataCentres_.emplace(item.id, item.region).second) {
+        report("id", "is used twice: \"" + item.id.value() + '"');
+    }
 }
 
-void ConfigurationCheck::check(TomlTable &table, const Operator &item)
+void ConfigurationCheck::check(const ReportFinding &report, const Operator &item)
 {
-    checkUnique(table, "id", item.id.value(), operatorIds_);
-    checkUnique(table, "api_key_hash", item.apiKeyHash, apiKeyHashes_);
+    checkUnique(report, "id", item.id, operators_);
+    checkUnique(report, "api_key_hash", item.apiKeyHash, apiKeyHashes_);
 }
 
-void ConfigurationCheck::check(TomlTable &table, const Contract &item)
+void ConfigurationCheck::check(const ReportFinding &report, const Contract &item)
 {
-    checkUnique(table, "customer", item.customer.value(), customers_);
+    checkUnique(report, "customer", item.customer, customers_);
     for (const std::string &hash : item.apiKeyHashes) {
-        checkUnique(table, "api_key_hashes", hash, apiKeyHashes_);
+        checkUnique(report, "api_key_hashes", hash, apiKeyHashes_);
     }
     const std::int64_t before = shareSum_;
     shareSum_ += item.shareMillionths;
     if (before <= WHOLE_SHARE && shareSum_ > WHOLE_SHARE) {
-        table.addFinding("share", "brings the sum of the shares to " + percent(shareSum_) + ", above 100%");
+        report("share", "brings the sum of the shares to " + formatPercent(shareSum_) + ", above 100%");
     }
 }
 
-void ConfigurationCheck::check(TomlTable &table, const Service &item)
+void ConfigurationCheck::check(const ReportFinding &report, const Service &item)
 {
-    checkUnique(table, "id", item.id.value(), serviceIds_);
-    services_.insert(item.id);
+    checkUnique(report, "id", item.id, services_);
 }
 
-void ConfigurationCheck::check(TomlTable &table, Endpoint &item)
+void ConfigurationCheck::check(const ReportFinding &report, Endpoint &item)
 {
-    checkUnique(table, "id", item.id.value(), endpointIds_);
-    checkUnique(table, "instance", item.instance.value(), instances_);
-    checkUnique(table, "agent_address", item.agentAddress, agentAddresses_);
-    checkPlace(table, item);
+    checkUnique(report, "id", item.id, endpoints_);
+    checkUnique(report, "instance", item.instance, instances_);
+    checkUnique(report, "agent_address", item.agentAddress, agentAddresses_);
+    checkPlace(report, item);
     if (item.kind == EndpointKind::Engine) {
-        checkEngine(table, item);
+        checkEngine(report, item);
     } else if (!item.service.empty() && !services_.contains(item.service)) {
-        table.addFinding("service", "names \"" + item.service.value() + "\", which is not in [[services]]");
+        report("service", "names \"" + item.service.value() + "\", which is not in [[services]]");
     }
 }
 
-void ConfigurationCheck::checkPlace(TomlTable &table, Endpoint &item)
+void ConfigurationCheck::checkPlace(const ReportFinding &report, Endpoint &item) const
 {
     const auto found = dataCentres_.find(item.dataCentre);
     if (found == dataCentres_.end()) {
         if (!item.dataCentre.empty()) {
-            table.addFinding("data_centre", "names \"" + item.dataCentre.value() + "\", which is not in [[data_centres]]");
+            report("data_centre", "names \"" + item.dataCentre.value() + "\", which is not in [[data_centres]]");
         }
         return;
     }
     if (item.region.empty()) {
         item.region = found->second;
     } else if (item.region != found->second) {
-        table.addFinding(
-            "region", "is \"" + item.region.value() + "\", but data centre \"" + item.dataCentre.value() + "\" is in region \"" + found->second.value() + '"');
+        report("region",
+               "is \"" + item.region.value() + "\", but data centre \"" + item.dataCentre.value() + "\" is in region \"" + found->second.value() + '"');
     }
 }
 
-void ConfigurationCheck::checkEngine(TomlTable &table, const Endpoint &item)
+void ConfigurationCheck::checkEngine(const ReportFinding &report, const Endpoint &item) const
 {
     for (const ModelId &model : item.models) {
         if (!models_.contains(model)) {
-            table.addFinding("models", "names \"" + model.value() + "\", which is not in the list `models` of the document");
+            report("models", "names \"" + model.value() + "\", which is not in the list `models` of the document");
         }
     }
 }
 
+void checkConfiguration(Configuration &configuration, const std::string &fileName, Findings &findings)
+{
+    ConfigurationCheck check;
+    const ReportFinding reportRoot = [&](const std::string &key, const std::string &message) {
+        findings.add({fileName, 0}, '`' + key + "` " + message);
+    };
+    check.checkModels(reportRoot, configuration.models);
+    checkAll(check, configuration.dataCentres, "data_centres", &DataCentre::id, fileName, findings);
+    checkAll(check, configuration.operators, "operators", &Operator::id, fileName, findings);
+    checkAll(check, configuration.contracts, "contracts", &Contract::customer, fileName, findings);
+    checkAll(check, configuration.services, "services", &Service::id, fileName, findings);
+    checkAll(check, configuration.endpoints, "endpoints", &Endpoint::id, fileName, findings);
+    if (configuration.operators.empty()) {
+        reportRoot("operators", "must name at least one operator, or nobody could publish the next configuration");
+    }
+}
+
+void sortById(Configuration &configuration)
+{
+    std::ranges::sort(configuration.models);
+    std::ranges::sort(configuration.dataCentres, {}, &DataCentre::id);
+    std::ranges::sort(configuration.operators, {}, &Operator::id);
+    std::ranges::sort(configuration.contracts, {}, &Contract::customer);
+    std::ranges::sort(configuration.services, {}, &Service::id);
+    std::ranges::sort(configuration.endpoints, {}, &Endpoint::id);
+}
+
 } // namespace mimosatally::internal
--- a/src/config/configurationcheck.h
+++ b/src/config/configurationcheck.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "tomltable.h"
-
 #include <mimosatally/config/configuration.h>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -12,37 +11,43 @@
 namespace mimosatally::internal
 {
 
+/// \brief Receives a finding about one key of an item.
+using ReportFinding = std::function<void(const std::string &key, const std::string &message)>;
+
 /// \brief Checks the items of a document against each other: duplicates, references and the sum of shares.
 ///
-/// Items are checked in the order data centres, operators, contracts, services, endpoints.
+/// Items are checked in the order models, data centres, operators, contracts, services, endpoints.
 class ConfigurationCheck
 {
 public:
-    void checkModels(TomlTable &root, const std::vector<ModelId> &models);
-    void check(TomlTable &table, const DataCentre &item);
-    void check(TomlTable &table, const Operator &item);
-    void check(TomlTable &table, const Contract &item);
-    void check(TomlTable &table, const Service &item);
+    void checkModels(const ReportFinding &report, const std::vector<ModelId> &models);
+    void check(const ReportFinding &report, const DataCentre &item);
+    void check(const ReportFinding &report, const Operator &item);
+    void check(const ReportFinding &report, const Contract &item);
+    void check(const ReportFinding &report, const Service &item);
     /// \brief Also fills in the region of the data centre if the endpoint names none.
-    void check(TomlTable &table, Endpoint &item);
+    void check(const ReportFinding &report, Endpoint &item);
 
 private:
-    void checkEngine(TomlTable &table, const Endpoint &item);
-    void checkPlace(TomlTable &table, Endpoint &item);
-    static void checkUnique(TomlTable &table, const std::string &key, const std::string &value, std::set<std::string> &seen);
+    void checkEngine(const ReportFinding &report, const Endpoint &item) const;
+    void checkPlace(const ReportFinding &report, Endpoint &item) const;
 
     std::set<ModelId> models_;
     std::map<DataCentreId, RegionId> dataCentres_;
     std::set<ServiceId> services_;
-    std::set<std::string> dataCentreIds_;
-    std::set<std::string> operatorIds_;
-    std::set<std::string> customers_;
+    std::set<OperatorId> operators_;
+    std::set<CustomerId> customers_;
     std::set<std::string> apiKeyHashes_;
-    std::set<std::string> serviceIds_;
-    std::set<std::string> endpointIds_;
-    std::set<std::string> instances_;
+    std::set<EndpointId> endpoints_;
+    std::set<InstanceId> instances_;
     std::set<std::string> agentAddresses_;
     std::int64_t shareSum_ = 0;
 };
 
+/// \brief Checks a whole configuration; a finding names the item it is about.
+void checkConfiguration(Configuration &configuration, const std::string &fileName, Findings &findings);
+
+/// \brief Sorts every list by id, so that equal configurations compare equal whatever the order in their documents.
+void sortById(Configuration &configuration);
+
 } // namespace mimosatally::internal
--- a/src/config/configurationlog.cpp
+++ b/src/config/configurationlog.cpp
@@ -13,6 +13,9 @@
 {
 /// \brief How many accepted records the id of a repeated append is compared with. A repeated append comes within seconds.
 constexpr std::size_t REMEMBERED_IDS = 1024;
+/// \brief Bound on the accepted records kept for peers. A peer that is further behind gets a snapshot.
+constexpr std::size_t KEPT_RECORD_BYTES = std::size_t(512) * 1024;
+constexpr const char *SNAPSHOT_KIND = "snapshot";
 
 ApplyResult voidResult(std::string reason)
 {
@@ -42,7 +45,12 @@
 
     [[nodiscard]] std::string signedText() const
     {
-        return kind == "publish" ? internal::publishText(id, base, operatorId, document) : internal::instanceText(id, kind, instance, operatorId);
+        return hasDocument() ? internal::documentText(kind, id, base, operatorId, document) : internal::instanceText(id, kind, instance, operatorId);
+    }
+
+    [[nodiscard]] bool hasDocument() const
+    {
+        return kind == toString(DocumentKind::Whole) || kind == toString(DocumentKind::Change);
     }
 
     [[nodiscard]] bool isWellFormed() const
@@ -50,7 +58,7 @@
         const auto isLine = [](const std::string &text) {
             return !text.empty() && text.find('\n') == std::string::npos;
         };
-        return isLine(id.value()) && isLine(operatorId.value()) && (kind == "publish" || isLine(instance.value()));
+        return isLine(id.value()) && isLine(operatorId.value()) && (hasDocument() || isLine(instance.value()));
     }
 
     static ParsedRecord parse(const nlohmann::json &json)
@@ -94,20 +102,28 @@
         return voidResult("record is not a JSON object");
     }
     const ParsedRecord record = ParsedRecord::parse(json);
+    if (record.kind == SNAPSHOT_KIND) {
+        return {ApplyResult::Verdict::Ignored, "snapshot of records that were applied before"};
+    }
+    const ApplyResult result = applyRecord(offset, record);
+    if (result.isAccepted()) {
+        remember(offset, payload, record.id);
+    }
+    return result;
+}
+
+ApplyResult ConfigurationLog::applyRecord(Offset offset, const ParsedRecord &record)
+{
     if (!record.isWellFormed()) {
         return voidResult("record lacks a field or has a line break in one");
     }
     if (wasAccepted(record.id)) {
         return voidResult("a record with this id was accepted before");
     }
-    const ApplyResult result = record.kind == "publish" ? publish(offset, record) : changeInstance(record);
-    if (result.isAccepted()) {
-        remember(offset, payload, record.id);
-    }
-    return result;
+    return record.hasDocument() ? applyDocument(offset, record) : changeInstance(record);
 }
 
-ApplyResult ConfigurationLog::publish(Offset offset, const ParsedRecord &record)
+ApplyResult ConfigurationLog::applyDocument(Offset offset, const ParsedRecord &record)
 {
     if (record.base != state_.documentOffset) {
         return voidResult("base is not current: it is " + std::to_string(record.base.count()) + ", the last accepted publish record is "
@@ -117,11 +133,18 @@
         return voidResult("signature does not match an operator of the current configuration");
     }
     try {
-        state_.configuration = parseConfiguration(record.document, "document");
+        const bool isWhole = record.kind == toString(DocumentKind::Whole);
+        state_.configuration = isWhole ? parseConfiguration(record.document, "document") : applyChange(state_.configuration, record.document, "document");
     } catch (const FindingsError &error) {
         return voidResult(std::string("document has findings: ") + error.what());
     }
     state_.documentOffset = offset;
+    forgetRemovedInstances();
+    return acceptedResult();
+}
+
+void ConfigurationLog::forgetRemovedInstances()
+{
     std::set<InstanceId> instances;
     for (const Endpoint &endpoint : state_.configuration.endpoints) {
         instances.insert(endpoint.instance);
@@ -129,7 +152,6 @@
     std::erase_if(state_.instanceStates, [&instances](const auto &entry) {
         return !instances.contains(entry.first);
     });
-    return acceptedResult();
 }
 
 ApplyResult ConfigurationLog::changeInstance(const ParsedRecord &record)
@@ -179,6 +201,12 @@
         acceptedIds_.pop_front();
     }
     accepted_.push_back({offset, payload});
+    acceptedBytes_ += payload.size();
+    while (acceptedBytes_ > KEPT_RECORD_BYTES && accepted_.size() > 1) {
+        acceptedSince_ = ConfigurationVersion(accepted_.front().offset.count());
+        acceptedBytes_ -= accepted_.front().payload.size();
+        accepted_.pop_front();
+    }
 }
 
 const ConfigurationState &ConfigurationLog::state() const
@@ -188,6 +216,12 @@
 
 std::vector<ConfigurationRecord> ConfigurationLog::acceptedAfter(ConfigurationVersion version) const
 {
+    if (version >= state_.version) {
+        return {};
+    }
+    if (version < acceptedSince_) {
+        return {{nextOffset_ - Offset(1), snapshot(RecordId("for-peer"))}};
+    }
     const auto first = std::ranges::find_if(accepted_, [version](const ConfigurationRecord &record) {
         return record.offset.count() > version.count();
     });
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -3,6 +3,7 @@
 
 #include <mimosatally/Config>
 
+#include <map>
 #include <utility>
 
 namespace mimosatally
@@ -11,6 +12,7 @@
 namespace
 {
 using internal::ConfigurationCheck;
+using internal::ReportFinding;
 using internal::TomlTable;
 
 constexpr std::int64_t MOST_CONCURRENT_REQUESTS = 100'000;
@@ -140,25 +142,31 @@
     }
 }
 
+/// \brief Reads all lists. \param check is called for each item.
+template<class Check>
+void readLists(TomlTable &root, Configuration &result, Check check)
+{
+    readList(root, "data_centres", result.dataCentres, readDataCentre, check);
+    readList(root, "operators", result.operators, readOperator, check);
+    readList(root, "contracts", result.contracts, readContract, check);
+    readList(root, "services", result.services, readService, check);
+    readList(root, "endpoints", result.endpoints, readEndpoint, check);
+}
+
+ReportFinding reportTo(TomlTable &table)
+{
+    return [&table](const std::string &key, const std::string &message) {
+        table.addFinding(key, message);
+    };
+}
+
 void readConfiguration(TomlTable &root, Configuration &result)
 {
     ConfigurationCheck check;
     result.models = toIds<ModelId>(root.strings("models"));
-    check.checkModels(root, result.models);
-    readList(root, "data_centres", result.dataCentres, readDataCentre, [&check](TomlTable &table, DataCentre &item) {
-        check.check(table, item);
-    });
-    readList(root, "operators", result.operators, readOperator, [&check](TomlTable &table, Operator &item) {
-        check.check(table, item);
-    });
-    readList(root, "contracts", result.contracts, readContract, [&check](TomlTable &table, Contract &item) {
-        check.check(table, item);
-    });
-    readList(root, "services", result.services, readService, [&check](TomlTable &table, Service &item) {
-        check.check(table, item);
-    });
-    readList(root, "endpoints", result.endpoints, readEndpoint, [&check](TomlTable &table, Endpoint &item) {
-        check.check(table, item);
+    check.checkModels(reportTo(root), result.models);
+    readLists(root, result, [&check](TomlTable &table, auto &item) {
+        check.check(reportTo(table), item);
     });
     readPolicies(root, result);
     if (result.operators.empty()) {
@@ -166,18 +174,99 @@
     }
     root.reportUnknownKeys();
 }
+
+/// \brief Adds the items of a change; an item with a known id replaces the present one.
+template<class Item, class Id>
+void mergeList(std::vector<Item> &items, std::vector<Item> changes, Id Item::*id)
+{
+    std::map<Id, Item> byId;
+    for (Item &item : items) {
+        byId.insert_or_assign(item.*id, std::move(item));
+    }
+    for (Item &item : changes) {
+        byId.insert_or_assign(item.*id, std::move(item));
+    }
+    items.clear();
+    for (auto &[key, item] : byId) {
+        items.push_back(std::move(item));
+    }
+}
+
+template<class Item, class Id>
+void removeFrom(TomlTable &removals, const std::string &key, std::vector<Item> &items, Id Item::*id)
+{
+    for (const std::string &name : removals.strings(key)) {
+        const std::size_t removed = std::erase_if(items, [&name, id](const Item &item) {
+            return (item.*id).value() == name;
+        });
+        if (removed == 0) {
+            removals.addFinding(key, "names \"" + name + "\", which is not in the configuration");
+        }
+    }
+}
+
+void removeItems(TomlTable &root, Configuration &result)
+{
+    TomlTable removals = root.table("remove");
+    removeFrom(removals, "data_centres", result.dataCentres, &DataCentre::id);
+    removeFrom(removals, "operators", result.operators, &Operator::id);
+    removeFrom(removals, "contracts", result.contracts, &Contract::customer);
+    removeFrom(removals, "services", result.services, &Service::id);
+    removeFrom(removals, "endpoints", result.endpoints, &Endpoint::id);
+    removals.reportUnknownKeys();
+}
+
+void readChange(TomlTable &root, Configuration &result)
+{
+    removeItems(root, result);
+    Configuration changes;
+    readLists(root, changes, [](TomlTable &, auto &) {});
+    mergeList(result.dataCentres, std::move(changes.dataCentres), &DataCentre::id);
+    mergeList(result.operators, std::move(changes.operators), &Operator::id);
+    mergeList(result.contracts, std::move(changes.contracts), &Contract::customer);
+    mergeList(result.services, std::move(changes.services), &Service::id);
+    mergeList(result.endpoints, std::move(changes.endpoints), &Endpoint::id);
+    if (root.has("models")) {
+        result.models = toIds<ModelId>(root.strings("models"));
+    }
+    readPolicies(root, result);
+    root.reportUnknownKeys();
+}
+
+/// \brief Parses TOML and hands the root table to \a read.
+template<class Read>
+void readDocument(const std::string &toml, const std::string &fileName, Findings &findings, Read read)
+{
+    const std::optional<toml::value> parsed = internal::parseToml(toml, fileName, findings);
+    if (parsed) {
+        TomlTable root(*parsed, {}, fileName, findings);
+        read(root);
+    }
+    findings.throwIfAny();
+}
 } // namespace
 
 Configuration parseConfiguration(const std::string &toml, const std::string &fileName)
 {
     Findings findings;
     Configuration result;
-    const std::optional<toml::value> parsed = internal::parseToml(toml, fileName, findings);
-    if (parsed) {
-        TomlTable root(*parsed, {}, fileName, findings);
+    readDocument(toml, fileName, findings, [&result](TomlTable &root) {
         readConfiguration(root, result);
-    }
+    });
+    internal::sortById(result);
+    return result;
+}
+
+Configuration applyChange(const Configuration &before, const std::string &change, const std::string &fileName)
+{
+    Findings findings;
+    Configuration result = before;
+    readDocument(change, fileName, findings, [&result](TomlTable &root) {
+        readChange(root, result);
+    });
+    internal::checkConfiguration(result, fileName, findings);
     findings.throwIfAny();
+    internal::sortById(result);
     return result;
 }
 
--- a/src/config/configurationrecord.cpp
+++ b/src/config/configurationrecord.cpp
@@ -11,9 +11,10 @@
 {
 
 // The signed text has one field a line; ids with line breaks are void, so two records never share a text.
-std::string publishText(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document)
+std::string documentText(std::string_view kind, const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document)
 {
-    return "mimosatally publish\n" + id.value() + '\n' + std::to_string(base.count()) + '\n' + operatorId.value() + '\n' + sha256Hex(document) + '\n';
+    return "mimosatally " + std::string(kind) + '\n' + id.value() + '\n' + std::to_string(base.count()) + '\n' + operatorId.value() + '\n' + sha256Hex(document)
+           + '\n';
 }
 
 std::string instanceText(const RecordId &id, std::string_view kind, const InstanceId &instance, const OperatorId &operatorId)
@@ -36,17 +37,27 @@
     return "";
 }
 
-std::string makePublishRecord(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document, const std::string &privateKey)
+std::string_view toString(DocumentKind kind)
 {
-    return nlohmann::json {
-        {"kind", "publish"},
+    return kind == DocumentKind::Whole ? "publish" : "change";
+}
+
+std::string makePublishRecord(
+    const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document, const std::string &privateKey, DocumentKind kind)
+{
+    const nlohmann::json json {
+        {"kind", toString(kind)},
         {"id", id.value()},
         {"base", base.count()},
         {"operator", operatorId.value()},
         {"document", document},
-        {"signature", signMessage(privateKey, internal::publishText(id, base, operatorId, document))},
+        {"signature", signMessage(privateKey, internal::documentText(toString(kind), id, base, operatorId, document))},
+    };
+    try {
+        return json.dump();
+    } catch (const nlohmann::json::type_error &) {
+        throw MalformedInputError("the document is not valid UTF-8");
     }
-        .dump();
 }
 
 std::string makeInstanceRecord(
--- a/src/config/processsettings.cpp
+++ b/src/config/processsettings.cpp
@@ -61,7 +61,8 @@
     result.http = readHttp(root);
     result.logLevel = static_cast<LogLevel>(root.choice("log_level", LOG_LEVELS, static_cast<std::size_t>(result.logLevel)));
     result.seed = static_cast<std::uint64_t>(root.integer("seed", 0, 0));
-    result.snapshotEvery = root.integer("snapshot_every", result.snapshotEvery, 1, 1'000'000);
+    result.snapshotEvery = root.integer("snapshot_every", result.snapshotEvery, 0, 1'000'000);
+    result.snapshotAge = root.duration("snapshot_age", result.snapshotAge);
 }
 
 /// \brief Parses a settings file; \a readOwn reads the keys of one kind of process.
--- a/src/config/recordtext.h
+++ b/src/config/recordtext.h
@@ -8,8 +8,8 @@
 namespace mimosatally::internal
 {
 
-/// \brief Text that the signature of a `publish` record covers.
-std::string publishText(const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document);
+/// \brief Text that the signature of a `publish` or `change` record covers.
+std::string documentText(std::string_view kind, const RecordId &id, Offset base, const OperatorId &operatorId, const std::string &document);
 
 /// \brief Text that the signature of a record about one instance covers.
 std::string instanceText(const RecordId &id, std::string_view kind, const InstanceId &instance, const OperatorId &operatorId);
--- a/src/config/tomltable.cpp
+++ b/src/config/tomltable.cpp
@@ -1,9 +1,10 @@
 #include "tomltable.h"
+#include "digits.h"
+#include "percent.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <sstream>
 #include <utility>
 
@@ -12,9 +13,6 @@
 
 namespace
 {
-constexpr std::int64_t MILLIONTHS = 1'000'000;
-constexpr std::int64_t MILLIONTHS_PER_PERCENT = 10'000;
-constexpr int PERCENT_DECIMALS = 4;
 constexpr std::size_t HASH_DIGITS = 64;
 constexpr std::int64_t LONGEST_DURATION_MS = 366LL * 24 * 3600 * 1000;
 
@@ -27,16 +25,6 @@
 
 const toml::value EMPTY_TABLE = toml::table();
 
-std::optional<std::int64_t> parseDigits(std::string_view text)
-{
-    std::int64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || text.front() == '-' || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::optional<Duration> parseDuration(std::string_view text)
 {
     const std::size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
@@ -48,28 +36,6 @@
     return Duration(*amount * unit->milliseconds);
 }
 
-/// \brief Parses a percentage with at most four decimals exactly, without floating point.
-std::optional<std::int64_t> parseShare(std::string_view text)
-{
-    if (!text.ends_with('%')) {
-        return std::nullopt;
-    }
-    text.remove_suffix(1);
-    const std::size_t point = text.find('.');
-    const std::optional<std::int64_t> whole = parseDigits(text.substr(0, point));
-    std::string decimals(point == std::string_view::npos ? "0" : text.substr(point + 1));
-    if (!whole || *whole > 100 || decimals.empty() || decimals.size() > PERCENT_DECIMALS) {
-        return std::nullopt;
-    }
-    decimals.resize(PERCENT_DECIMALS, '0');
-    const std::optional<std::int64_t> fraction = parseDigits(decimals);
-    if (!fraction) {
-        return std::nullopt;
-    }
-    const std::int64_t share = *whole * MILLIONTHS_PER_PERCENT + *fraction;
-    return share <= MILLIONTHS ? std::optional(share) : std::nullopt;
-}
-
 bool isAddress(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
@@ -213,7 +179,7 @@
     if (value == nullptr) {
         return 0;
     }
-    const std::optional<std::int64_t> parsed = value->is_string() ? parseShare(value->as_string().str) : std::nullopt;
+    const std::optional<std::int64_t> parsed = value->is_string() ? parsePercent(value->as_string().str) : std::nullopt;
     if (!parsed) {
         addFinding(key, "must be a percentage from \"0%\" to \"100%\" with at most four decimals, such as \"12.5%\"");
     }
--- /dev/null
+++ b/src/platform/logclient.cpp
@@ -0,0 +1,107 @@
+#include <mimosatally/Platform>
+
+#include <nlohmann/json.hpp>
+
+namespace mimosatally
+{
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+
+namespace
+{
+constexpr const char *CONTENT_TYPE = "application/vnd.kafka.json.v1+json";
+constexpr int NOT_FOUND = 404;
+
+[[noreturn]] void throwStatus(const std::string &what, const HttpResponse &response)
+{
+    throw UnreachableError("log service: " + what + " gives status " + std::to_string(response.result_int()));
+}
+
+[[noreturn]] void throwUnexpected(const std::string &what)
+{
+    throw UnreachableError("log service: " + what + " gives an answer of unexpected form");
+}
+
+/// \brief The payloads are JSON texts, so they are joined without being parsed.
+std::string produceBody(const std::vector<std::string> &payloads)
+{
+    std::string body = "{\"records\":[";
+    for (const std::string &payload : payloads) {
+        body += (body.back() == '[' ? "{\"value\":" : ",{\"value\":") + payload + '}';
+    }
+    return body + "]}";
+}
+
+std::vector<Offset> parseOffsets(const std::string &body, std::size_t expected)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    std::vector<Offset> offsets;
+    try {
+        for (const nlohmann::json &entry : json.at("offsets")) {
+            offsets.emplace_back(entry.at("offset").get<std::int64_t>());
+        }
+    } catch (const nlohmann::json::exception &) {
+        throwUnexpected("append");
+    }
+    if (offsets.size() != expected) {
+        throwUnexpected("append");
+    }
+    return offsets;
+}
+
+std::vector<LogRecord> parseRecords(const std::string &body)
+{
+    // Ordered, so that a payload is returned with its keys in the order in which they were appended.
+    const nlohmann::ordered_json json = nlohmann::ordered_json::parse(body, nullptr, false);
+    std::vector<LogRecord> records;
+    try {
+        if (!json.is_array()) {
+            throwUnexpected("read");
+        }
+        for (const nlohmann::ordered_json &entry : json) {
+            records.push_back({Offset(entry.at("offset").get<std::int64_t>()), entry.at("value").dump()});
+        }
+    } catch (const nlohmann::json::exception &) {
+        throwUnexpected("read");
+    }
+    return records;
+}
+} // namespace
+
+LogClient::LogClient(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint server)
+    : client_(io, std::move(server))
+{
+}
+
+awaitable<std::vector<Offset>> LogClient::append(std::string stream, std::vector<std::string> payloads, Duration timeout)
+{
+    HttpRequest request = makeHttpRequest(http::verb::post, "/topics/" + stream, CONTENT_TYPE, produceBody(payloads));
+    request.set(http::field::accept, CONTENT_TYPE);
+    const HttpResponse response = co_await client_.send(std::move(request), timeout);
+    if (response.result() != http::status::ok) {
+        throwStatus("append to " + stream, response);
+    }
+    co_return parseOffsets(response.body(), payloads.size());
+}
+
+awaitable<LogReadResult> LogClient::read(std::string stream, Offset from, int limit, Duration timeout)
+{
+    const std::string target = "/topics/" + stream + "/partitions/0/messages?offset=" + std::to_string(from.count()) + "&count=" + std::to_string(limit);
+    HttpRequest request = makeHttpRequest(http::verb::get, target);
+    request.set(http::field::accept, CONTENT_TYPE);
+    const HttpResponse response = co_await client_.send(std::move(request), timeout);
+    LogReadResult result;
+    if (response.result_int() == NOT_FOUND) {
+        // A stream exists from its first record on.
+        co_return result;
+    }
+    if (response.result() != http::status::ok) {
+        throwStatus("read of " + stream, response);
+    }
+    result.records = parseRecords(response.body());
+    result.hasGap = !result.records.empty() && result.records.front().offset > from;
+    co_return result;
+}
+
+} // namespace mimosatally
