--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -81,13 +81,16 @@
 
 awaitable<void> AgentLink::exchangeUntilStopped(TaskContext &context)
 {
-    do {
+    // g++ 12 lays out the frame of a coroutine wrongly if it awaits in a loop condition and has no local variable.
+    bool goesOn = true;
+    while (goesOn) {
         co_await exchangeOnce();
         // A peer that was behind gets the missing records without waiting.
         if (peerVersion_ < entry_.configuration.state().version) {
             co_await exchangeOnce();
         }
-    } while (co_await context.sleep(EXCHANGE_INTERVAL));
+        goesOn = co_await context.sleep(EXCHANGE_INTERVAL);
+    }
 }
 
 awaitable<void> AgentLink::exchangeOnce()
--- a/src/entry/callrefusal.cpp
+++ b/src/entry/callrefusal.cpp
@@ -81,7 +81,7 @@
     return {.status = status::MALFORMED, .reason = "malformed", .message = std::move(message), .param = std::move(param), .retryAfter = std::nullopt};
 }
 
-CallRefusal notRun(std::string reason, std::optional<Duration> retryAfter)
+CallRefusal refusedNotRun(std::string reason, std::optional<Duration> retryAfter)
 {
     CallRefusal refusal;
     refusal.status = isContractReason(reason) ? status::REFUSED_BY_CONTRACT : status::NOT_RUN;
@@ -91,7 +91,7 @@
     return refusal;
 }
 
-CallRefusal outcomeUnknown(unsigned status, std::string reason)
+CallRefusal refusedOutcomeUnknown(unsigned status, std::string reason)
 {
     CallRefusal refusal;
     refusal.status = status;
--- a/src/entry/callrefusal.h
+++ b/src/entry/callrefusal.h
@@ -73,9 +73,9 @@
 CallRefusal malformed(std::string message, std::string param = {});
 
 /// \brief Refusal that states an agent's or the router's reason; the status follows from the reason.
-CallRefusal notRun(std::string reason, std::optional<Duration> retryAfter);
+CallRefusal refusedNotRun(std::string reason, std::optional<Duration> retryAfter);
 
 /// \brief Refusal of a call that may have been run. \param status OUTCOME_UNKNOWN or UNKNOWN_WITHIN_WAIT
-CallRefusal outcomeUnknown(unsigned status, std::string reason);
+CallRefusal refusedOutcomeUnknown(unsigned status, std::string reason);
 
 } // namespace mimosatally::internal
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -118,7 +118,7 @@
     while (true) {
         RouteDecision decision = entry_.router.choose(routeRequest(), MilliClock::now());
         if (!decision.endpoint) {
-            refusal_ = mayHaveRun_ ? outcomeUnknown(status::OUTCOME_UNKNOWN, "endpoint-lost") : notRun(decision.reason, decision.retryAfter);
+            refusal_ = mayHaveRun_ ? refusedOutcomeUnknown(status::OUTCOME_UNKNOWN, "endpoint-lost") : refusedNotRun(decision.reason, decision.retryAfter);
             return std::nullopt;
         }
         const std::shared_ptr<AgentLink> link = entry_.fleet.find(*decision.endpoint);
@@ -266,9 +266,9 @@
 CallRefusal CallRunner::refusalAfter(const AttemptEnd &end) const
 {
     if (!mayHaveRun_) {
-        return notRun(end.reason, end.retryAfter);
+        return refusedNotRun(end.reason, end.retryAfter);
     }
-    CallRefusal refusal = outcomeUnknown(status::OUTCOME_UNKNOWN, end.reason.empty() ? "endpoint-lost" : end.reason);
+    CallRefusal refusal = refusedOutcomeUnknown(status::OUTCOME_UNKNOWN, end.reason.empty() ? "endpoint-lost" : end.reason);
     if (call_.mayRepeat) {
         refusal.retryAfter = RETRY_AFTER_LOSS;
     }
--- a/src/entry/claimedcall.cpp
+++ b/src/entry/claimedcall.cpp
@@ -40,7 +40,7 @@
 awaitable<void> CallRunner::runClaimed()
 {
     if (entry_.decisions.basis().unconfirmed) {
-        co_await refuse(notRun("configuration-unconfirmed", RETRY_WITHOUT_CLAIMS));
+        co_await refuse(refusedNotRun("configuration-unconfirmed", RETRY_WITHOUT_CLAIMS));
         co_return;
     }
     const std::optional<RouteDecision> decision = route();
@@ -68,7 +68,7 @@
         co_await refuse(keyReused());
         break;
     case ClaimResult::Kind::Unavailable:
-        co_await refuse(notRun("claims-unavailable", RETRY_WITHOUT_CLAIMS));
+        co_await refuse(refusedNotRun("claims-unavailable", RETRY_WITHOUT_CLAIMS));
         break;
     }
 }
@@ -79,7 +79,7 @@
     const std::shared_ptr<AgentLink> link = entry_.fleet.find(record.endpoint);
     if (!link || link->incarnation() != record.agentIncarnation) {
         entry_.claims.voidClaim(record);
-        co_await refuse(notRun("endpoint-changed", RETRY_SOON));
+        co_await refuse(refusedNotRun("endpoint-changed", RETRY_SOON));
         co_return;
     }
     relay_->ignoreLostCaller();
@@ -103,10 +103,10 @@
         co_return;
     }
     if (entry_.claims.isVoided(key, claim.record)) {
-        co_await refuse(notRun("claim-voided", RETRY_SOON));
+        co_await refuse(refusedNotRun("claim-voided", RETRY_SOON));
         co_return;
     }
-    CallRefusal refusal = outcomeUnknown(status::UNKNOWN_WITHIN_WAIT, "no-outcome-within-wait");
+    CallRefusal refusal = refusedOutcomeUnknown(status::UNKNOWN_WITHIN_WAIT, "no-outcome-within-wait");
     refusal.retryAfter = RETRY_SOON;
     co_await refuse(refusal);
 }
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -47,8 +47,11 @@
 /// \brief Notices agents that fell silent.
 awaitable<void> refreshAvailability(EntryState &entry, TaskContext &context)
 {
-    while (co_await context.sleep(AVAILABILITY_INTERVAL)) {
+    // g++ 12 lays out the frame of a coroutine wrongly if it awaits in a loop condition and has no local variable.
+    bool goesOn = true;
+    while (goesOn) {
         entry.fleet.refreshAvailability();
+        goesOn = co_await context.sleep(AVAILABILITY_INTERVAL);
     }
 }
 
--- a/src/entry/httpapi.cpp
+++ b/src/entry/httpapi.cpp
@@ -184,10 +184,10 @@
 void HttpApi::checkConfiguration() const
 {
     if (entry_.appliedVersion.count() < 0) {
-        throw CallRefusedError(notRun("no-configuration", RETRY_WITHOUT_CONFIGURATION));
+        throw CallRefusedError(refusedNotRun("no-configuration", RETRY_WITHOUT_CONFIGURATION));
     }
     if (!entry_.refreshBasis()) {
-        throw CallRefusedError(notRun("configuration-unconfirmed", RETRY_UNCONFIRMED));
+        throw CallRefusedError(refusedNotRun("configuration-unconfirmed", RETRY_UNCONFIRMED));
     }
 }
 
--- a/tests/process/testclient.h
+++ b/tests/process/testclient.h
@@ -24,7 +24,11 @@
     TestCall(const std::string &address, HttpRequest request)
         : socket_(io_)
     {
-        socket_.connect(parseAddress(address));
+        boost::system::error_code error;
+        socket_.connect(parseAddress(address), error);
+        if (error) {
+            throw Error("cannot connect to " + address + ": " + error.message());
+        }
         request.set(http::field::host, address);
         request.keep_alive(false);
         request.prepare_payload();
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -27,8 +27,12 @@
         instancesAddress_ = instances_->waitForAddress();
     }
 
+    /// \brief Ends every program; keeps their output if the variable MIMOSATALLY_KEEP_LOGS is set.
     ~TestFleet()
     {
+        if (std::getenv("MIMOSATALLY_KEEP_LOGS") != nullptr) {
+            return;
+        }
         entries_.clear();
         agents_.clear();
         standins_.clear();
@@ -104,7 +108,8 @@
     void waitForState(const std::string &entryName, const std::string &endpoint, const std::string &state)
     {
         waitUntil(endpoint + " is " + state, [&] {
-            for (const auto &item : status(entryName).at("endpoints")) {
+            const nlohmann::json page = status(entryName);
+            for (const auto &item : page.at("endpoints")) {
                 if (item.at("id") == endpoint) {
                     return item.at("state") == state;
                 }
