Fix streamed HTTP responses with a stated length; tests of the agent's request path

Cause: Beast 1.74 compares a stated length with an absent body limit and takes it as too long, so every plain answer that HttpClient::stream read ended as a failure. Change: the limit is the largest number instead of none; unit tests cover usage, memory of ids and the request path.

--- a/src/agent/agentrequest.cpp
+++ b/src/agent/agentrequest.cpp
@@ -3,7 +3,7 @@
 namespace mimosatally::internal
 {
 
-RequestOutcome notRun(std::string reason, std::optional<Duration> retryAfter)
+RequestOutcome RequestOutcome::notRun(std::string reason, std::optional<Duration> retryAfter)
 {
     RequestOutcome outcome;
     outcome.reason = std::move(reason);
@@ -11,7 +11,7 @@
     return outcome;
 }
 
-RequestOutcome outcomeUnknown(std::string reason)
+RequestOutcome RequestOutcome::unknown(std::string reason)
 {
     RequestOutcome outcome;
     outcome.kind = OutcomeKind::Unknown;
--- a/src/agent/agentrequest.h
+++ b/src/agent/agentrequest.h
@@ -29,10 +29,10 @@
     TokenUsage usage;
     Bytes answerBytes;
     Duration queued = Duration(0);
-};
 
-RequestOutcome notRun(std::string reason, std::optional<Duration> retryAfter);
-RequestOutcome outcomeUnknown(std::string reason);
+    static RequestOutcome notRun(std::string reason, std::optional<Duration> retryAfter);
+    static RequestOutcome unknown(std::string reason);
+};
 
 enum class RequestState {
     /// \brief Not accepted by the queue.
--- a/src/agent/dispatch.cpp
+++ b/src/agent/dispatch.cpp
@@ -33,7 +33,7 @@
 {
     RequestOutcome outcome;
     if (request_->cancelled && request_->mayRepeat) {
-        co_return outcomeUnknown("cancelled");
+        co_return RequestOutcome::unknown("cancelled");
     }
     try {
         co_await endpoint_.dispatch(
@@ -46,23 +46,23 @@
             });
         outcome.kind = OutcomeKind::Answered;
         if (rejected_) {
-            outcome = notRun("endpoint-busy", UNREACHABLE_RETRY_AFTER);
+            outcome = RequestOutcome::notRun("endpoint-busy", UNREACHABLE_RETRY_AFTER);
         }
     } catch (const ConnectError &error) {
         logEvent(LogEvent::EndpointUnreachable, {{"request", request_->id}, {"error", error.what()}});
-        outcome = notRun("endpoint-unreachable", UNREACHABLE_RETRY_AFTER);
+        outcome = RequestOutcome::notRun("endpoint-unreachable", UNREACHABLE_RETRY_AFTER);
     } catch (const CancelledError &) {
-        outcome = outcomeUnknown("cancelled");
+        outcome = RequestOutcome::unknown("cancelled");
     } catch (const DisconnectedError &) {
-        outcome = outcomeUnknown("entry-gone");
+        outcome = RequestOutcome::unknown("entry-gone");
     } catch (const UnreachableError &error) {
         logEvent(LogEvent::EndpointFailed, {{"request", request_->id}, {"error", error.what()}});
-        outcome = outcomeUnknown(request_->cancelled ? "cancelled" : "endpoint-failed");
+        outcome = RequestOutcome::unknown(request_->cancelled ? "cancelled" : "endpoint-failed");
     } catch (const InvariantViolation &) {
         throw;
     } catch (const std::exception &error) {
         logEvent(LogEvent::EndpointFailed, {{"request", request_->id}, {"error", error.what()}});
-        outcome = outcomeUnknown("endpoint-failed");
+        outcome = RequestOutcome::unknown("endpoint-failed");
     }
     describe(outcome);
     co_return outcome;
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -75,7 +75,7 @@
 std::optional<RequestOutcome> RequestQueue::add(const Request &request, Time now)
 {
     if (requests_.size() >= limits_.maxRequests || bytes_ + request->body.size() > limits_.maxBytes) {
-        const RequestOutcome outcome = notRun("queue-full", FULL_RETRY_AFTER);
+        const RequestOutcome outcome = RequestOutcome::notRun("queue-full", FULL_RETRY_AFTER);
         recordRefusal(*request, outcome, now);
         return outcome;
     }
@@ -85,7 +85,7 @@
         inputs.expected = request->expected;
         inputs.startDeadline = request->startDeadline;
         decisions_.add(DecisionKind::Refused, request->id, request->customer, now, inputs);
-        return notRun(inputs.reason, refusal->retryAfter);
+        return RequestOutcome::notRun(inputs.reason, refusal->retryAfter);
     }
     const QueuedInputs inputs {request->expected, request->startDeadline, request->mayRepeat, request->claimPartition, request->claim};
     decisions_.add(DecisionKind::Queued, request->id, request->customer, now, inputs);
@@ -128,7 +128,7 @@
     invariant(request != nullptr, "an expired request is known");
     const RefusedInputs inputs = refusedInputs(RefusalStage::Expire, refusal);
     decisions_.add(DecisionKind::Refused, request->id, request->customer, now, inputs);
-    request->refusal = notRun(inputs.reason, refusal.retryAfter);
+    request->refusal = RequestOutcome::notRun(inputs.reason, refusal.retryAfter);
     request->refusal->queued = now - request->receivedAt;
     end(request);
 }
@@ -149,7 +149,7 @@
     const CancelWord word = scheduler_->cancel(request->id, now);
     decisions_.add(DecisionKind::Cancelled, request->id, request->customer, now, CancelledInputs {word});
     if (word == CancelWord::NeverStarted) {
-        request->refusal = notRun("cancelled", std::nullopt);
+        request->refusal = RequestOutcome::notRun("cancelled", std::nullopt);
         request->refusal->queued = now - request->receivedAt;
         end(request);
         applyPendingCapacity(now);
--- a/src/agent/requestservice.cpp
+++ b/src/agent/requestservice.cpp
@@ -70,20 +70,20 @@
 std::optional<RequestOutcome> RequestService::checkGate(const AgentRequest &request)
 {
     if (request.addressedTo != incarnation_) {
-        return notRun("other-incarnation", Duration(0));
+        return RequestOutcome::notRun("other-incarnation", Duration(0));
     }
     if (!refusal_.empty()) {
-        return notRun(refusal_, REFUSED_RETRY_AFTER);
+        return RequestOutcome::notRun(refusal_, REFUSED_RETRY_AFTER);
     }
     if (!queue_.isConfigured()) {
-        return notRun("no-configuration", REFUSED_RETRY_AFTER);
+        return RequestOutcome::notRun("no-configuration", REFUSED_RETRY_AFTER);
     }
     if (queue_.find(request.id)) {
         // The first submit of this id may run, so "not run" would be wrong.
-        return outcomeUnknown("already-submitted");
+        return RequestOutcome::unknown("already-submitted");
     }
     if (memory_.isRenounced(request.id)) {
-        return notRun("cancelled", std::nullopt);
+        return RequestOutcome::notRun("cancelled", std::nullopt);
     }
     return request.mayRepeat ? std::nullopt : checkClaim(request);
 }
@@ -91,19 +91,19 @@
 std::optional<RequestOutcome> RequestService::checkClaim(const AgentRequest &request)
 {
     if (request.claim < Offset(0) || request.claimPartition < 0) {
-        return notRun("claim-missing", std::nullopt);
+        return RequestOutcome::notRun("claim-missing", std::nullopt);
     }
     switch (claims_.admit(request.claimPartition, request.claim, request.addressedTo)) {
     case ClaimAdmission::Run:
         return std::nullopt;
     case ClaimAdmission::AlreadyRun:
-        return outcomeUnknown("claim-already-run");
+        return RequestOutcome::unknown("claim-already-run");
     case ClaimAdmission::Renounced:
-        return notRun("claim-renounced", std::nullopt);
+        return RequestOutcome::notRun("claim-renounced", std::nullopt);
     case ClaimAdmission::OtherIncarnation:
-        return notRun("other-incarnation", Duration(0));
+        return RequestOutcome::notRun("other-incarnation", Duration(0));
     }
-    return outcomeUnknown("claim-already-run");
+    return RequestOutcome::unknown("claim-already-run");
 }
 
 awaitable<RequestOutcome> RequestService::serveAdmitted(Request request, std::shared_ptr<AnswerWriter> writer)
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
+#include <limits>
 
 namespace mimosatally
 {
@@ -121,7 +123,8 @@
     }
     boost::beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
+    // Beast 1.74 takes every stated length as too long if there is no limit at all.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await http::async_read_header(*stream, buffer, parser, redirect_error(use_awaitable, error));
     if (error) {
         throwUnreachable(server_, error);
--- /dev/null
+++ b/tests/unit/agentfixture.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include "agent/requestservice.h"
+
+#include <mimosatally/Platform>
+#include <mimosatally/Rpc>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosatally::testing
+{
+
+/// \brief Collects an answer and checks the positions of its pieces.
+class RecordingSink final : public schema::AnswerSink::Server
+{
+public:
+    explicit RecordingSink(std::string &answer)
+        : answer_(answer)
+    {
+    }
+
+protected:
+    kj::Promise<void> begin(BeginContext) override
+    {
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> chunk(ChunkContext context) override
+    {
+        const auto data = context.getParams().getData();
+        CHECK(context.getParams().getPosition() == static_cast<std::int64_t>(answer_.size()));
+        answer_.append(reinterpret_cast<const char *>(data.begin()), data.size());
+        return kj::READY_NOW;
+    }
+
+private:
+    std::string &answer_;
+};
+
+/// \brief The agent's request path with an endpoint in the test's own process and an unreachable log.
+struct AgentFixture {
+    explicit AgentFixture(HttpServer::Handler handler, int maxConcurrentRequests = 2)
+        : rpc(io)
+        , server(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0), HttpLimits(), std::move(handler))
+        , log(io, parseAddress("127.0.0.1:1"))
+        , chain(ProcessId("agent-1"), incarnation, Bytes(1 << 20))
+        , decisions(chain, [] {})
+        , queue(EndpointId("engine-1"), decisions, internal::QueueLimits())
+        , endpoint(io, server.address(), 4)
+        , outcomes(io, log, 1)
+        , service(io, incarnation, queue, endpoint, outcomes)
+    {
+        Configuration configuration;
+        Contract contract;
+        contract.customer = CustomerId("parkland");
+        contract.shareMillionths = 1'000'000;
+        contract.longestWait = Duration(60000);
+        configuration.contracts = {contract};
+        queue.configure(configuration, {maxConcurrentRequests, 1000, 100}, MilliClock::now());
+    }
+
+    std::shared_ptr<internal::AgentRequest> request(const std::string &id)
+    {
+        auto made = std::make_shared<internal::AgentRequest>(io);
+        made->id = RequestId(id);
+        made->customer = CustomerId("parkland");
+        made->method = "POST";
+        made->path = "/run";
+        made->body = id;
+        made->model = ModelId("model-a");
+        made->addressedTo = incarnation;
+        made->expected = {Tokens(10), Tokens(10)};
+        made->receivedAt = MilliClock::now();
+        made->startDeadline = made->receivedAt + Duration(60000);
+        return made;
+    }
+
+    std::shared_ptr<internal::AgentRequest> claimedRequest(const std::string &id, std::int64_t claim)
+    {
+        auto made = request(id);
+        made->model = ModelId();
+        made->service = ServiceId("tickets");
+        made->mayRepeat = false;
+        made->idempotencyKey = "key-" + id;
+        made->claimPartition = 0;
+        made->claim = Offset(claim);
+        return made;
+    }
+
+    /// \brief Starts a submit; the outcome is set when it ends.
+    std::shared_ptr<std::optional<internal::RequestOutcome>> submit(std::shared_ptr<internal::AgentRequest> made)
+    {
+        const auto outcome = std::make_shared<std::optional<internal::RequestOutcome>>();
+        auto writer = std::make_shared<internal::AnswerWriter>(io, kj::heap<RecordingSink>(answers[made->id.value()]));
+        boost::asio::co_spawn(io, service.serve(std::move(made), std::move(writer)), [outcome](std::exception_ptr error, internal::RequestOutcome result) {
+            if (error) {
+                std::rethrow_exception(error);
+            }
+            *outcome = std::move(result);
+        });
+        return outcome;
+    }
+
+    /// \brief Runs the loop until \a done; the limit only ends a test that hangs.
+    template<class Done>
+    void runUntil(Done done)
+    {
+        const Time limit = MilliClock::now() + Duration(20000);
+        while (!done() && MilliClock::now() < limit) {
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        REQUIRE(done());
+    }
+
+    internal::RequestOutcome runToEnd(std::shared_ptr<internal::AgentRequest> made)
+    {
+        const auto outcome = submit(std::move(made));
+        runUntil([&] {
+            return outcome->has_value();
+        });
+        return **outcome;
+    }
+
+    const IncarnationId incarnation {"incarnation-1"};
+    boost::asio::io_context io;
+    RpcContext rpc;
+    std::map<std::string, std::string> answers;
+    HttpServer server;
+    LogClient log;
+    DecisionChain chain;
+    internal::AgentDecisions decisions;
+    internal::RequestQueue queue;
+    internal::EndpointClient endpoint;
+    internal::OutcomeAppender outcomes;
+    internal::RequestService service;
+};
+
+} // namespace mimosatally::testing
--- a/tests/unit/httptest.cpp
+++ b/tests/unit/httptest.cpp
@@ -108,3 +108,25 @@
         CHECK((co_await sendRaw(io, server.address(), "GET /throw HTTP/1.1\r\nConnection: close\r\n\r\n")).starts_with("HTTP/1.1 500"));
     });
 }
+
+// Guards against a stated length being taken as too long while a response is streamed.
+TEST_CASE("The HTTP client streams responses with a stated length", "[http]")
+{
+    boost::asio::io_context io;
+    HttpServer server(io, LOOPBACK, smallLimits(), echo);
+    HttpClient client(io, server.address());
+    runCoroutine(io, [&]() -> awaitable<void> {
+        std::string text;
+        co_await client.stream(
+            makeHttpRequest(boost::beast::http::verb::post, "/", "text/plain", "hello"),
+            Duration(1000),
+            [](const HttpResponse &) -> awaitable<void> {
+                co_return;
+            },
+            [&](std::string_view data) -> awaitable<void> {
+                text += data;
+                co_return;
+            });
+        CHECK(text == "hello");
+    });
+}
--- /dev/null
+++ b/tests/unit/requestservicetest.cpp
@@ -0,0 +1,175 @@
+#include "agentfixture.h"
+
+using namespace mimosatally;
+using namespace mimosatally::internal;
+using boost::asio::awaitable;
+using mimosatally::testing::AgentFixture;
+
+namespace
+{
+/// \brief Endpoint whose requests end only when the test allows it.
+struct GatedEndpoint {
+    HttpServer::Handler handler()
+    {
+        return [this](HttpExchange &exchange) {
+            return handle(exchange);
+        };
+    }
+
+    awaitable<void> handle(HttpExchange &exchange)
+    {
+        const std::string body = exchange.request().body();
+        if (exchange.request().target() == "/cancel") {
+            ++cancels;
+            co_await exchange.respond(makeHttpResponse(200, "application/json", "{}"));
+            co_return;
+        }
+        ++runs[body];
+        while (closed) {
+            boost::asio::steady_timer timer(*io, std::chrono::milliseconds(1));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        if (breaksAnswer) {
+            co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+            co_await exchange.writeChunk("half");
+            exchange.abort();
+            co_return;
+        }
+        co_await exchange.respond(makeHttpResponse(200, "text/plain", "answer to " + body));
+    }
+
+    boost::asio::io_context *io = nullptr;
+    bool closed = false;
+    bool breaksAnswer = false;
+    int cancels = 0;
+    std::map<std::string, int> runs;
+};
+
+struct GatedAgent : GatedEndpoint, AgentFixture {
+    explicit GatedAgent(int maxConcurrentRequests = 2)
+        : AgentFixture(handler(), maxConcurrentRequests)
+    {
+        GatedEndpoint::io = &(AgentFixture::io);
+    }
+};
+} // namespace
+
+TEST_CASE("A submit is queued, run and answered whole", "[agent]")
+{
+    GatedAgent agent;
+    const RequestOutcome outcome = agent.runToEnd(agent.request("r1"));
+    CHECK(outcome.kind == OutcomeKind::Answered);
+    CHECK(outcome.status == 200);
+    CHECK(agent.answers["r1"] == "answer to r1");
+    CHECK(outcome.answerBytes == Bytes(12));
+    CHECK(agent.queue.isEmpty());
+}
+
+// Guards against work that reaches the endpoint although its caller is told that it has not run.
+TEST_CASE("Submits that are refused are not run and say why", "[agent]")
+{
+    GatedAgent agent;
+    auto other = agent.request("r1");
+    other->addressedTo = IncarnationId("incarnation-0");
+    CHECK(agent.runToEnd(other).reason == "other-incarnation");
+    auto unknown = agent.request("r2");
+    unknown->customer = CustomerId("nobody");
+    CHECK(agent.runToEnd(unknown).reason == "unknown-customer");
+    auto late = agent.request("r3");
+    late->startDeadline = late->receivedAt - Duration(1);
+    const RequestOutcome refused = agent.runToEnd(late);
+    CHECK(refused.kind == OutcomeKind::NotRun);
+    CHECK(agent.runToEnd(agent.claimedRequest("r4", -1)).reason == "claim-missing");
+    agent.service.setRefusal("leaving");
+    const RequestOutcome leaving = agent.runToEnd(agent.request("r5"));
+    CHECK(leaving.kind == OutcomeKind::NotRun);
+    CHECK(leaving.reason == "leaving");
+    CHECK(leaving.retryAfter.has_value());
+    CHECK(agent.runs.empty());
+}
+
+// Guards against a wrong "never started": the word must stay true whatever arrives later.
+TEST_CASE("The word about a cancelled request matches what happens to it", "[agent]")
+{
+    GatedAgent agent(1);
+    agent.closed = true;
+    const Time now = MilliClock::now();
+    const auto first = agent.submit(agent.request("running"));
+    const auto second = agent.submit(agent.request("waiting"));
+    agent.runUntil([&] {
+        return agent.runs.contains("running");
+    });
+    CHECK(agent.service.cancel(RequestId("waiting"), agent.incarnation, now) == CancelWord::NeverStarted);
+    CHECK(agent.service.cancel(RequestId("early"), agent.incarnation, now) == CancelWord::NeverStarted);
+    CHECK(agent.service.cancel(RequestId("running"), agent.incarnation, now) == CancelWord::Started);
+    CHECK_THROWS_AS(agent.service.cancel(RequestId("other"), IncarnationId("incarnation-0"), now), MalformedInputError);
+    agent.closed = false;
+    agent.runUntil([&] {
+        return first->has_value() && second->has_value();
+    });
+    CHECK((*first)->kind == OutcomeKind::Unknown);
+    CHECK((*second)->kind == OutcomeKind::NotRun);
+    CHECK(agent.runToEnd(agent.request("early")).kind == OutcomeKind::NotRun);
+    CHECK(agent.runToEnd(agent.request("waiting")).kind == OutcomeKind::NotRun);
+    CHECK(agent.service.cancel(RequestId("running"), agent.incarnation, now) == CancelWord::Finished);
+    CHECK(agent.runs.size() == 1);
+    CHECK(agent.cancels == 1);
+}
+
+// Guards against a second run of a call that bills a customer.
+TEST_CASE("A claim runs once, and a second submit of it is not reported as not run", "[agent]")
+{
+    GatedAgent agent;
+    agent.closed = true;
+    const auto first = agent.submit(agent.claimedRequest("c1", 5));
+    const RequestOutcome second = agent.runToEnd(agent.claimedRequest("c2", 5));
+    CHECK(second.kind == OutcomeKind::Unknown);
+    CHECK(second.reason == "claim-already-run");
+    agent.closed = false;
+    agent.runUntil([&] {
+        return first->has_value();
+    });
+    CHECK((*first)->kind == OutcomeKind::Answered);
+    CHECK(agent.answers["c1"] == "answer to c1");
+    CHECK(agent.runs == std::map<std::string, int> {{"c1", 1}});
+    CHECK(agent.outcomes.pending() == 1);
+}
+
+// Guards against "not run" after the request left for the endpoint.
+TEST_CASE("An endpoint that breaks off leaves the outcome unknown; one that cannot be reached has not run", "[agent]")
+{
+    GatedAgent agent;
+    agent.breaksAnswer = true;
+    CHECK(agent.runToEnd(agent.request("r1")).kind == OutcomeKind::Unknown);
+    CHECK(agent.answers["r1"] == "half");
+    CHECK(agent.runToEnd(agent.claimedRequest("c1", 1)).kind == OutcomeKind::Unknown);
+    agent.server.shutDownGracefully();
+    const RequestOutcome unreachable = agent.runToEnd(agent.claimedRequest("c2", 2));
+    CHECK(unreachable.kind == OutcomeKind::NotRun);
+    CHECK(unreachable.reason == "endpoint-unreachable");
+    CHECK(agent.service.cancel(RequestId("c2"), agent.incarnation, MilliClock::now()) == CancelWord::NeverStarted);
+    CHECK(agent.service.cancel(RequestId("c1"), agent.incarnation, MilliClock::now()) == CancelWord::Finished);
+}
+
+// Guards against claimed work that is lost with its entry, and against repeatable work for callers that are gone.
+TEST_CASE("When the entry is gone, waiting repeatable requests end and claimed ones run on", "[agent]")
+{
+    GatedAgent agent(1);
+    agent.closed = true;
+    const auto running = agent.claimedRequest("c1", 1);
+    const auto first = agent.submit(running);
+    const auto waiting = agent.request("r1");
+    const auto second = agent.submit(waiting);
+    agent.runUntil([&] {
+        return agent.runs.contains("c1");
+    });
+    agent.service.abandon(running, MilliClock::now());
+    agent.service.abandon(waiting, MilliClock::now());
+    agent.closed = false;
+    agent.runUntil([&] {
+        return first->has_value() && second->has_value();
+    });
+    CHECK((*first)->kind == OutcomeKind::Answered);
+    CHECK((*second)->kind == OutcomeKind::NotRun);
+    CHECK(agent.runs == std::map<std::string, int> {{"c1", 1}});
+}
