--- a/src/agent/agentnode.cpp
+++ b/src/agent/agentnode.cpp
@@ -228,7 +228,8 @@
 
 awaitable<void> AgentNode::pollEndpoint(TaskContext &context)
 {
-    do {
+    bool goesOn = true;
+    while (goesOn) {
         EndpointReport report;
         std::string failure;
         try {
@@ -244,7 +245,8 @@
         }
         takeReport(report);
         checkConfirmation();
-    } while (co_await context.sleep(REPORT_PERIOD));
+        goesOn = co_await context.sleep(REPORT_PERIOD);
+    }
 }
 
 void AgentNode::takeReport(const EndpointReport &report)
--- a/src/agent/orderrunner.cpp
+++ b/src/agent/orderrunner.cpp
@@ -159,7 +159,9 @@
 {
     task_ = std::shared_ptr<TaskContext>(std::shared_ptr<void>(), &context);
     Duration pause(0);
-    while (co_await context.sleep(pause)) {
+    // g++ 12 generates a trap for some coroutines with co_await in the condition of a while loop.
+    bool goesOn = co_await context.sleep(pause);
+    while (goesOn) {
         pause = READY_PAUSE;
         if (gate_.state() == OrderGateState::ReadBackPending) {
             if (co_await readBack()) {
@@ -168,6 +170,7 @@
                 pause = READ_BACK_PAUSE;
             }
         }
+        goesOn = co_await context.sleep(pause);
     }
     task_.reset();
 }
--- a/src/agent/outcomeappender.cpp
+++ b/src/agent/outcomeappender.cpp
@@ -73,11 +73,14 @@
 awaitable<void> OutcomeAppender::run(TaskContext &context)
 {
     std::uniform_int_distribution<Duration::rep> jitter(0, RETRY_PAUSE.count());
-    while (co_await context.sleep(RETRY_PAUSE + Duration(jitter(random_)))) {
-        bool goesOn = true;
-        while (goesOn && !pending_.empty() && !context.isStopping()) {
-            goesOn = co_await retryFirst();
+    // g++ 12 generates a trap for some coroutines with co_await in the condition of a while loop.
+    bool goesOn = co_await context.sleep(RETRY_PAUSE);
+    while (goesOn) {
+        bool reached = true;
+        while (reached && !pending_.empty() && !context.isStopping()) {
+            reached = co_await retryFirst();
         }
+        goesOn = co_await context.sleep(RETRY_PAUSE + Duration(jitter(random_)));
     }
 }
 
