--- /dev/null
+++ b/bench/policy/measures.cpp
@@ -0,0 +1,198 @@
+#include "measures.h"
+
+#include <cmath>
+
+namespace mimosatally::bench
+{
+
+namespace
+{
+using Json = nlohmann::ordered_json;
+
+constexpr std::size_t SHARE_WINDOW_SECONDS = 60;
+/// \brief An engine must be idle this long in the caller's region for a refusal to count as avoidable.
+constexpr std::size_t AVOIDABLE_TICKS = 100 / 5;
+
+double rounded(double value)
+{
+    return std::round(value * 1000) / 1000;
+}
+
+std::vector<double> waitsOf(const Trace &trace, const RunResult &result, std::size_t customer)
+{
+    std::vector<double> waits;
+    for (std::size_t i = 0; i < result.requests.size(); ++i) {
+        const RequestOutcome &outcome = result.requests[i];
+        if (trace.requests[i].customer == customer && outcome.started) {
+            waits.push_back(static_cast<double>((*outcome.started - outcome.arrived).count()));
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    return waits;
+}
+
+double percentile(const std::vector<double> &sorted, double part)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+bool answered(const RequestOutcome &outcome)
+{
+    return outcome.finished && outcome.started && *outcome.started <= outcome.deadline;
+}
+
+bool avoidable(const RequestOutcome &outcome, const std::vector<bool> &idle)
+{
+    std::size_t inRow = 0;
+    const auto from = static_cast<std::size_t>(outcome.arrived.time_since_epoch() / TICK);
+    const auto to = std::min(static_cast<std::size_t>(outcome.deadline.time_since_epoch() / TICK), idle.size());
+    for (std::size_t tick = from; tick < to; ++tick) {
+        inRow = idle[tick] ? inRow + 1 : 0;
+        if (inRow >= AVOIDABLE_TICKS) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct Refusals {
+    std::size_t all = 0;
+    std::size_t avoidable = 0;
+    /// \brief Refused in the last tenth of the longest wait.
+    std::size_t late = 0;
+};
+
+Refusals countRefusals(const Trace &trace, const RunResult &result)
+{
+    Refusals refusals;
+    for (std::size_t i = 0; i < result.requests.size(); ++i) {
+        const RequestOutcome &outcome = result.requests[i];
+        if (!outcome.refused) {
+            continue;
+        }
+        ++refusals.all;
+        refusals.avoidable += avoidable(outcome, result.idle.at(trace.requests[i].region)) ? 1 : 0;
+        refusals.late += *outcome.refused >= outcome.deadline - (outcome.deadline - outcome.arrived) / 10 ? 1 : 0;
+    }
+    return refusals;
+}
+
+struct ShareError {
+    /// \brief Greatest shortfall in percentage points of all service.
+    double greatest = 0;
+    std::size_t windows = 0;
+};
+
+void addWindow(const Trace &trace, const RunResult &result, std::size_t from, ShareError &error)
+{
+    std::vector<std::int64_t> served(trace.contracts.size(), 0);
+    std::vector<bool> waited(trace.contracts.size(), true);
+    std::int64_t total = 0;
+    for (std::size_t second = from; second < from + SHARE_WINDOW_SECONDS; ++second) {
+        for (std::size_t customer = 0; customer < served.size(); ++customer) {
+            served[customer] += result.seconds[second][customer].served;
+            total += result.seconds[second][customer].served;
+            waited[customer] = waited[customer] && result.seconds[second][customer].waitedThroughout;
+        }
+    }
+    for (std::size_t customer = 0; customer < served.size(); ++customer) {
+        if (!waited[customer] || total == 0) {
+            continue;
+        }
+        const double share = 100 * static_cast<double>(served[customer]) / static_cast<double>(total);
+        error.greatest = std::max(error.greatest, static_cast<double>(trace.contracts[customer].shareMillionths) / 10'000 - share);
+        ++error.windows;
+    }
+}
+
+ShareError shareError(const Trace &trace, const RunResult &result)
+{
+    ShareError error;
+    for (std::size_t from = 0; from + SHARE_WINDOW_SECONDS < result.seconds.size(); ++from) {
+        addWindow(trace, result, from, error);
+    }
+    return error;
+}
+} // namespace
+
+std::string toString(Strategy strategy)
+{
+    switch (strategy) {
+    case Strategy::Policy:
+        return "policy";
+    case Strategy::StaticRoundRobin:
+        return "static-round-robin";
+    case Strategy::LeastLoaded:
+        return "least-loaded";
+    case Strategy::Greedy:
+        return "greedy-role-change";
+    }
+    return "unknown";
+}
+
+std::size_t answeredWithinContract(const RunResult &result)
+{
+    return static_cast<std::size_t>(std::count_if(result.requests.begin(), result.requests.end(), answered));
+}
+
+Json measure(const Trace &trace, const RunResult &result)
+{
+    const double seconds = static_cast<double>(trace.end().time_since_epoch().count()) / 1000;
+    const auto requests = static_cast<double>(result.requests.size());
+    const Refusals refusals = countRefusals(trace, result);
+    const ShareError error = shareError(trace, result);
+    Json json;
+    json["goodput"] = rounded(static_cast<double>(answeredWithinContract(result)) / seconds);
+    json["answered_within_contract"] = answeredWithinContract(result);
+    json["started_late"] = std::count_if(result.requests.begin(), result.requests.end(), [](const RequestOutcome &outcome) {
+        return outcome.started && *outcome.started > outcome.deadline;
+    });
+    json["role_changes"] = result.roleChanges;
+    json["refused"] = refusals.all;
+    json["refused_late"] = refusals.late;
+    json["avoidable_refusals"] = refusals.avoidable;
+    json["avoidable_percent"] = rounded(100 * static_cast<double>(refusals.avoidable) / std::max(requests, 1.0));
+    json["share_error_points"] = rounded(error.greatest);
+    json["share_windows"] = error.windows;
+    json["cross_region_bytes"] = result.crossRegionBytes;
+    for (std::size_t customer = 0; customer < trace.contracts.size(); ++customer) {
+        const std::vector<double> waits = waitsOf(trace, result, customer);
+        Json &entry = json["customers"][trace.contracts[customer].customer.value()];
+        entry["requests"] = std::count_if(trace.requests.begin(), trace.requests.end(), [&](const TraceRequest &request) {
+            return request.customer == customer;
+        });
+        entry["started"] = waits.size();
+        entry["wait_p50_ms"] = percentile(waits, 0.50);
+        entry["wait_p95_ms"] = percentile(waits, 0.95);
+        entry["wait_p99_ms"] = percentile(waits, 0.99);
+    }
+    return json;
+}
+
+Json measureIsolation(const Trace &trace, const RunResult &with, const RunResult &without)
+{
+    std::vector<bool> surges(trace.contracts.size(), false);
+    for (const TraceRequest &request : trace.requests) {
+        surges[request.customer] = surges[request.customer] || request.surge;
+    }
+    const Trace calm = trace.withoutSurge();
+    Json json;
+    for (std::size_t customer = 0; customer < surges.size(); ++customer) {
+        if (surges[customer]) {
+            continue;
+        }
+        const double before = percentile(waitsOf(calm, without, customer), 0.99);
+        const double during = percentile(waitsOf(trace, with, customer), 0.99);
+        Json &entry = json[trace.contracts[customer].customer.value()];
+        entry["wait_p99_without_surge_ms"] = before;
+        entry["wait_p99_with_surge_ms"] = during;
+        entry["ratio"] = rounded(during / std::max(before, 1.0));
+    }
+    return json;
+}
+
+} // namespace mimosatally::bench
--- /dev/null
+++ b/bench/policy/simulation.cpp
@@ -0,0 +1,338 @@
+#include "simulation.h"
+
+namespace mimosatally::bench
+{
+
+namespace
+{
+const ModelId MODEL("model");
+const std::string ENGINE_PREFIX = "engine-";
+constexpr int SLOTS = 8;
+/// \brief One-way delay between regions (docs/design.md, section 1.2).
+constexpr Duration OTHER_REGION_DELAY = Duration(12);
+/// \brief Usual age of an engine's load report when the agent sends it.
+constexpr Duration REPORT_AGE = Duration(500);
+constexpr Duration CACHE_EVENT_DELAY = Duration(2000);
+/// \brief One in this many cache events is lost.
+constexpr std::uint64_t LOST_CACHE_EVENTS = 10;
+/// \brief Bytes of a prompt token in a request body.
+constexpr std::int64_t BYTES_PER_TOKEN = 4;
+/// \brief Expected end of running requests before a role change, added to the change itself.
+constexpr Duration DRAIN_TIME = Duration(2000);
+/// \brief Time after the last request in which started requests may finish.
+constexpr Duration LONGEST_RUN_OUT = Duration(60000);
+
+RegionId regionId(std::size_t region)
+{
+    return RegionId("region-" + std::to_string(region));
+}
+
+DataCentreId dataCentreId(std::size_t region, std::size_t number)
+{
+    return DataCentreId("region-" + std::to_string(region) + "-" + std::to_string(number));
+}
+
+std::vector<Endpoint> makeFleet(const EngineSettings &settings)
+{
+    std::vector<Endpoint> fleet;
+    for (std::size_t engine = 0; engine < ENGINES; ++engine) {
+        Endpoint endpoint;
+        endpoint.id = engineId(engine);
+        endpoint.region = regionId(regionOfEngine(engine));
+        endpoint.dataCentre = dataCentreId(regionOfEngine(engine), engine / REGIONS);
+        endpoint.models = {MODEL};
+        endpoint.maxConcurrentRequests = SLOTS;
+        endpoint.prefillTokensPerSecond = static_cast<std::int64_t>(settings.prefillTokensPerSecond);
+        endpoint.decodeTokensPerSecond = static_cast<std::int64_t>(settings.decodeTokensPerSecond);
+        endpoint.cacheBlocks = static_cast<std::int64_t>(settings.cacheBlocks);
+        fleet.push_back(endpoint);
+    }
+    return fleet;
+}
+
+EngineRole initialRole(Strategy strategy, std::size_t engine)
+{
+    if (strategy == Strategy::Policy || strategy == Strategy::LeastLoaded) {
+        return EngineRole::Mixed;
+    }
+    // Each region gets both phases; what is left is mixed.
+    constexpr std::array<EngineRole, REGIONS> ROLES = {EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed};
+    return ROLES.at(engine / REGIONS);
+}
+
+bool prefersPrefill(const TraceRequest &request, const EngineSettings &settings)
+{
+    return static_cast<double>(request.promptTokens) / settings.prefillTokensPerSecond
+           > static_cast<double>(request.outputTokens) / settings.decodeTokensPerSecond;
+}
+} // namespace
+
+EndpointId engineId(std::size_t engine)
+{
+    return EndpointId(ENGINE_PREFIX + std::to_string(engine));
+}
+
+std::size_t engineIndex(const EndpointId &id)
+{
+    return std::stoul(id.value().substr(ENGINE_PREFIX.size()));
+}
+
+Profile profileByName(const std::string &name)
+{
+    if (name == "parkland") {
+        return {name, Duration(1), 1.0};
+    }
+    if (name == "mrema") {
+        // 0.5 ms rounds to one step of the clock type.
+        return {name, Duration(1), 3.0};
+    }
+    throw MalformedInputError("unknown profile: " + name);
+}
+
+Simulation::Simulation(const Trace &trace, const Profile &profile, Strategy strategy, std::uint64_t seed)
+    : trace_(trace)
+    , profile_(profile)
+    , strategy_(strategy)
+    , random_(seed)
+    , known_(ENGINES)
+    , expectedOutput_(trace.requests.size(), 0)
+    , tried_(trace.requests.size())
+{
+    const EngineSettings settings;
+    const std::vector<Endpoint> fleet = makeFleet(settings);
+    const EndpointCapacity capacity {SLOTS, fleet.front().prefillTokensPerSecond, fleet.front().decodeTokensPerSecond};
+    for (std::size_t region = 0; region < REGIONS; ++region) {
+        Router router = Router::Builder().location(regionId(region), dataCentreId(region, 0)).seed(seed * REGIONS + region).build();
+        router.setEndpoints(fleet, now_);
+        RolePlanner planner = RolePlanner::Builder().policy({profile.changePrice}).speeds(settings.speeds).changeTime(settings.changeTime + DRAIN_TIME).build();
+        entries_.push_back({region, std::move(router), {}, std::move(planner), {}});
+    }
+    for (std::size_t engine = 0; engine < ENGINES; ++engine) {
+        std::optional<Scheduler> scheduler;
+        if (strategy == Strategy::Policy) {
+            scheduler = Scheduler::Builder().capacity(capacity).contracts(trace.contracts).tokenCosts({}).build();
+        }
+        known_[engine].role = initialRole(strategy, engine);
+        agents_.emplace_back(settings, known_[engine].role, SLOTS, std::move(scheduler));
+    }
+    for (const TraceRequest &request : trace.requests) {
+        RequestOutcome outcome;
+        outcome.arrived = request.at;
+        outcome.deadline = request.at + trace.contracts[request.customer].longestWait;
+        result_.requests.push_back(outcome);
+    }
+}
+
+void Simulation::send(Duration delay, std::function<void()> message)
+{
+    messages_.emplace(now_ + delay, std::move(message));
+}
+
+Duration Simulation::delayBetween(std::size_t region, std::size_t engine) const
+{
+    return regionOfEngine(engine) == region ? profile_.regionDelay : OTHER_REGION_DELAY;
+}
+
+Duration Simulation::reportAge() const
+{
+    for (const ReportDelay &delay : trace_.reportDelays) {
+        if (now_ >= delay.from && now_ < delay.to) {
+            return delay.age;
+        }
+    }
+    return REPORT_AGE;
+}
+
+RouteRequest Simulation::routeRequest(std::size_t index)
+{
+    const TraceRequest &request = trace_.requests[index];
+    RouteRequest routed;
+    routed.id = requestId(index);
+    routed.customer = trace_.contracts[request.customer].customer;
+    routed.model = MODEL;
+    routed.promptTokens = Tokens(request.promptTokens);
+    routed.expectedOutputTokens = entries_[request.region].router.expectedOutput(routed.customer, MODEL);
+    routed.cacheBlockHashes = blockHashes(request, index);
+    routed.startDeadline = result_.requests[index].deadline;
+    routed.bodyBytes = Bytes(request.promptTokens * BYTES_PER_TOKEN);
+    routed.excluded = tried_[index];
+    return routed;
+}
+
+std::optional<std::size_t> Simulation::chooseByPolicy(std::size_t index, RouteRequest &routed)
+{
+    Entry &entry = entries_[trace_.requests[index].region];
+    const RouteDecision decision = entry.router.choose(routed, now_);
+    if (result_.requests[index].attempts == 0) {
+        entry.arrived.uncachedPrompt += routed.promptTokens - decision.cachedTokens;
+        entry.arrived.output += routed.expectedOutputTokens;
+        entry.retries.recordRequest(routed.customer, now_);
+    }
+    if (!decision.endpoint) {
+        return std::nullopt;
+    }
+    entry.router.recordDispatch(*decision.endpoint, routed, now_);
+    return engineIndex(*decision.endpoint);
+}
+
+std::optional<std::size_t> Simulation::chooseByBaseline(std::size_t index)
+{
+    const TraceRequest &request = trace_.requests[index];
+    const EngineRole other = prefersPrefill(request, EngineSettings()) ? EngineRole::Decode : EngineRole::Prefill;
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < ENGINES; ++i) {
+        // The start of the search moves on, which makes round robin and breaks ties between equal loads.
+        const std::size_t engine = (nextInTurn_ + i) % ENGINES;
+        if (!known_[engine].available || known_[engine].role == other) {
+            continue;
+        }
+        const auto loadOf = [&](std::size_t candidate) {
+            return known_[candidate].reported + known_[candidate].sinceReport;
+        };
+        if (!best || (strategy_ != Strategy::StaticRoundRobin && loadOf(engine) < loadOf(*best))) {
+            best = engine;
+        }
+    }
+    if (best) {
+        nextInTurn_ = *best + 1;
+        ++known_[*best].sinceReport;
+    }
+    return best;
+}
+
+void Simulation::route(std::size_t index)
+{
+    RouteRequest routed = routeRequest(index);
+    const bool byPolicy = strategy_ == Strategy::Policy;
+    const auto engine = byPolicy ? chooseByPolicy(index, routed) : chooseByBaseline(index);
+    if (!engine) {
+        refuse(index);
+        return;
+    }
+    const std::size_t region = trace_.requests[index].region;
+    if (regionOfEngine(*engine) != region) {
+        result_.crossRegionBytes += routed.bodyBytes.count();
+    }
+    ++result_.requests[index].attempts;
+    expectedOutput_[index] = routed.expectedOutputTokens.count();
+    tried_[index].push_back(engineId(*engine));
+    send(delayBetween(region, *engine), [this, index, engine] {
+        submit(index, *engine);
+    });
+}
+
+void Simulation::submit(std::size_t index, std::size_t engine)
+{
+    const TraceRequest &request = trace_.requests[index];
+    EngineJob job {index, request.promptTokens, request.outputTokens, blockHashes(request, index)};
+    const TokenUsage expected {Tokens(request.promptTokens), Tokens(expectedOutput_[index])};
+    const QueuedRequest queued {requestId(index), trace_.contracts[request.customer].customer, expected, result_.requests[index].deadline};
+    if (const auto reason = agents_[engine].enqueue(job, queued, now_)) {
+        refuseAtAgent(index, engine, *reason);
+    }
+}
+
+void Simulation::refuseAtAgent(std::size_t index, std::size_t engine, RefusalReason reason)
+{
+    send(delayBetween(trace_.requests[index].region, engine), [this, index, engine, reason] {
+        notRun(index, engine, reason);
+    });
+}
+
+void Simulation::notRun(std::size_t index, std::size_t engine, RefusalReason reason)
+{
+    Entry &entry = entries_[trace_.requests[index].region];
+    entry.router.recordResult(engineId(engine), requestId(index), AttemptResult::NotRun, Tokens(0), now_);
+    const CustomerId &customer = trace_.contracts[trace_.requests[index].customer].customer;
+    // A leaving endpoint is no failure of the request, so the next attempt is no retry.
+    const bool again = reason == RefusalReason::Leaving || (strategy_ == Strategy::Policy && entry.retries.tryRetry(customer, now_));
+    if (again && now_ <= result_.requests[index].deadline) {
+        route(index);
+    } else {
+        refuse(index);
+    }
+}
+
+void Simulation::refuse(std::size_t index)
+{
+    result_.requests[index].refused = now_;
+    --open_;
+}
+
+void Simulation::stepAgent(std::size_t engine)
+{
+    const AgentModel::Step step = agents_[engine].step(TICK, now_);
+    for (const std::size_t index : step.started) {
+        result_.requests[index].started = now_;
+        const TraceRequest &request = trace_.requests[index];
+        const TokenCosts costs;
+        result_.seconds.back()[request.customer].served += request.promptTokens * costs.promptToken + request.outputTokens * costs.outputToken;
+    }
+    for (const std::size_t index : step.finished) {
+        const std::size_t region = trace_.requests[index].region;
+        send(TICK + delayBetween(region, engine), [this, index, engine, region] {
+            result_.requests[index].finished = now_;
+            --open_;
+            const Tokens output(trace_.requests[index].outputTokens);
+            entries_[region].router.recordResult(engineId(engine), requestId(index), AttemptResult::Answered, output, now_);
+        });
+    }
+    for (const auto &[index, reason] : step.refused) {
+        refuseAtAgent(index, engine, reason);
+    }
+    if (!step.stored.empty() || !step.evicted.empty()) {
+        send(CACHE_EVENT_DELAY, [this, engine, stored = step.stored, evicted = step.evicted] {
+            if (random_() % LOST_CACHE_EVENTS == 0) {
+                return;
+            }
+            for (Entry &entry : entries_) {
+                entry.router.reportCache(engineId(engine), stored, evicted, now_);
+            }
+        });
+    }
+    if (step.roleReached) {
+        setLeavingEverywhere(engine, false);
+    }
+}
+
+bool Simulation::finished() const
+{
+    const bool allArrived = nextArrival_ == trace_.requests.size();
+    return allArrived && (open_ == 0 || now_ > trace_.end() + LONGEST_RUN_OUT);
+}
+
+RunResult Simulation::run()
+{
+    for (std::int64_t tick = 0; !finished(); ++tick) {
+        now_ = Time(TICK * tick);
+        if (now_.time_since_epoch() % std::chrono::seconds(1) == Duration(0)) {
+            result_.seconds.emplace_back(trace_.contracts.size());
+        }
+        while (nextWithdrawal_ < trace_.withdrawals.size() && trace_.withdrawals[nextWithdrawal_].at <= now_) {
+            withdraw(trace_.withdrawals[nextWithdrawal_++].engine);
+        }
+        while (!messages_.empty() && messages_.begin()->first <= now_) {
+            const auto message = std::move(messages_.begin()->second);
+            messages_.erase(messages_.begin());
+            message();
+        }
+        while (nextArrival_ < trace_.requests.size() && trace_.requests[nextArrival_].at <= now_) {
+            ++open_;
+            route(nextArrival_++);
+        }
+        for (std::size_t engine = 0; engine < ENGINES; ++engine) {
+            stepAgent(engine);
+        }
+        account();
+        if (now_.time_since_epoch() % EXCHANGE_INTERVAL == Duration(0)) {
+            for (std::size_t engine = 0; engine < ENGINES; ++engine) {
+                report(engine);
+            }
+            exchangeService();
+            planRoles();
+        }
+    }
+    return std::move(result_);
+}
+
+} // namespace mimosatally::bench
--- /dev/null
+++ b/bench/policy/tracegenerator.cpp
@@ -0,0 +1,109 @@
+#include "trace.h"
+
+#include <array>
+#include <cmath>
+#include <ostream>
+#include <random>
+
+namespace mimosatally::bench
+{
+
+namespace
+{
+constexpr std::int64_t LENGTH_MS = 240'000;
+constexpr std::int64_t SWING_PERIOD_MS = 120'000;
+constexpr std::int64_t SURGE_FROM_MS = 80'000;
+constexpr std::int64_t SURGE_TO_MS = 140'000;
+
+/// \brief Requests of one customer; token counts are drawn evenly between the bounds.
+struct Workload {
+    const char *customer;
+    double requestsPerSecond;
+    std::int64_t minPrompt;
+    std::int64_t maxPrompt;
+    std::int64_t minOutput;
+    std::int64_t maxOutput;
+    /// \brief Number of histories that prompts continue; 0 for prompts without a shared prefix.
+    std::uint64_t prefixes;
+    /// \brief Sign of the swing: checks rise when notes fall.
+    double swing;
+};
+
+// Long checks with an answer of a few tokens, short notes with long answers, and a chat.
+constexpr std::array<Workload, 3> WORKLOADS = {{
+    {"checks", 5.6, 3000, 10000, 2, 8, 30, 1},
+    {"notes", 9.0, 200, 600, 60, 200, 0, -1},
+    {"chat", 3.0, 1000, 5000, 40, 160, 30, 0},
+}};
+
+using Random = std::mt19937_64;
+
+// The standard distributions differ between libraries; these do not.
+double fraction(Random &random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+std::int64_t between(Random &random, std::int64_t low, std::int64_t high)
+{
+    return low + static_cast<std::int64_t>(fraction(random) * static_cast<double>(high - low + 1));
+}
+
+double rateAt(const Workload &load, const std::string &kind, std::int64_t at)
+{
+    if (kind == "steady") {
+        return load.requestsPerSecond * 0.95;
+    }
+    const double phase = 2 * M_PI * static_cast<double>(at) / static_cast<double>(SWING_PERIOD_MS);
+    return load.requestsPerSecond * (1 + load.swing * 0.6 * std::sin(phase));
+}
+
+void writeRequest(std::ostream &out, Random &random, const Workload &load, std::int64_t at, bool surge)
+{
+    const std::int64_t prompt = between(random, load.minPrompt, load.maxPrompt);
+    const std::int64_t output = between(random, load.minOutput, load.maxOutput);
+    const std::uint64_t prefix = load.prefixes == 0 ? 0 : random() % load.prefixes + 1;
+    const std::int64_t blocks = load.prefixes == 0 ? 0 : prompt / BLOCK_TOKENS * 2 / 3;
+    const std::uint64_t region = random() % REGIONS;
+    // The prefix numbers of different customers are apart.
+    const std::uint64_t number = prefix == 0 ? 0 : prefix + 1000 * static_cast<std::uint64_t>(load.customer[1]);
+    out << "request " << at << ' ' << load.customer << ' ' << region << ' ' << prompt << ' ' << output << ' ' << number << ' ' << blocks << ' '
+        << (surge ? 1 : 0) << '\n';
+}
+
+void writeHeader(std::ostream &out, const std::string &kind, std::uint64_t seed)
+{
+    out << "# bench_policy --generate " << kind << " --seed " << seed << '\n';
+    out << "contract checks 450000 2 2000\n";
+    out << "contract notes 350000 1 4000\n";
+    out << "contract chat 200000 0 6000\n";
+    if (kind == "withdrawal") {
+        out << "withdraw 100000 4\n";
+    }
+    if (kind == "stale") {
+        out << "reports 60000 180000 6000\n";
+    }
+}
+} // namespace
+
+void generateTrace(std::ostream &out, const std::string &kind, std::uint64_t seed)
+{
+    if (kind != "steady" && kind != "swing" && kind != "surge" && kind != "withdrawal" && kind != "stale") {
+        throw MalformedInputError("unknown kind of trace: " + kind);
+    }
+    writeHeader(out, kind, seed);
+    Random random(seed);
+    for (std::int64_t at = 0; at < LENGTH_MS; ++at) {
+        for (const Workload &load : WORKLOADS) {
+            if (fraction(random) < rateAt(load, kind, at) / 1000) {
+                writeRequest(out, random, load, at, false);
+            }
+            const bool surging = kind == "surge" && load.swing < 0 && at >= SURGE_FROM_MS && at < SURGE_TO_MS;
+            if (surging && fraction(random) < 3 * load.requestsPerSecond / 1000) {
+                writeRequest(out, random, load, at, true);
+            }
+        }
+    }
+}
+
+} // namespace mimosatally::bench
