Correct expected waits by earlier waits, give up only on lasting evidence

Change: expected waits count what customers with earlier deadlines are owed and are corrected by earlier waits per customer; a queue must look hopeless for 500 ms before its tail is given up.

--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -47,6 +47,8 @@
 /// \brief Served weighted tokens and waiting work of one customer in one second.
 struct CustomerSecond {
     std::int64_t served = 0;
+    /// \brief Weight that waits at the begin of the second.
+    std::int64_t waitingWeight = 0;
     bool waitedThroughout = true;
 };
 
@@ -131,6 +133,8 @@
     /// \brief Expected output of each request when it was last routed.
     std::vector<std::int64_t> expectedOutput_;
     std::vector<std::vector<EndpointId>> tried_;
+    /// \brief Weight of the requests that have neither started nor been refused, by customer.
+    std::vector<std::int64_t> waitingWeight_;
     std::size_t nextArrival_ = 0;
     std::size_t nextWithdrawal_ = 0;
     std::size_t nextInTurn_ = 0;
--- a/bench/policy/trace.cpp
+++ b/bench/policy/trace.cpp
@@ -125,6 +125,12 @@
     return result;
 }
 
+std::int64_t weightOf(const TraceRequest &request)
+{
+    const TokenCosts costs;
+    return request.promptTokens * costs.promptToken + request.outputTokens * costs.outputToken;
+}
+
 std::vector<std::uint64_t> blockHashes(const TraceRequest &request, std::size_t index)
 {
     std::vector<std::uint64_t> result;
--- a/bench/policy/trace.h
+++ b/bench/policy/trace.h
@@ -59,6 +59,9 @@
 /// \brief Tokens of a cache block.
 constexpr std::int64_t BLOCK_TOKENS = 2000;
 
+/// \brief Weighted tokens of a request at the default token costs.
+std::int64_t weightOf(const TraceRequest &request);
+
 /// \brief Hashes of the full prompt blocks of request \a index.
 std::vector<std::uint64_t> blockHashes(const TraceRequest &request, std::size_t index);
 
--- a/src/queueing/customerqueue.cpp
+++ b/src/queueing/customerqueue.cpp
@@ -1,8 +1,34 @@
 #include "customerqueue.h"
 
+#include <algorithm>
+
 namespace mimosatally::internal
 {
 
+namespace
+{
+/// \brief Customers that an expected wait looks at one by one, so that its cost does not grow with their number.
+constexpr std::size_t COUNTED_CUSTOMERS = 16;
+/// \brief Bounds of the correction: outside of them the queue has changed more than earlier waits can tell.
+constexpr std::int64_t LARGEST_CORRECTION = 4;
+} // namespace
+
+void WaitCorrection::record(Duration expected, Duration actual)
+{
+    expectedSum_ += expected.count();
+    actualSum_ += actual.count();
+    if (expectedSum_ > WINDOW_SUM || actualSum_ > WINDOW_SUM) {
+        expectedSum_ = std::max<std::int64_t>(expectedSum_ / 2, 1);
+        actualSum_ = std::max<std::int64_t>(actualSum_ / 2, 1);
+    }
+}
+
+Duration WaitCorrection::correct(Duration expected) const
+{
+    const std::int64_t corrected = expected.count() * actualSum_ / expectedSum_;
+    return Duration(std::clamp(corrected, expected.count() / LARGEST_CORRECTION, expected.count() * LARGEST_CORRECTION));
+}
+
 void CustomerOrder::insert(Position position, const CustomerQueue &customer, Weight totalService)
 {
     byUnused_.emplace(UnusedKey {-customer.priority, customer.unusedTag}, position);
@@ -57,6 +83,23 @@
     return std::nullopt;
 }
 
+Weight CustomerOrder::owedBefore(const std::vector<CustomerQueue> &customers, Weight totalService, Time deadline) const
+{
+    Weight owed = 0;
+    std::size_t counted = 0;
+    for (auto entry = belowShare_.begin(); entry != belowShare_.end() && entry->first < deadline; ++entry) {
+        const CustomerQueue &customer = customers[entry->second.second];
+        const Weight behind = std::max<Weight>(totalService - customer.shareTag, 0);
+        const Weight share = behind * customer.share / FULL_SHARE + customer.waiting.front().weight;
+        owed += std::min(share, customer.waitingWeight);
+        if (++counted == COUNTED_CUSTOMERS) {
+            // The rest is taken to be like the first ones.
+            return owed * static_cast<Weight>(belowShare_.size()) / static_cast<Weight>(COUNTED_CUSTOMERS) / 2;
+        }
+    }
+    return owed;
+}
+
 std::int64_t CustomerOrder::classShares(int priority) const
 {
     const auto found = classShares_.find(priority);
--- a/src/queueing/customerqueue.h
+++ b/src/queueing/customerqueue.h
@@ -25,6 +25,26 @@
     Weight weight = 0;
     /// \brief Engine time at nominal speed, in microseconds.
     std::int64_t engineMicros = 0;
+    Time enqueuedAt {};
+    /// \brief Wait that the queue alone made expect, before it was corrected by earlier waits.
+    Duration queueWait = Duration(0);
+};
+
+/// \brief Compares waits that were expected with those that followed, and corrects the next ones.
+class WaitCorrection
+{
+public:
+    void record(Duration expected, Duration actual);
+    [[nodiscard]] Duration correct(Duration expected) const;
+
+private:
+    /// \brief Weight of the uncorrected expectation at the start, in milliseconds.
+    static constexpr std::int64_t INITIAL_SUM = 2'000;
+    /// \brief Older waits count half after this much expected waiting, in milliseconds.
+    static constexpr std::int64_t WINDOW_SUM = 20'000;
+
+    std::int64_t expectedSum_ = INITIAL_SUM;
+    std::int64_t actualSum_ = INITIAL_SUM;
 };
 
 /// \brief Waiting requests and virtual times of one customer.
@@ -46,6 +66,10 @@
     Weight remoteServed = 0;
     Weight remoteDebt = 0;
 
+    WaitCorrection waitCorrection;
+    /// \brief Since when the last waiting request is expected to miss its deadline.
+    std::optional<Time> hopelessSince;
+
     /// \brief Virtual time that \a weight takes at the customer's share; a share of zero counts as one millionth.
     [[nodiscard]] Weight atShare(Weight weight) const
     {
@@ -91,6 +115,9 @@
     /// \brief The customer below its share with the earliest deadline; nothing if all have received their share.
     std::optional<Position> earliestBelowShare(const std::vector<CustomerQueue> &customers, Weight totalService);
 
+    /// \brief Weight that customers below their share with a deadline before \a deadline are served before they have their share.
+    [[nodiscard]] Weight owedBefore(const std::vector<CustomerQueue> &customers, Weight totalService, Time deadline) const;
+
     /// \brief The customer for capacity that others leave unused.
     [[nodiscard]] Position bestForUnused() const
     {
@@ -112,12 +139,6 @@
     /// \brief Sum of the shares of the customers that wait with \a priority.
     [[nodiscard]] std::int64_t classShares(int priority) const;
 
-    /// \brief Number of customers that were below their share when last sorted in.
-    [[nodiscard]] std::size_t belowShareCount() const
-    {
-        return belowShare_.size();
-    }
-
 private:
     using Tag = std::pair<Weight, Position>;
 
--- a/src/queueing/scheduler.cpp
+++ b/src/queueing/scheduler.cpp
@@ -40,8 +40,10 @@
     }
     invariant(!impl_->waiting.contains(request.id) && !impl_->running.contains(request.id), "a request is queued once");
     impl_->dropOverdue(now);
-    const WaitingRequest waiting {request, 0, impl_->weightOf(request.expected), impl_->speed.nominalMicros(request.expected)};
-    const Duration wait = impl_->expectedWait(*position, impl_->customers[*position].waitingWeight);
+    const CustomerQueue &customer = impl_->customers[*position];
+    const Duration queueWait = impl_->queueWait(*position, customer.waitingWeight, request.startDeadline);
+    const Duration wait = customer.waitCorrection.correct(queueWait);
+    const WaitingRequest waiting {request, 0, impl_->weightOf(request.expected), impl_->speed.nominalMicros(request.expected), now, queueWait};
     if (now > request.startDeadline || now + wait > request.startDeadline) {
         return impl_->refuseWaiting(waiting, RefusalReason::WaitTooLong, wait, now);
     }
@@ -66,6 +68,7 @@
     impl_->charge(position, customer.waiting.front().weight, withinShare);
     impl_->addToOrder(position);
     const WaitingRequest started = impl_->remove(impl_->waiting.at(id));
+    customer.waitCorrection.record(started.queueWait, now - started.enqueuedAt);
 
     const Tokens tokens = started.request.expected.prompt + started.request.expected.output;
     impl_->running.emplace(id, Impl::RunningRequest {position, started.weight, started.engineMicros, tokens, withinShare, customer.busyPeriod});
--- a/src/queueing/schedulerimpl.cpp
+++ b/src/queueing/schedulerimpl.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t REVIEWED_CUSTOMERS = 4;
 /// \brief A waiting request is given up only if its expected start is late by more than this part of the expected wait.
 constexpr int GIVE_UP_MARGIN_DIVISOR = 4;
+/// \brief The expectation must stay that bad for this long: single expectations vary by about half of the wait.
+constexpr Duration GIVE_UP_AFTER = Duration(500);
 /// \brief A customer that is this many rounds behind its share goes before the earliest deadline.
 constexpr std::int64_t LAG_ROUNDS = 1;
 } // namespace
@@ -108,7 +110,9 @@
 {
     while (!deadlines.empty() && deadlines.begin()->first.first < now) {
         const WaitingPlace place = waiting.at(deadlines.begin()->second);
-        const Duration wait = expectedWait(place.customer, customers[place.customer].waitingWeight);
+        CustomerQueue &customer = customers[place.customer];
+        customer.waitCorrection.record(place.request->queueWait, now - place.request->enqueuedAt);
+        const Duration wait = expectedWait(place.customer, customer.waitingWeight, place.request->request.startDeadline);
         overdue.push_back(refuseWaiting(remove(place), RefusalReason::DeadlinePassed, wait, now));
     }
 }
@@ -122,18 +126,37 @@
     }
 }
 
+bool Scheduler::Impl::tailIsHopeless(Position position, Time now) const
+{
+    const CustomerQueue &customer = customers[position];
+    if (customer.waiting.empty()) {
+        return false;
+    }
+    const WaitingRequest &last = customer.waiting.back();
+    const Duration wait = expectedWait(position, customer.waitingWeight - last.weight, last.request.startDeadline);
+    return now + wait - wait / GIVE_UP_MARGIN_DIVISOR > last.request.startDeadline;
+}
+
 void Scheduler::Impl::dropHopelessTail(Position position, Time now)
 {
-    while (!customers[position].waiting.empty()) {
-        const CustomerQueue &customer = customers[position];
+    CustomerQueue &customer = customers[position];
+    if (!tailIsHopeless(position, now)) {
+        customer.hopelessSince.reset();
+        return;
+    }
+    if (!customer.hopelessSince) {
+        customer.hopelessSince = now;
+    }
+    if (now - *customer.hopelessSince < GIVE_UP_AFTER) {
+        return;
+    }
+    while (tailIsHopeless(position, now)) {
         const WaitingRequest &last = customer.waiting.back();
-        const Duration wait = expectedWait(position, customer.waitingWeight - last.weight);
-        if (now + wait - wait / GIVE_UP_MARGIN_DIVISOR <= last.request.startDeadline) {
-            return;
-        }
+        const Duration wait = expectedWait(position, customer.waitingWeight - last.weight, last.request.startDeadline);
         const WaitingPlace place = waiting.at(last.request.id);
         overdue.push_back(refuseWaiting(remove(place), RefusalReason::WaitTooLong, wait, now));
     }
+    customer.hopelessSince.reset();
 }
 
 Scheduler::Impl::Position Scheduler::Impl::selectCustomer(bool &withinShare)
--- a/src/queueing/schedulerimpl.h
+++ b/src/queueing/schedulerimpl.h
@@ -52,13 +52,16 @@
     /// \brief Gives up on waiting requests of a few customers whose queue no longer fits their deadlines.
     void dropHopeless(Time now);
     void dropHopelessTail(Position position, Time now);
+    [[nodiscard]] bool tailIsHopeless(Position position, Time now) const;
     [[nodiscard]] Position selectCustomer(bool &withinShare);
     void charge(Position position, Weight weight, bool withinShare);
     void correct(const RunningRequest &running, Weight actual);
 
     /// \brief Expected wait of a request of the customer behind \a ownWeight of its own waiting requests.
-    [[nodiscard]] Duration expectedWait(Position position, Weight ownWeight) const;
-    [[nodiscard]] Weight weightAhead(const internal::CustomerQueue &customer, Weight ownWeight) const;
+    [[nodiscard]] Duration expectedWait(Position position, Weight ownWeight, Time deadline) const;
+    /// \brief As expectedWait(), from the queue alone.
+    [[nodiscard]] Duration queueWait(Position position, Weight ownWeight, Time deadline) const;
+    [[nodiscard]] Weight weightAhead(const internal::CustomerQueue &customer, Weight ownWeight, Time deadline) const;
     [[nodiscard]] Weight untilServedByShare(const internal::CustomerQueue &customer, Weight ownWeight) const;
     [[nodiscard]] Refusal refuseWaiting(const internal::WaitingRequest &waiting, RefusalReason reason, Duration wait, Time now) const;
 
--- a/src/queueing/waitestimate.cpp
+++ b/src/queueing/waitestimate.cpp
@@ -25,20 +25,23 @@
     return static_cast<Weight>(static_cast<double>(entitled) * static_cast<double>(customer.share) / static_cast<double>(std::max<std::int64_t>(rate, 1)));
 }
 
-Scheduler::Impl::Weight Scheduler::Impl::weightAhead(const CustomerQueue &customer, Weight ownWeight) const
+Scheduler::Impl::Weight Scheduler::Impl::weightAhead(const CustomerQueue &customer, Weight ownWeight, Time deadline) const
 {
-    // Customers below their share go by deadline; on average half of them go before this one.
-    const auto meanWaiting = waitingWeight / static_cast<Weight>(std::max<std::size_t>(waiting.size(), 1));
-    const Weight others = meanWaiting * static_cast<Weight>(order.belowShareCount()) / 2;
+    const Weight others = order.owedBefore(customers, totalService, deadline);
     return std::min(waitingWeight, untilServedByShare(customer, ownWeight) + others);
 }
 
-Duration Scheduler::Impl::expectedWait(Position position, Weight ownWeight) const
+Duration Scheduler::Impl::expectedWait(Position position, Weight ownWeight, Time deadline) const
+{
+    return customers[position].waitCorrection.correct(queueWait(position, ownWeight, deadline));
+}
+
+Duration Scheduler::Impl::queueWait(Position position, Weight ownWeight, Time deadline) const
 {
     if (running.size() < static_cast<std::size_t>(capacity.maxConcurrentRequests) && waiting.empty()) {
         return Duration(0);
     }
-    const Weight ahead = weightAhead(customers[position], ownWeight);
+    const Weight ahead = weightAhead(customers[position], ownWeight, deadline);
     const Weight weight = std::max<Weight>(waitingWeight + runningWeight, 1);
     const std::int64_t micros = waitingMicros + runningMicros;
     const auto aheadMicros = static_cast<std::int64_t>(static_cast<double>(ahead) * static_cast<double>(micros) / static_cast<double>(weight));
