--- a/bench/policy/agentmodel.h
+++ b/bench/policy/agentmodel.h
@@ -48,6 +48,10 @@
     {
         return engine_.role();
     }
+    [[nodiscard]] const EngineModel::Totals &totals() const
+    {
+        return engine_.totals();
+    }
     [[nodiscard]] std::size_t waitingRequests() const
     {
         return waiting_.size();
--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -172,6 +172,11 @@
     json["share_error_points"] = rounded(error.greatest);
     json["share_windows"] = error.windows;
     json["cross_region_bytes"] = result.crossRegionBytes;
+    json["cached_prompt_percent"] =
+        rounded(100 * static_cast<double>(result.engines.cachedTokens) / std::max(static_cast<double>(result.engines.promptTokens), 1.0));
+    json["engine_busy_seconds"] = rounded(result.engines.busySeconds);
+    json["engine_changing_seconds"] = rounded(result.engines.changingSeconds);
+    json["engine_small_batch_seconds"] = rounded(result.engines.smallBatchSeconds);
     for (std::size_t customer = 0; customer < trace.contracts.size(); ++customer) {
         const std::vector<double> waits = waitsOf(trace, result, customer);
         Json &entry = json["customers"][trace.contracts[customer].customer.value()];
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -55,6 +55,8 @@
 struct RunResult {
     std::vector<RequestOutcome> requests;
     int roleChanges = 0;
+    /// \brief Sums over all engines.
+    EngineModel::Totals engines;
     std::int64_t crossRegionBytes = 0;
     /// \brief By second, then by customer.
     std::vector<std::vector<CustomerSecond>> seconds;
@@ -84,7 +86,7 @@
         Router router;
         RetryBudget retries;
         RolePlanner planner;
-        PhaseWork arrived;
+        DemandReport arrived;
     };
 
     /// \brief What a baseline knows about an engine: the last report and its own dispatches since.
--- a/include/mimosatally/placement/roleplanner.h
+++ b/include/mimosatally/placement/roleplanner.h
@@ -28,12 +28,15 @@
     Tokens output;
 };
 
-/// \brief Demand of a scope as seen by its callers and queues.
+/// \brief Work that arrived since the previous report, by the phase that takes longer at nominal speed.
+///
+/// A request runs both phases on one engine, so the planner must know which work comes together.
 struct DemandReport {
-    /// \brief Work that arrived since the previous report.
-    PhaseWork arrived;
-    /// \brief Work that waits now.
-    PhaseWork waiting;
+    PhaseWork prefillHeavy;
+    PhaseWork decodeHeavy;
+
+    /// \brief Adds one request.
+    void add(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond);
 };
 
 /// \brief Speed of an engine in its role as a part of its nominal speed, in thousandths.
@@ -42,7 +45,7 @@
     /// \brief Both phases of a mixed engine: they interfere in one batch.
     int mixed = 850;
     /// \brief The phase that the role does not favour.
-    int other = 300;
+    int other = 500;
 };
 
 /// \brief Figures that a role change was decided on, in engine seconds per second unless stated otherwise.
@@ -115,11 +118,17 @@
         [[nodiscard]] double &of(EngineRole role);
     };
 
-    struct Demand {
+    /// \brief Engine seconds per second at nominal speed of one kind of requests.
+    struct ClassDemand {
         double prefill = 0;
         double decode = 0;
     };
 
+    struct Demand {
+        ClassDemand prefillHeavy;
+        ClassDemand decodeHeavy;
+    };
+
     struct Option {
         RoleChange change;
         double advantage = 0;
@@ -130,7 +139,9 @@
     [[nodiscard]] bool stale(Time now) const;
     void endPending(Time now);
     [[nodiscard]] Counts countRoles() const;
-    [[nodiscard]] Demand demandOverHorizon() const;
+    void smooth(ClassDemand &demand, const PhaseWork &work, double seconds) const;
+    /// \brief Engine time that a second of the demand takes in the role.
+    [[nodiscard]] double timeInRole(const ClassDemand &demand, EngineRole role) const;
     /// \brief Part of the demand that engines in the given roles can serve; above 1 there is spare capacity.
     [[nodiscard]] double servable(const Counts &counts, const Demand &demand) const;
     [[nodiscard]] bool canServe(const Counts &counts, const Demand &demand, double part) const;
@@ -147,7 +158,6 @@
     std::map<EndpointId, Engine> engines_;
     std::optional<Pending> pending_;
     Demand rate_;
-    PhaseWork waiting_;
     std::optional<Time> demandAt_;
     /// \brief Roles of the change that is the best at present, and since when.
     std::optional<std::pair<EngineRole, EngineRole>> candidate_;
--- a/src/placement/roleplanner.cpp
+++ b/src/placement/roleplanner.cpp
@@ -86,25 +86,41 @@
     }
 }
 
+void DemandReport::add(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond)
+{
+    const std::int64_t prefill = request.uncachedPrompt.count() * decodeTokensPerSecond;
+    const std::int64_t decode = request.output.count() * prefillTokensPerSecond;
+    PhaseWork &work = prefill > decode ? prefillHeavy : decodeHeavy;
+    work.uncachedPrompt += request.uncachedPrompt;
+    work.output += request.output;
+}
+
 void RolePlanner::reportDemand(const DemandReport &demand, Time now)
 {
-    waiting_ = demand.waiting;
-    if (!demandAt_) {
-        demandAt_ = now;
-        return;
-    }
-    const double seconds = toSeconds(now - *demandAt_);
+    const double seconds = demandAt_ ? toSeconds(now - *demandAt_) : 0;
+    demandAt_ = now;
     if (seconds <= 0 || engines_.empty()) {
         return;
     }
+    smooth(rate_.prefillHeavy, demand.prefillHeavy, seconds);
+    smooth(rate_.decodeHeavy, demand.decodeHeavy, seconds);
+}
+
+void RolePlanner::smooth(ClassDemand &demand, const PhaseWork &work, double seconds) const
+{
     const EngineStatus &engine = engines_.begin()->second.status;
-    const double prefill =
-        static_cast<double>(demand.arrived.uncachedPrompt.count()) / static_cast<double>(std::max<std::int64_t>(engine.prefillTokensPerSecond, 1));
-    const double decode = static_cast<double>(demand.arrived.output.count()) / static_cast<double>(std::max<std::int64_t>(engine.decodeTokensPerSecond, 1));
+    const double prefill = static_cast<double>(work.uncachedPrompt.count()) / static_cast<double>(std::max<std::int64_t>(engine.prefillTokensPerSecond, 1));
+    const double decode = static_cast<double>(work.output.count()) / static_cast<double>(std::max<std::int64_t>(engine.decodeTokensPerSecond, 1));
     const double step = 1 - std::exp(-seconds / SMOOTHING_SECONDS);
-    rate_.prefill += (prefill / seconds - rate_.prefill) * step;
-    rate_.decode += (decode / seconds - rate_.decode) * step;
-    demandAt_ = now;
+    demand.prefill += (prefill / seconds - demand.prefill) * step;
+    demand.decode += (decode / seconds - demand.decode) * step;
+}
+
+double RolePlanner::timeInRole(const ClassDemand &demand, EngineRole role) const
+{
+    const int prefillSpeed = role == EngineRole::Prefill ? speeds_.favoured : role == EngineRole::Mixed ? speeds_.mixed : speeds_.other;
+    const int decodeSpeed = role == EngineRole::Decode ? speeds_.favoured : role == EngineRole::Mixed ? speeds_.mixed : speeds_.other;
+    return demand.prefill * 1000 / prefillSpeed + demand.decode * 1000 / decodeSpeed;
 }
 
 bool RolePlanner::stale(Time now) const
@@ -135,41 +151,30 @@
     return counts;
 }
 
-RolePlanner::Demand RolePlanner::demandOverHorizon() const
-{
-    Demand demand = rate_;
-    if (engines_.empty()) {
-        return demand;
-    }
-    const EngineStatus &engine = engines_.begin()->second.status;
-    const double seconds = toSeconds(horizon_);
-    const auto prefillSpeed = static_cast<double>(std::max<std::int64_t>(engine.prefillTokensPerSecond, 1));
-    const auto decodeSpeed = static_cast<double>(std::max<std::int64_t>(engine.decodeTokensPerSecond, 1));
-    demand.prefill += static_cast<double>(waiting_.uncachedPrompt.count()) / prefillSpeed / seconds;
-    demand.decode += static_cast<double>(waiting_.output.count()) / decodeSpeed / seconds;
-    return demand;
-}
-
 bool RolePlanner::canServe(const Counts &counts, const Demand &demand, double part) const
 {
-    const double favoured = speeds_.favoured / 1000.0;
-    const double mixed = speeds_.mixed / 1000.0;
-    const double other = speeds_.other / 1000.0;
-    // Prefill work goes where it displaces the least decode work; the time that is left serves decode work.
-    double prefill = demand.prefill * part;
-    const double onPrefill = std::min(prefill, counts.prefill * favoured);
-    prefill -= onPrefill;
-    const double onMixed = std::min(prefill, counts.mixed * mixed);
-    prefill -= onMixed;
-    const double onDecode = std::min(prefill, counts.decode * other);
-    prefill -= onDecode;
-    if (prefill > 0) {
+    // Prefill-heavy requests go where they displace the least decode-heavy ones; the time that is left serves those.
+    constexpr std::array<EngineRole, 3> ORDER = {EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode};
+    Counts left = counts;
+    double unserved = part;
+    for (const EngineRole role : ORDER) {
+        const double time = timeInRole(demand.prefillHeavy, role);
+        const double served = time > 0 ? std::min(unserved, left.of(role) / time) : unserved;
+        unserved -= served;
+        left.of(role) -= served * time;
+    }
+    if (unserved > 0) {
         return false;
     }
-    const double prefillLeft = counts.prefill - onPrefill / favoured;
-    const double mixedLeft = counts.mixed - onMixed / mixed;
-    const double decodeLeft = counts.decode - onDecode / other;
-    return prefillLeft * other + mixedLeft * mixed + decodeLeft * favoured >= demand.decode * part;
+    double capacity = 0;
+    for (const EngineRole role : ORDER) {
+        const double time = timeInRole(demand.decodeHeavy, role);
+        if (time <= 0) {
+            return true;
+        }
+        capacity += left.of(role) / time;
+    }
+    return capacity >= part;
 }
 
 double RolePlanner::servable(const Counts &counts, const Demand &demand) const
@@ -211,11 +216,11 @@
         return std::nullopt;
     }
     RoleFigures figures;
-    figures.prefillDemand = demand.prefill;
-    figures.decodeDemand = demand.decode;
+    figures.prefillDemand = demand.prefillHeavy.prefill + demand.decodeHeavy.prefill;
+    figures.decodeDemand = demand.prefillHeavy.decode + demand.decodeHeavy.decode;
     figures.servedBefore = servable(counts, demand);
     figures.servedAfter = servable(after, demand);
-    const double all = demand.prefill + demand.decode;
+    const double all = figures.prefillDemand + figures.decodeDemand;
     const double gained = std::min(figures.servedAfter, SERVED_WITHOUT_CHANGE) - std::min(figures.servedBefore, SERVED_WITHOUT_CHANGE);
     figures.gain = gained * all * std::max(toSeconds(horizon_ - changeTime_), 0.0);
     figures.price = toSeconds(changeTime_) * policy_.changePrice;
@@ -229,7 +234,7 @@
 std::optional<RolePlanner::Option> RolePlanner::bestOption(Time now) const
 {
     const Counts counts = countRoles();
-    const Demand demand = demandOverHorizon();
+    const Demand &demand = rate_;
     if (servable(counts, demand) >= SERVED_WITHOUT_CHANGE) {
         return std::nullopt;
     }
@@ -284,8 +289,8 @@
 RoleFigures RolePlanner::figures() const
 {
     RoleFigures figures;
-    figures.prefillDemand = rate_.prefill;
-    figures.decodeDemand = rate_.decode;
+    figures.prefillDemand = rate_.prefillHeavy.prefill + rate_.decodeHeavy.prefill;
+    figures.decodeDemand = rate_.prefillHeavy.decode + rate_.decodeHeavy.decode;
     return figures;
 }
 
--- a/src/routing/endpointestimate.cpp
+++ b/src/routing/endpointestimate.cpp
@@ -13,7 +13,7 @@
 /// \brief A dispatch whose result is never reported is forgotten after this time.
 constexpr Duration LONGEST_REQUEST = Duration(600000);
 /// \brief Speed in the phase that the role does not favour, as a part of the nominal speed, until speeds are measured.
-constexpr double OTHER_PHASE_SPEED = 0.3;
+constexpr double OTHER_PHASE_SPEED = 0.5;
 /// \brief Speed of a mixed engine as a part of the nominal speed: both phases interfere in one batch.
 constexpr double MIXED_SPEED = 0.85;
 /// \brief Assumed duration of one call of a plain service; it only has to make loads comparable.
--- a/src/routing/endpointestimate.h
+++ b/src/routing/endpointestimate.h
@@ -56,6 +56,9 @@
     /// \brief Engine time of \a request without the \a cached prompt tokens.
     [[nodiscard]] Seconds serviceTime(const RouteRequest &request, Tokens cached) const;
 
+    /// \brief Requests that are expected to wait or run there.
+    [[nodiscard]] std::size_t activeRequests() const;
+
     [[nodiscard]] const Endpoint &configuration() const
     {
         return configuration_;
@@ -64,7 +67,6 @@
 private:
     [[nodiscard]] PhaseSpeeds speeds() const;
     [[nodiscard]] Seconds reportedWork(const EndpointLoad &load) const;
-    [[nodiscard]] std::size_t activeRequests() const;
     void forgetOldDispatches(Time now);
 
     Endpoint configuration_;
--- a/src/routing/routerimpl.cpp
+++ b/src/routing/routerimpl.cpp
@@ -15,6 +15,8 @@
 /// \brief Costs within this part or this time count as equal: the reports are not more exact than that.
 constexpr double NEAR_EQUAL_PART = 0.1;
 constexpr double NEAR_EQUAL_SECONDS = 0.01;
+/// \brief Engine time saved by a cached prefix or a fitting role shortens the wait of every later request, not of this one alone.
+constexpr double SAVED_WORK_WEIGHT = 16;
 /// \brief Work in the batch slows the request down even if it starts at once.
 constexpr double BATCH_SLOWDOWN = 0.5;
 /// \brief A little more than a call to another data centre of the region costs (docs/design.md, section 1.2).
@@ -119,11 +121,12 @@
         const auto blocks = static_cast<std::int64_t>(cache.cachedBlocks(index, request.cacheBlockHashes));
         const Tokens cached = std::min(Tokens(blocks * cacheBlockTokens.count()), request.promptTokens);
         const Seconds wait = endpoint.startWait(now);
-        Seconds cost = wait + BATCH_SLOWDOWN * endpoint.work(now) + endpoint.serviceTime(request, cached);
+        const Seconds service = endpoint.serviceTime(request, cached);
+        Seconds cost = wait + BATCH_SLOWDOWN * endpoint.work(now) + SAVED_WORK_WEIGHT * service;
         if (endpoint.configuration().dataCentre != dataCentre) {
             cost += OTHER_DATA_CENTRE_SECONDS;
         }
-        result.push_back({index, cached, wait, cost});
+        result.push_back({index, cached, wait, service, cost});
     }
     return result;
 }
@@ -147,13 +150,13 @@
 
 Router::Impl::Candidate Router::Impl::pick(const std::vector<Candidate> &candidates)
 {
-    Seconds least = candidates.front().cost;
-    for (const Candidate &candidate : candidates) {
-        least = std::min(least, candidate.cost);
-    }
+    const Candidate &least = *std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return left.cost < right.cost;
+    });
+    const Seconds tolerance = (least.startWait + least.service) * NEAR_EQUAL_PART + NEAR_EQUAL_SECONDS;
     std::vector<const Candidate *> nearEqual;
     for (const Candidate &candidate : candidates) {
-        if (candidate.cost <= least * (1 + NEAR_EQUAL_PART) + NEAR_EQUAL_SECONDS) {
+        if (candidate.cost <= least.cost + tolerance) {
             nearEqual.push_back(&candidate);
         }
     }
--- a/src/routing/routerimpl.h
+++ b/src/routing/routerimpl.h
@@ -26,6 +26,7 @@
         Index endpoint = 0;
         Tokens cached;
         Seconds startWait = 0;
+        Seconds service = 0;
         Seconds cost = 0;
     };
 
