Convert waits by each customer's engine time, with integers only

Checks need less engine time per weighted token than notes, so one common factor made waits behind checks too long.

--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -166,6 +166,13 @@
     });
     json["role_changes"] = result.roleChanges;
     json["refused"] = refusals.all;
+    for (std::size_t i = 0; i < result.requests.size(); ++i) {
+        const RequestOutcome &outcome = result.requests[i];
+        if (outcome.refused) {
+            Json &count = json["refused_by"][outcome.refusalReason + " after " + std::to_string(outcome.attempts)];
+            count = count.is_null() ? 1 : count.get<int>() + 1;
+        }
+    }
     json["refused_late"] = refusals.late;
     json["avoidable_refusals"] = refusals.avoidable;
     json["avoidable_percent"] = rounded(100 * static_cast<double>(refusals.avoidable) / std::max(requests, 1.0));
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -244,6 +244,7 @@
 
 void Simulation::notRun(std::size_t index, std::size_t engine, RefusalReason reason)
 {
+    result_.requests[index].refusalReason = mimosatally::toString(reason);
     Entry &entry = entries_[trace_.requests[index].region];
     entry.router.recordResult(engineId(engine), requestId(index), AttemptResult::NotRun, Tokens(0), now_);
     const CustomerId &customer = trace_.contracts[trace_.requests[index].customer].customer;
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -41,6 +41,8 @@
     std::optional<Time> finished;
     /// \brief When the caller got a refusal, and the time to come back that it named.
     std::optional<Time> refused;
+    /// \brief Reason of the last refusal by an agent, or `no-endpoint` from the router.
+    std::string refusalReason = "no-endpoint";
     int attempts = 0;
 };
 
--- a/src/queueing/contractchange.cpp
+++ b/src/queueing/contractchange.cpp
@@ -24,6 +24,7 @@
         queue = *old;
         queue.waiting.clear();
         queue.waitingWeight = 0;
+        queue.waitingMicros = 0;
     }
     queue.id = contract.customer;
     queue.share = contract.shareMillionths;
--- a/src/queueing/customerqueue.cpp
+++ b/src/queueing/customerqueue.cpp
@@ -90,7 +90,7 @@
     for (auto entry = belowShare_.begin(); entry != belowShare_.end() && entry->first < deadline; ++entry) {
         const CustomerQueue &customer = customers[entry->second.second];
         const Weight behind = std::max<Weight>(totalService - customer.shareTag, 0);
-        const Weight share = behind * customer.share / FULL_SHARE + customer.waiting.front().weight;
+        const Weight share = multiplyDivide(behind, customer.share, FULL_SHARE) + customer.waiting.front().weight;
         owed += std::min(share, customer.waitingWeight);
         if (++counted == COUNTED_CUSTOMERS) {
             // The rest is taken to be like the first ones.
--- a/src/queueing/customerqueue.h
+++ b/src/queueing/customerqueue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "muldiv.h"
+
 #include <mimosatally/queueing/scheduler.h>
 
 #include <list>
@@ -54,6 +56,7 @@
     int priority = 0;
     std::list<WaitingRequest> waiting;
     Weight waitingWeight = 0;
+    std::int64_t waitingMicros = 0;
     /// \brief Service up to this value of the total service is used up; below the total, the customer is below its share.
     Weight shareTag = 0;
     /// \brief Start tag among the customers of its priority class, for capacity that others leave unused.
@@ -73,7 +76,7 @@
     /// \brief Virtual time that \a weight takes at the customer's share; a share of zero counts as one millionth.
     [[nodiscard]] Weight atShare(Weight weight) const
     {
-        return weight * FULL_SHARE / std::max<std::int64_t>(share, 1);
+        return multiplyDivide(weight, FULL_SHARE, share);
     }
 
     [[nodiscard]] Time headDeadline() const
--- a/src/queueing/schedulerimpl.cpp
+++ b/src/queueing/schedulerimpl.cpp
@@ -80,6 +80,7 @@
     }
     request.arrival = arrivals++;
     customer.waitingWeight += request.weight;
+    customer.waitingMicros += request.engineMicros;
     waitingWeight += request.weight;
     waitingMicros += request.engineMicros;
     waitingTokens += request.request.expected.prompt + request.request.expected.output;
@@ -97,6 +98,7 @@
     WaitingRequest request = std::move(*place.request);
     customer.waiting.erase(place.request);
     customer.waitingWeight -= request.weight;
+    customer.waitingMicros -= request.engineMicros;
     waitingWeight -= request.weight;
     waitingMicros -= request.engineMicros;
     waitingTokens -= request.request.expected.prompt + request.request.expected.output;
--- a/src/queueing/schedulerimpl.h
+++ b/src/queueing/schedulerimpl.h
@@ -62,6 +62,8 @@
     /// \brief As expectedWait(), from the queue alone.
     [[nodiscard]] Duration queueWait(Position position, Weight ownWeight, Time deadline) const;
     [[nodiscard]] Weight weightAhead(const internal::CustomerQueue &customer, Weight ownWeight, Time deadline) const;
+    /// \brief Engine time of \a ahead, of which the customer's own waiting requests are up to \a ownWeight.
+    [[nodiscard]] std::int64_t microsAhead(const internal::CustomerQueue &customer, Weight ahead, Weight ownWeight) const;
     [[nodiscard]] Weight untilServedByShare(const internal::CustomerQueue &customer, Weight ownWeight) const;
     [[nodiscard]] Refusal refuseWaiting(const internal::WaitingRequest &waiting, RefusalReason reason, Duration wait, Time now) const;
 
--- a/src/queueing/servicespeed.cpp
+++ b/src/queueing/servicespeed.cpp
@@ -1,5 +1,7 @@
 #include "servicespeed.h"
 
+#include "muldiv.h"
+
 #include <algorithm>
 
 namespace mimosatally::internal
@@ -36,9 +38,7 @@
 
 Duration ServiceSpeed::expected(std::int64_t nominalMicros) const
 {
-    // Milliseconds are enough here and keep the product within 64 bits.
-    const std::int64_t milliseconds = nominalMicros / MICROS_PER_MILLISECOND;
-    return Duration(milliseconds * elapsedSum_ / std::max<std::int64_t>(nominalSum_, 1));
+    return Duration(multiplyDivide(nominalMicros, elapsedSum_, nominalSum_) / MICROS_PER_MILLISECOND);
 }
 
 } // namespace mimosatally::internal
--- a/src/queueing/waitestimate.cpp
+++ b/src/queueing/waitestimate.cpp
@@ -1,3 +1,4 @@
+#include "muldiv.h"
 #include "schedulerimpl.h"
 
 #include <algorithm>
@@ -7,6 +8,7 @@
 
 using internal::CustomerQueue;
 using internal::FULL_SHARE;
+using internal::multiplyDivide;
 using internal::WaitingRequest;
 
 Scheduler::Impl::Weight Scheduler::Impl::untilServedByShare(const CustomerQueue &customer, Weight ownWeight) const
@@ -22,7 +24,7 @@
     const std::int64_t classShares = order.classShares(customer.priority) + (waits ? 0 : customer.share);
     const std::int64_t unused = std::max<std::int64_t>(FULL_SHARE - waitingShares, 0);
     const std::int64_t rate = customer.share + unused * customer.share / std::max<std::int64_t>(classShares, 1);
-    return static_cast<Weight>(static_cast<double>(entitled) * static_cast<double>(customer.share) / static_cast<double>(std::max<std::int64_t>(rate, 1)));
+    return multiplyDivide(entitled, customer.share, rate);
 }
 
 Scheduler::Impl::Weight Scheduler::Impl::weightAhead(const CustomerQueue &customer, Weight ownWeight, Time deadline) const
@@ -31,6 +33,16 @@
     return std::min(waitingWeight, untilServedByShare(customer, ownWeight) + others);
 }
 
+std::int64_t Scheduler::Impl::microsAhead(const CustomerQueue &customer, Weight ahead, Weight ownWeight) const
+{
+    // Customers differ in engine time per weighted token, so their parts are converted apart.
+    const Weight own = std::min(ahead, ownWeight);
+    const Weight othersWeight = std::max<Weight>(waitingWeight - customer.waitingWeight, 1);
+    const std::int64_t othersMicros = multiplyDivide(ahead - own, waitingMicros - customer.waitingMicros, othersWeight);
+    const std::int64_t ownMicros = multiplyDivide(own, customer.waitingMicros, customer.waitingWeight);
+    return std::min(othersMicros + ownMicros, waitingMicros);
+}
+
 Duration Scheduler::Impl::expectedWait(Position position, Weight ownWeight, Time deadline) const
 {
     return customers[position].waitCorrection.correct(queueWait(position, ownWeight, deadline));
@@ -42,9 +54,7 @@
         return Duration(0);
     }
     const Weight ahead = weightAhead(customers[position], ownWeight, deadline);
-    const Weight weight = std::max<Weight>(waitingWeight + runningWeight, 1);
-    const std::int64_t micros = waitingMicros + runningMicros;
-    const auto aheadMicros = static_cast<std::int64_t>(static_cast<double>(ahead) * static_cast<double>(micros) / static_cast<double>(weight));
+    const std::int64_t aheadMicros = microsAhead(customers[position], ahead, ownWeight);
     // A running request ends about every mean engine time of the running ones.
     const std::int64_t slotMicros = runningMicros / static_cast<std::int64_t>(std::max<std::size_t>(running.size(), 1));
     return speed.expected(aheadMicros + slotMicros);
--- a/src/routing/routerimpl.cpp
+++ b/src/routing/routerimpl.cpp
@@ -166,6 +166,17 @@
     return first->cost <= second->cost ? *first : *second;
 }
 
+std::vector<Router::Impl::Candidate> Router::Impl::startingWithin(const std::vector<Candidate> &candidates, Seconds allowed)
+{
+    std::vector<Candidate> result;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.startWait <= allowed) {
+            result.push_back(candidate);
+        }
+    }
+    return result;
+}
+
 bool Router::Impl::mayLeaveRegion(const RouteRequest &request, Time now) const
 {
     if (!request.excluded.empty()) {
@@ -214,15 +225,13 @@
     const std::vector<Impl::Candidate> here = impl_->candidatesInRegion(request, *pool, now);
     std::optional<Impl::Candidate> best;
     if (!here.empty()) {
-        best = impl_->pick(here);
+        const std::vector<Impl::Candidate> inTime = Impl::startingWithin(here, allowed);
+        best = impl_->pick(inTime.empty() ? here : inTime);
     }
     if (best && (best->startWait <= allowed || !impl_->mayLeaveRegion(request, now))) {
         return impl_->decide(*best);
     }
-    std::vector<Impl::Candidate> elsewhere = impl_->candidatesElsewhere(request, *pool, now);
-    std::erase_if(elsewhere, [&](const Impl::Candidate &candidate) {
-        return candidate.startWait > allowed;
-    });
+    const std::vector<Impl::Candidate> elsewhere = Impl::startingWithin(impl_->candidatesElsewhere(request, *pool, now), allowed);
     if (!elsewhere.empty()) {
         return impl_->decide(impl_->pick(elsewhere));
     }
--- a/src/routing/routerimpl.h
+++ b/src/routing/routerimpl.h
@@ -46,6 +46,7 @@
     void addHolders(const RouteRequest &request, bool otherRegions, std::vector<Index> &into) const;
     [[nodiscard]] std::vector<Candidate> evaluate(const RouteRequest &request, const std::vector<Index> &endpoints, Time now);
     [[nodiscard]] bool admitted(const RouteRequest &request, Index endpoint, Time now);
+    [[nodiscard]] static std::vector<Candidate> startingWithin(const std::vector<Candidate> &candidates, Seconds allowed);
     [[nodiscard]] Candidate pick(const std::vector<Candidate> &candidates);
     [[nodiscard]] std::vector<Candidate> candidatesInRegion(const RouteRequest &request, const Pool &pool, Time now);
     [[nodiscard]] std::vector<Candidate> candidatesElsewhere(const RouteRequest &request, const Pool &pool, Time now);
