Change engine roles under a lease

Cause: RolePlanner, LeaseHolder and OrderGate existed without a process that connects them. Change: RoleController competes for the lease of each scope in the entry's region, observes the agents' loads and arrivals, and sends one fenced order at a time. Agents report the tokens that arrived, so that the holder knows the region's demand and not only its own.

--- a/src/agent/agentinterface.cpp
+++ b/src/agent/agentinterface.cpp
@@ -69,6 +69,9 @@
     load.setRunningRequests(static_cast<std::uint32_t>(queue.runningRequests));
     load.setWaitingTokens(queue.waitingTokens.count());
     load.setRunningTokens(queue.runningTokens.count());
+    const TokenUsage arrived = queue_.arrived();
+    load.setArrivedPromptTokens(arrived.prompt.count());
+    load.setArrivedOutputTokens(arrived.output.count());
     load.setPrefillTokensPerSecond(report_.prefillTokensPerSecond);
     load.setDecodeTokensPerSecond(report_.decodeTokensPerSecond);
     load.setFreeCacheBlocks(report_.freeCacheBlocks);
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -91,6 +91,8 @@
     decisions_.add(DecisionKind::Queued, request->id, request->customer, now, inputs);
     requests_.emplace(request->id, request);
     bytes_ += request->body.size();
+    arrived_.prompt += request->expected.prompt;
+    arrived_.output += request->expected.output;
     request->state = RequestState::Waiting;
     if (onQueued_) {
         onQueued_(request->startDeadline);
@@ -210,6 +212,11 @@
     return scheduler_ ? scheduler_->load() : QueueLoad();
 }
 
+TokenUsage RequestQueue::arrived() const
+{
+    return arrived_;
+}
+
 std::vector<CustomerService> RequestQueue::service() const
 {
     return scheduler_ ? scheduler_->service() : std::vector<CustomerService>();
--- a/src/agent/requestqueue.h
+++ b/src/agent/requestqueue.h
@@ -62,6 +62,10 @@
     [[nodiscard]] Request find(const RequestId &id) const;
 
     [[nodiscard]] QueueLoad load() const;
+
+    /// \brief Expected tokens of all requests that were queued since the start of the process.
+    [[nodiscard]] TokenUsage arrived() const;
+
     [[nodiscard]] std::vector<CustomerService> service() const;
     [[nodiscard]] std::optional<Time> nextDeadline() const;
     [[nodiscard]] bool isEmpty() const;
@@ -85,6 +89,7 @@
     std::optional<EndpointCapacity> pendingCapacity_;
     std::unordered_map<RequestId, Request> requests_;
     std::size_t bytes_ = 0;
+    TokenUsage arrived_;
     std::size_t running_ = 0;
     bool paused_ = false;
     std::function<void(Time)> onQueued_;
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -156,6 +156,7 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
+    arrived_ = {Tokens(load.getArrivedPromptTokens()), Tokens(load.getArrivedOutputTokens())};
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
@@ -204,6 +205,11 @@
     endpoint_ = std::move(endpoint);
 }
 
+TokenUsage AgentLink::arrived() const
+{
+    return arrived_;
+}
+
 const std::optional<QueueLoad> &AgentLink::load() const
 {
     return load_;
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -43,6 +43,9 @@
     [[nodiscard]] const Endpoint &endpoint() const;
     void setEndpoint(Endpoint endpoint);
 
+    /// \brief Tokens that arrived at the connected incarnation since its start.
+    [[nodiscard]] TokenUsage arrived() const;
+
     /// \brief Last reported load, for the status page.
     [[nodiscard]] const std::optional<QueueLoad> &load() const;
     [[nodiscard]] const std::string &role() const;
@@ -64,6 +67,7 @@
     IncarnationId incarnation_;
     ConfigurationVersion peerVersion_ = ConfigurationVersion(-1);
     std::optional<QueueLoad> load_;
+    TokenUsage arrived_;
     std::string role_;
 };
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "entrystate.h"
 #include "httpapi.h"
+#include "rolecontroller.h"
 
 #include <mimosatally/Entry>
 #include <mimosatally/Http>
@@ -84,6 +85,7 @@
                      std::_Exit(EXIT_INVARIANT_VIOLATED);
                  })
         , api_(entry_)
+        , roles_(entry_)
         , server_(io_,
                   parseAddress(settings.listen),
                   limitsOf(settings.http),
@@ -141,6 +143,9 @@
         supervisor.start("instance-list", [this](TaskContext &context) {
             return followInstanceList(entry_, context);
         });
+        supervisor.start("roles", [this](TaskContext &context) {
+            return roles_.run(context);
+        });
         entry_.configuration.start();
     }
 
@@ -165,6 +170,7 @@
     boost::asio::io_context io_ {1};
     EntryState entry_;
     HttpApi api_;
+    RoleController roles_;
     HttpServer server_;
     boost::asio::signal_set signals_;
     bool stopped_ = false;
--- /dev/null
+++ b/src/entry/rolecontroller.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "rolescope.h"
+
+#include <mimosatally/Supervision>
+
+#include <map>
+#include <memory>
+
+namespace mimosatally::internal
+{
+
+struct EntryState;
+
+/// \brief Competes for the leases of the scopes in the entry's region, and changes roles of engines while it holds one.
+class RoleController
+{
+public:
+    explicit RoleController(EntryState &entry);
+
+    /// \brief Task of the supervisor.
+    boost::asio::awaitable<void> run(TaskContext &context);
+
+private:
+    void updateScopes();
+    void tick(Time now);
+    boost::asio::awaitable<bool> readAuthority();
+    boost::asio::awaitable<void> perform(RoleScope &scope, std::vector<LeaseAction> actions);
+    void startChange(RoleScope &scope, Time now);
+
+    EntryState &entry_;
+    std::map<LeaseScope, std::shared_ptr<RoleScope>> scopes_;
+    /// \brief Actions that the leases asked for and that perform() has not carried out.
+    std::map<LeaseScope, std::vector<LeaseAction>> actions_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/entry/rolescope.cpp
@@ -0,0 +1,153 @@
+#include "rolescope.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief Short against the seconds that a role change takes, long against the renewals, so that one lost renewal does no harm.
+constexpr Duration LEASE_TTL = Duration(6000);
+
+LeaseScope scopeId(const ModelId &model, const RegionId &region)
+{
+    return LeaseScope(model.value() + '/' + region.value());
+}
+
+EngineRole parseRole(const std::string &role, EngineRole fallback)
+{
+    if (role == "prefill") {
+        return EngineRole::Prefill;
+    }
+    if (role == "decode") {
+        return EngineRole::Decode;
+    }
+    return role == "mixed" ? EngineRole::Mixed : fallback;
+}
+} // namespace
+
+RoleScope::RoleScope(LeaseScope id, ProcessId process, IncarnationId incarnation)
+    : id_(id)
+    , lease_(std::move(id), std::move(process), std::move(incarnation), LEASE_TTL)
+{
+}
+
+const LeaseScope &RoleScope::id() const
+{
+    return id_;
+}
+
+LeaseHolder &RoleScope::lease()
+{
+    return lease_;
+}
+
+bool RoleScope::isChanging() const
+{
+    return changing_;
+}
+
+void RoleScope::setChanging(bool changing)
+{
+    changing_ = changing;
+}
+
+void RoleScope::reset()
+{
+    planner_.reset();
+    arrivals_.clear();
+}
+
+std::optional<RoleChange> RoleScope::plan(const std::vector<ScopeEngine> &engines, RolePolicy policy, Time now)
+{
+    if (!planner_ || !(policy_ == policy)) {
+        reset();
+        policy_ = policy;
+        planner_.emplace(RolePlanner::Builder().policy(policy).build());
+    }
+    removeMissing(engines);
+    DemandReport demand;
+    for (const ScopeEngine &engine : engines) {
+        EngineStatus status;
+        status.engine = engine.endpoint.id;
+        status.role = parseRole(engine.link->role(), engine.endpoint.role);
+        status.available = engine.available;
+        status.prefillTokensPerSecond = engine.endpoint.prefillTokensPerSecond;
+        status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
+        status.runningRequests = engine.link->load() ? engine.link->load()->runningRequests : 0;
+        planner_->reportEngine(status, now);
+        const PhaseWork arrived = newArrivals(engine);
+        const PhaseWork waiting = waitingWork(engine);
+        demand.arrived.uncachedPrompt += arrived.uncachedPrompt;
+        demand.arrived.output += arrived.output;
+        demand.waiting.uncachedPrompt += waiting.uncachedPrompt;
+        demand.waiting.output += waiting.output;
+    }
+    planner_->reportDemand(demand, now);
+    return planner_->plan(now);
+}
+
+void RoleScope::removeMissing(const std::vector<ScopeEngine> &engines)
+{
+    std::erase_if(arrivals_, [&](const auto &entry) {
+        const bool missing = std::ranges::none_of(engines, [&](const ScopeEngine &engine) {
+            return engine.endpoint.id == entry.first;
+        });
+        if (missing) {
+            planner_->removeEngine(entry.first);
+        }
+        return missing;
+    });
+}
+
+PhaseWork RoleScope::newArrivals(const ScopeEngine &engine)
+{
+    const TokenUsage total = engine.link->arrived();
+    const auto [found, isNew] = arrivals_.try_emplace(engine.endpoint.id, Arrivals {engine.link->incarnation(), total});
+    Arrivals &last = found->second;
+    if (isNew || last.incarnation != engine.link->incarnation()) {
+        last = {engine.link->incarnation(), total};
+        return {};
+    }
+    const PhaseWork work {total.prompt - last.total.prompt, total.output - last.total.output};
+    last.total = total;
+    return work;
+}
+
+PhaseWork RoleScope::waitingWork(const ScopeEngine &engine)
+{
+    const std::optional<QueueLoad> &load = engine.link->load();
+    const TokenUsage arrived = engine.link->arrived();
+    const std::int64_t all = arrived.prompt.count() + arrived.output.count();
+    if (!load || all == 0) {
+        return {};
+    }
+    // The load report has one sum of waiting tokens; it is divided in the ratio of all tokens that arrived.
+    const auto waiting = static_cast<double>(load->waitingTokens.count());
+    const auto prompt = static_cast<std::int64_t>(waiting * static_cast<double>(arrived.prompt.count()) / static_cast<double>(all));
+    return {Tokens(prompt), load->waitingTokens - Tokens(prompt)};
+}
+
+std::vector<LeaseScope> scopesOf(const Configuration &configuration, const RegionId &region)
+{
+    std::set<LeaseScope> scopes;
+    for (const Endpoint &endpoint : configuration.endpoints) {
+        if (endpoint.kind == EndpointKind::Engine && endpoint.region == region) {
+            for (const ModelId &model : endpoint.models) {
+                scopes.insert(scopeId(model, region));
+            }
+        }
+    }
+    return {scopes.begin(), scopes.end()};
+}
+
+bool isInScope(const Endpoint &endpoint, const LeaseScope &scope)
+{
+    return endpoint.kind == EndpointKind::Engine && std::ranges::any_of(endpoint.models, [&](const ModelId &model) {
+               return scopeId(model, endpoint.region) == scope;
+           });
+}
+
+} // namespace mimosatally::internal
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -38,6 +38,10 @@
   reportAgeMs @10 :UInt32;
   # Age of the endpoint's own last report.
   customerServed @11 :List(CustomerServed);
+  arrivedPromptTokens @12 :Int64;
+  # Prompt tokens of all requests that were queued since the start of the incarnation.
+  arrivedOutputTokens @13 :Int64;
+  # Expected output tokens of the same requests.
 }
 
 struct CustomerServed {
