--- a/include/mimosatally/rpc/promisebridge.h
+++ b/include/mimosatally/rpc/promisebridge.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include <mimosatally/core/error.h>
+#include <mimosatally/core/invariant.h>
 #include <mimosatally/core/milliclock.h>
 
 namespace mimosatally
@@ -109,7 +110,8 @@
         std::rethrow_exception(completion->error);
     }
     if constexpr (!std::is_void_v<T>) {
-        co_return std::move(*completion->value);
+        invariant(completion->value.has_value(), "a completion has a value or an error");
+        co_return std::move(completion->value).value();
     }
 }
 
--- a/src/entry/rolecontroller.cpp
+++ b/src/entry/rolecontroller.cpp
@@ -81,7 +81,7 @@
         for (const auto &[id, scope] : std::map(scopes_)) {
             co_await perform(*scope, std::exchange(actions_[id], {}));
             if (current) {
-                startChange(*scope, MilliClock::now());
+                plan(*scope, MilliClock::now());
             }
         }
     }
@@ -134,8 +134,8 @@
         }
     } catch (const UnreachableError &) {
         // Leases that cannot be renewed expire by the holder's own clock.
+        co_return false;
     }
-    co_return false;
 }
 
 awaitable<void> RoleController::perform(RoleScope &scope, std::vector<LeaseAction> actions)
@@ -158,48 +158,59 @@
             payloads.push_back(std::move(action.payload));
             co_await entry_.log.append(AUTHORITY_STREAM, std::move(payloads), LOG_TIMEOUT);
         } catch (const UnreachableError &) {
-            // The record is seen in the stream or it is not; LeaseHolder needs no answer.
+            // The record is seen in the stream or it is not, so LeaseHolder needs no answer.
+            entry_.metrics.increment("mimosatally_lease_append_failures_total");
         }
     }
 }
 
-void RoleController::startChange(RoleScope &scope, Time now)
+std::vector<ScopeEngine> RoleController::enginesOf(const LeaseScope &scope, Time now) const
 {
-    const std::optional<Epoch> epoch = scope.lease().epoch(now);
-    if (!epoch || scope.isChanging()) {
-        return;
-    }
     std::vector<ScopeEngine> engines;
-    const ConfigurationState &state = entry_.configuration.state();
-    for (const Endpoint &endpoint : state.configuration.endpoints) {
+    for (const Endpoint &endpoint : entry_.configuration.state().configuration.endpoints) {
         const std::shared_ptr<AgentLink> link = entry_.fleet.find(endpoint.id);
-        if (link != nullptr && isInScope(endpoint, scope.id())) {
+        if (link != nullptr && isInScope(endpoint, scope)) {
             const bool usable = entry_.directory.availability(endpoint.id, now) == EndpointAvailability::Usable;
             engines.push_back({endpoint, link, usable && link->load().has_value()});
         }
     }
-    const std::optional<RoleChange> change = scope.plan(engines, state.configuration.rolePolicy, now);
-    const std::shared_ptr<AgentLink> link = change ? entry_.fleet.find(change->engine) : nullptr;
+    return engines;
+}
+
+void RoleController::plan(RoleScope &scope, Time now)
+{
+    const std::optional<Epoch> epoch = scope.lease().epoch(now);
+    if (!epoch || scope.isChanging()) {
+        return;
+    }
+    if (const auto change = scope.plan(enginesOf(scope.id(), now), entry_.configuration.state().configuration.rolePolicy, now)) {
+        start(scope, *change, *epoch);
+    }
+}
+
+void RoleController::start(RoleScope &scope, const RoleChange &change, Epoch epoch)
+{
+    const std::shared_ptr<AgentLink> link = entry_.fleet.find(change.engine);
     if (link == nullptr || !link->isConnected()) {
         return;
     }
     Order order;
     order.id = OrderId(newUniqueId());
     order.kind = OrderKind::ChangeRole;
-    order.argument = toString(change->role);
+    order.argument = toString(change.role);
     order.scope = scope.id();
-    order.epoch = *epoch;
+    order.epoch = epoch;
     order.agentIncarnation = link->incarnation();
     order.lifetime = ORDER_LIFETIME;
     logEvent(LogEvent::RoleChangePlanned,
              {{"scope", scope.id()},
-              {"endpoint", change->engine},
+              {"endpoint", change.engine},
               {"role", order.argument},
-              {"reason", change->reason},
-              {"epoch", *epoch},
-              {"gain_ms", toMilliseconds(change->figures.gain)},
-              {"price_ms", toMilliseconds(change->figures.price)},
-              {"configuration", state.version}});
+              {"reason", change.reason},
+              {"epoch", epoch},
+              {"gain_ms", toMilliseconds(change.figures.gain)},
+              {"price_ms", toMilliseconds(change.figures.price)},
+              {"configuration", entry_.configuration.state().version}});
     scope.setChanging(true);
     boost::asio::co_spawn(entry_.io, changeRole(entry_, scopes_.at(scope.id()), link, std::move(order)), boost::asio::detached);
 }
--- a/src/entry/rolecontroller.h
+++ b/src/entry/rolecontroller.h
@@ -26,7 +26,10 @@
     void tick(Time now);
     boost::asio::awaitable<bool> readAuthority();
     boost::asio::awaitable<void> perform(RoleScope &scope, std::vector<LeaseAction> actions);
-    void startChange(RoleScope &scope, Time now);
+    [[nodiscard]] std::vector<ScopeEngine> enginesOf(const LeaseScope &scope, Time now) const;
+    /// \brief Plans and starts a role change if the lease of the scope is held.
+    void plan(RoleScope &scope, Time now);
+    void start(RoleScope &scope, const RoleChange &change, Epoch epoch);
 
     EntryState &entry_;
     std::map<LeaseScope, std::shared_ptr<RoleScope>> scopes_;
--- a/src/entry/rolescope.cpp
+++ b/src/entry/rolescope.cpp
@@ -76,7 +76,7 @@
         status.available = engine.available;
         status.prefillTokensPerSecond = engine.endpoint.prefillTokensPerSecond;
         status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
-        status.runningRequests = engine.link->load() ? engine.link->load()->runningRequests : 0;
+        status.runningRequests = engine.link->load().value_or(QueueLoad()).runningRequests;
         planner_->reportEngine(status, now);
         const PhaseWork arrived = newArrivals(engine);
         const PhaseWork waiting = waitingWork(engine);
