--- a/src/agent/agentinterface.cpp
+++ b/src/agent/agentinterface.cpp
@@ -53,6 +53,15 @@
     return configuration_.recordsFor(peerVersion);
 }
 
+namespace
+{
+void describe(schema::PhaseWork::Builder message, const PhaseWork &work)
+{
+    message.setPromptTokens(work.uncachedPrompt.count());
+    message.setOutputTokens(work.output.count());
+}
+} // namespace
+
 void AgentNode::describe(schema::Peer::Builder peer) const
 {
     peer.setProcess(settings_.process.value());
@@ -69,9 +78,8 @@
     load.setRunningRequests(static_cast<std::uint32_t>(queue.runningRequests));
     load.setWaitingTokens(queue.waitingTokens.count());
     load.setRunningTokens(queue.runningTokens.count());
-    const TokenUsage arrived = queue_.arrived();
-    load.setArrivedPromptTokens(arrived.prompt.count());
-    load.setArrivedOutputTokens(arrived.output.count());
+    internal::describe(load.initArrivedPrefillHeavy(), queue_.arrived().prefillHeavy);
+    internal::describe(load.initArrivedDecodeHeavy(), queue_.arrived().decodeHeavy);
     load.setPrefillTokensPerSecond(report_.prefillTokensPerSecond);
     load.setDecodeTokensPerSecond(report_.decodeTokensPerSecond);
     load.setFreeCacheBlocks(report_.freeCacheBlocks);
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -91,8 +91,7 @@
     decisions_.add(DecisionKind::Queued, request->id, request->customer, now, inputs);
     requests_.emplace(request->id, request);
     bytes_ += request->body.size();
-    arrived_.prompt += request->expected.prompt;
-    arrived_.output += request->expected.output;
+    arrived_.add({request->expected.prompt, request->expected.output}, capacity_.prefillTokensPerSecond, capacity_.decodeTokensPerSecond);
     request->state = RequestState::Waiting;
     if (onQueued_) {
         onQueued_(request->startDeadline);
@@ -212,7 +211,7 @@
     return scheduler_ ? scheduler_->load() : QueueLoad();
 }
 
-TokenUsage RequestQueue::arrived() const
+const DemandReport &RequestQueue::arrived() const
 {
     return arrived_;
 }
--- a/src/agent/requestqueue.h
+++ b/src/agent/requestqueue.h
@@ -4,6 +4,7 @@
 #include "agentrequest.h"
 
 #include <mimosatally/Config>
+#include <mimosatally/Placement>
 #include <mimosatally/Queueing>
 
 #include <functional>
@@ -63,8 +64,8 @@
 
     [[nodiscard]] QueueLoad load() const;
 
-    /// \brief Expected tokens of all requests that were queued since the start of the process.
-    [[nodiscard]] TokenUsage arrived() const;
+    /// \brief Expected work of all requests that were queued since the start of the process.
+    [[nodiscard]] const DemandReport &arrived() const;
 
     [[nodiscard]] std::vector<CustomerService> service() const;
     [[nodiscard]] std::optional<Time> nextDeadline() const;
@@ -89,7 +90,7 @@
     std::optional<EndpointCapacity> pendingCapacity_;
     std::unordered_map<RequestId, Request> requests_;
     std::size_t bytes_ = 0;
-    TokenUsage arrived_;
+    DemandReport arrived_;
     std::size_t running_ = 0;
     bool paused_ = false;
     std::function<void(Time)> onQueued_;
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -23,6 +23,11 @@
     return role == "decode" ? EngineRole::Decode : EngineRole::Mixed;
 }
 
+PhaseWork readWork(schema::PhaseWork::Reader message)
+{
+    return {Tokens(message.getPromptTokens()), Tokens(message.getOutputTokens())};
+}
+
 std::vector<ConfigurationRecord> readRecords(capnp::List<schema::StreamRecord>::Reader list)
 {
     std::vector<ConfigurationRecord> records;
@@ -159,7 +164,7 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
-    arrived_ = {Tokens(load.getArrivedPromptTokens()), Tokens(load.getArrivedOutputTokens())};
+    arrived_ = {readWork(load.getArrivedPrefillHeavy()), readWork(load.getArrivedDecodeHeavy())};
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
@@ -208,7 +213,7 @@
     endpoint_ = std::move(endpoint);
 }
 
-TokenUsage AgentLink::arrived() const
+const DemandReport &AgentLink::arrived() const
 {
     return arrived_;
 }
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -3,6 +3,7 @@
 #include "mimosatally.capnp.h"
 
 #include <mimosatally/Config>
+#include <mimosatally/Placement>
 #include <mimosatally/Queueing>
 #include <mimosatally/Rpc>
 #include <mimosatally/Supervision>
@@ -43,8 +44,8 @@
     [[nodiscard]] const Endpoint &endpoint() const;
     void setEndpoint(Endpoint endpoint);
 
-    /// \brief Tokens that arrived at the connected incarnation since its start.
-    [[nodiscard]] TokenUsage arrived() const;
+    /// \brief Work that arrived at the connected incarnation since its start.
+    [[nodiscard]] const DemandReport &arrived() const;
 
     /// \brief Last reported load, for the status page.
     [[nodiscard]] const std::optional<QueueLoad> &load() const;
@@ -67,7 +68,7 @@
     IncarnationId incarnation_;
     ConfigurationVersion peerVersion_ = ConfigurationVersion(-1);
     std::optional<QueueLoad> load_;
-    TokenUsage arrived_;
+    DemandReport arrived_;
     std::string role_;
 };
 
--- a/src/entry/rolescope.cpp
+++ b/src/entry/rolescope.cpp
@@ -26,6 +26,17 @@
     }
     return role == "mixed" ? EngineRole::Mixed : fallback;
 }
+
+PhaseWork difference(const PhaseWork &now, const PhaseWork &before)
+{
+    return {now.uncachedPrompt - before.uncachedPrompt, now.output - before.output};
+}
+
+void increase(PhaseWork &sum, const PhaseWork &work)
+{
+    sum.uncachedPrompt += work.uncachedPrompt;
+    sum.output += work.output;
+}
 } // namespace
 
 RoleScope::RoleScope(LeaseScope id, ProcessId process, IncarnationId incarnation)
@@ -78,12 +89,9 @@
         status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
         status.runningRequests = engine.link->load().value_or(QueueLoad()).runningRequests;
         planner_->reportEngine(status, now);
-        const PhaseWork arrived = newArrivals(engine);
-        const PhaseWork waiting = waitingWork(engine);
-        demand.arrived.uncachedPrompt += arrived.uncachedPrompt;
-        demand.arrived.output += arrived.output;
-        demand.waiting.uncachedPrompt += waiting.uncachedPrompt;
-        demand.waiting.output += waiting.output;
+        const DemandReport arrived = newArrivals(engine);
+        increase(demand.prefillHeavy, arrived.prefillHeavy);
+        increase(demand.decodeHeavy, arrived.decodeHeavy);
     }
     planner_->reportDemand(demand, now);
     return planner_->plan(now);
@@ -102,32 +110,18 @@
     });
 }
 
-PhaseWork RoleScope::newArrivals(const ScopeEngine &engine)
+DemandReport RoleScope::newArrivals(const ScopeEngine &engine)
 {
-    const TokenUsage total = engine.link->arrived();
+    const DemandReport &total = engine.link->arrived();
     const auto [found, isNew] = arrivals_.try_emplace(engine.endpoint.id, Arrivals {engine.link->incarnation(), total});
     Arrivals &last = found->second;
     if (isNew || last.incarnation != engine.link->incarnation()) {
         last = {engine.link->incarnation(), total};
         return {};
     }
-    const PhaseWork work {total.prompt - last.total.prompt, total.output - last.total.output};
+    const DemandReport arrived {difference(total.prefillHeavy, last.total.prefillHeavy), difference(total.decodeHeavy, last.total.decodeHeavy)};
     last.total = total;
-    return work;
-}
-
-PhaseWork RoleScope::waitingWork(const ScopeEngine &engine)
-{
-    const std::optional<QueueLoad> &load = engine.link->load();
-    const TokenUsage arrived = engine.link->arrived();
-    const std::int64_t all = arrived.prompt.count() + arrived.output.count();
-    if (!load || all == 0) {
-        return {};
-    }
-    // The load report has one sum of waiting tokens; it is divided in the ratio of all tokens that arrived.
-    const auto waiting = static_cast<double>(load->waitingTokens.count());
-    const auto prompt = static_cast<std::int64_t>(waiting * static_cast<double>(arrived.prompt.count()) / static_cast<double>(all));
-    return {Tokens(prompt), load->waitingTokens - Tokens(prompt)};
+    return arrived;
 }
 
 std::vector<LeaseScope> scopesOf(const Configuration &configuration, const RegionId &region)
--- a/src/entry/rolescope.h
+++ b/src/entry/rolescope.h
@@ -43,12 +43,11 @@
     /// \brief Tokens that had arrived at one incarnation when it was last observed.
     struct Arrivals {
         IncarnationId incarnation;
-        TokenUsage total;
+        DemandReport total;
     };
 
     void removeMissing(const std::vector<ScopeEngine> &engines);
-    [[nodiscard]] PhaseWork newArrivals(const ScopeEngine &engine);
-    [[nodiscard]] static PhaseWork waitingWork(const ScopeEngine &engine);
+    [[nodiscard]] DemandReport newArrivals(const ScopeEngine &engine);
 
     LeaseScope id_;
     LeaseHolder lease_;
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -38,10 +38,16 @@
   reportAgeMs @10 :UInt32;
   # Age of the endpoint's own last report.
   customerServed @11 :List(CustomerServed);
-  arrivedPromptTokens @12 :Int64;
-  # Prompt tokens of all requests that were queued since the start of the incarnation.
-  arrivedOutputTokens @13 :Int64;
-  # Expected output tokens of the same requests.
+  arrivedPrefillHeavy @12 :PhaseWork;
+  # Sum over the requests that were queued since the start of the incarnation and need more time for prefill than for decode.
+  arrivedDecodeHeavy @13 :PhaseWork;
+  # The same for all other requests.
+}
+
+struct PhaseWork {
+  promptTokens @0 :Int64;
+  outputTokens @1 :Int64;
+  # Expected when the request was queued.
 }
 
 struct CustomerServed {
