--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -39,7 +39,7 @@
 {
 public:
     /// \brief Bound on the memory for one answer that is held back.
-    static constexpr std::size_t HELD_ANSWER_BYTES = 1024 * 1024;
+    static constexpr std::size_t HELD_ANSWER_BYTES = std::size_t(1024) * 1024;
 
     /// \brief Sets the headers of the answer that all answers have.
     using HeaderSetter = std::function<void(HttpResponse &)>;
--- a/src/entry/callreader.cpp
+++ b/src/entry/callreader.cpp
@@ -213,7 +213,9 @@
     std::vector<std::uint64_t> hashes;
     std::string previous = model.value();
     for (std::size_t start = 0; blockBytes > 0 && start + blockBytes <= prompt.size(); start += blockBytes) {
-        previous = sha256Hex(previous + '\n' + std::string(prompt.substr(start, blockBytes)));
+        previous += '\n';
+        previous += prompt.substr(start, blockBytes);
+        previous = sha256Hex(previous);
         hashes.push_back(std::stoull(previous.substr(0, hashDigits), nullptr, hexadecimal));
     }
     return hashes;
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -26,6 +26,19 @@
     return end;
 }
 
+CancelWord readWord(schema::CancelWord word)
+{
+    switch (word) {
+    case schema::CancelWord::NEVER_STARTED:
+        return CancelWord::NeverStarted;
+    case schema::CancelWord::STARTED:
+        return CancelWord::Started;
+    case schema::CancelWord::FINISHED:
+        return CancelWord::Finished;
+    }
+    return CancelWord::Started;
+}
+
 /// \brief Waits for \a promise; a failure is returned as its text.
 template<class Response>
 awaitable<std::optional<Response>> awaitOrFailure(boost::asio::io_context &io, kj::Promise<Response> promise, std::string &failure)
@@ -92,14 +105,14 @@
 {
     entry_.retries.recordRequest(call_.customer, MilliClock::now());
     while (true) {
-        const std::optional<RouteDecision> decision = route();
-        if (!decision) {
+        const std::optional<ChosenRoute> chosen = route();
+        if (!chosen) {
             co_await refuse(refusal_);
             co_return;
         }
-        const AttemptEnd end = co_await attempt(*decision, std::nullopt);
+        const AttemptEnd end = co_await attempt(*chosen, std::nullopt);
         if (end.kind == AttemptEnd::Kind::Answered) {
-            co_await finishAnswer(*decision->endpoint, end);
+            co_await finishAnswer(chosen->endpoint, end);
             co_return;
         }
         if (end.kind == AttemptEnd::Kind::CallerGone) {
@@ -113,37 +126,36 @@
     }
 }
 
-std::optional<RouteDecision> CallRunner::route()
+std::optional<ChosenRoute> CallRunner::route()
 {
     while (true) {
         RouteDecision decision = entry_.router.choose(routeRequest(), MilliClock::now());
         if (!decision.endpoint) {
-            refusal_ = mayHaveRun_ ? refusedOutcomeUnknown(status::OUTCOME_UNKNOWN, "endpoint-lost") : refusedNotRun(decision.reason, decision.retryAfter);
+            refusal_ = refusalWithoutRoute(decision);
             return std::nullopt;
         }
-        const std::shared_ptr<AgentLink> link = entry_.fleet.find(*decision.endpoint);
+        EndpointId endpoint = *decision.endpoint;
+        const std::shared_ptr<AgentLink> link = entry_.fleet.find(endpoint);
         if (link && link->isConnected()) {
-            return decision;
+            return ChosenRoute {std::move(decision), std::move(endpoint), link};
         }
-        tried_.push_back(*decision.endpoint);
-        entry_.fleet.refreshAvailability(*decision.endpoint);
+        tried_.push_back(endpoint);
+        entry_.fleet.refreshAvailability(endpoint);
     }
 }
 
-awaitable<AttemptEnd> CallRunner::attempt(const RouteDecision &decision, std::optional<ClaimRight> right)
+awaitable<AttemptEnd> CallRunner::attempt(const ChosenRoute &chosen, std::optional<ClaimRight> right)
 {
-    // The link stays alive when the configuration drops the endpoint during the call.
-    const std::shared_ptr<AgentLink> link = entry_.fleet.find(*decision.endpoint);
-    if (!link || !link->isConnected()) {
+    if (!chosen.link->isConnected()) {
         co_return endOf(AttemptEnd::Kind::NotRun, "not-connected");
     }
-    const IncarnationId incarnation = link->incarnation();
-    receipt_ = entry_.decisions.routed(call_, decision, incarnation, ++attempts_);
-    entry_.router.recordDispatch(*decision.endpoint, routeRequest(), MilliClock::now());
+    const IncarnationId incarnation = chosen.link->incarnation();
+    receipt_ = entry_.decisions.routed(call_, chosen.decision, incarnation, ++attempts_);
+    entry_.router.recordDispatch(chosen.endpoint, routeRequest(), MilliClock::now());
     AttemptEnd end;
     std::exception_ptr failure;
     try {
-        end = co_await submit(*link, right, relay_->startAttempt());
+        end = co_await submit(*chosen.link, right, relay_->startAttempt());
     } catch (const std::exception &) {
         failure = std::current_exception();
     }
@@ -152,7 +164,7 @@
     if (failure) {
         std::rethrow_exception(failure);
     }
-    noteEnd(decision, incarnation, end);
+    noteEnd(chosen.endpoint, incarnation, end);
     co_return end;
 }
 
@@ -165,7 +177,7 @@
     request.setSink(kj::heap<AnswerSink>(entry_.io, relay_, relayAttempt));
     kj::Promise<SubmitResponse> sent = request.send();
     std::string failure;
-    std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenGone()), failure);
+    const std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenGone()), failure);
     if (call_.mayRepeat && (watch_->isGone() || relay_->isCallerGone())) {
         co_await cancelAtAgent(agent, incarnation);
         co_return endOf(AttemptEnd::Kind::CallerGone, "caller-gone");
@@ -232,7 +244,7 @@
     request.setAttempt(static_cast<unsigned>(attempts_));
 }
 
-void CallRunner::noteEnd(const RouteDecision &decision, const IncarnationId &incarnation, const AttemptEnd &end)
+void CallRunner::noteEnd(const EndpointId &endpoint, const IncarnationId &incarnation, const AttemptEnd &end)
 {
     constexpr unsigned firstServerError = 500;
     AttemptResult result = AttemptResult::Failed;
@@ -242,11 +254,11 @@
         result = AttemptResult::Answered;
     }
     if (end.kind == AttemptEnd::Kind::NotRun && end.reason == toString(RefusalReason::Leaving)) {
-        entry_.directory.observeLeaving(*decision.endpoint, incarnation);
-        entry_.fleet.refreshAvailability(*decision.endpoint);
+        entry_.directory.observeLeaving(endpoint, incarnation);
+        entry_.fleet.refreshAvailability(endpoint);
     }
-    entry_.router.recordResult(*decision.endpoint, call_.id, result, end.usage.output, MilliClock::now());
-    tried_.push_back(*decision.endpoint);
+    entry_.router.recordResult(endpoint, call_.id, result, end.usage.output, MilliClock::now());
+    tried_.push_back(endpoint);
     mayHaveRun_ = mayHaveRun_ || end.kind == AttemptEnd::Kind::Lost;
 }
 
@@ -263,6 +275,15 @@
     return true;
 }
 
+CallRefusal CallRunner::refusalWithoutRoute(const RouteDecision &decision) const
+{
+    // After an attempt its own refusal says more than the lack of a further endpoint.
+    if (attempts_ > 0) {
+        return refusal_;
+    }
+    return refusedNotRun(decision.reason, decision.retryAfter);
+}
+
 CallRefusal CallRunner::refusalAfter(const AttemptEnd &end) const
 {
     if (!mayHaveRun_) {
@@ -313,11 +334,10 @@
     CancelWord word = CancelWord::Started;
     try {
         const CancelResponse response = co_await awaitPromise(entry_.io, kj::Promise<CancelResponse>(request.send()), CANCEL_TIMEOUT);
-        word = response.getWord() == schema::CancelWord::NEVER_STARTED ? CancelWord::NeverStarted
-               : response.getWord() == schema::CancelWord::STARTED     ? CancelWord::Started
-                                                                       : CancelWord::Finished;
+        word = readWord(response.getWord());
     } catch (const Error &) {
         // The agent cancels by itself when the connection ends; the record keeps the weakest word.
+        word = CancelWord::Started;
     }
     entry_.decisions.cancelled(call_, word);
 }
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -30,6 +30,13 @@
     TokenUsage usage;
 };
 
+/// \brief Endpoint that was chosen for an attempt. The link stays alive when the configuration drops the endpoint.
+struct ChosenRoute {
+    RouteDecision decision;
+    EndpointId endpoint;
+    std::shared_ptr<AgentLink> link;
+};
+
 /// \brief Right to run a call that may not be repeated.
 struct ClaimRight {
     int partition = 0;
@@ -66,19 +73,20 @@
 
     boost::asio::awaitable<void> runRepeatable();
     boost::asio::awaitable<void> runClaimed();
-    boost::asio::awaitable<void> runWithClaim(RouteDecision decision, ClaimRecord record, ClaimResult claim);
+    boost::asio::awaitable<void> runWithClaim(ChosenRoute chosen, ClaimRecord record, ClaimResult claim);
     boost::asio::awaitable<void> followClaim(ClaimKey key, ClaimResult claim);
     boost::asio::awaitable<void> answerFromOutcome(const OutcomeRecord &outcome);
 
     /// \brief Chooses a connected endpoint. \return nothing if there is none; refusal_ says why.
-    std::optional<RouteDecision> route();
-    boost::asio::awaitable<AttemptEnd> attempt(const RouteDecision &decision, std::optional<ClaimRight> right);
+    std::optional<ChosenRoute> route();
+    boost::asio::awaitable<AttemptEnd> attempt(const ChosenRoute &chosen, std::optional<ClaimRight> right);
     boost::asio::awaitable<AttemptEnd> submit(AgentLink &link, std::optional<ClaimRight> right, int relayAttempt);
     boost::asio::awaitable<AttemptEnd> readOutcome(schema::Outcome::Reader outcome);
     void fillRequest(schema::Request::Builder request, const AgentLink &link, std::optional<ClaimRight> right) const;
-    void noteEnd(const RouteDecision &decision, const IncarnationId &incarnation, const AttemptEnd &end);
+    void noteEnd(const EndpointId &endpoint, const IncarnationId &incarnation, const AttemptEnd &end);
     /// \brief Whether another attempt is allowed after \a end; if not, refusal_ is set.
     bool mayTryAgain(const AttemptEnd &end);
+    [[nodiscard]] CallRefusal refusalWithoutRoute(const RouteDecision &decision) const;
     [[nodiscard]] CallRefusal refusalAfter(const AttemptEnd &end) const;
 
     boost::asio::awaitable<void> finishAnswer(const EndpointId &endpoint, const AttemptEnd &end);
--- a/src/entry/claimedcall.cpp
+++ b/src/entry/claimedcall.cpp
@@ -43,8 +43,8 @@
         co_await refuse(refusedNotRun("configuration-unconfirmed", RETRY_WITHOUT_CLAIMS));
         co_return;
     }
-    const std::optional<RouteDecision> decision = route();
-    if (!decision) {
+    const std::optional<ChosenRoute> chosen = route();
+    if (!chosen) {
         co_await refuse(refusal_);
         co_return;
     }
@@ -52,14 +52,14 @@
     record.id = RecordId(newUniqueId());
     record.key = {call_.customer, call_.idempotencyKey};
     record.bodyHash = sha256Hex(call_.method + '\n' + std::string(exchange_.request().target()) + '\n' + call_.body);
-    record.endpoint = *decision->endpoint;
-    record.agentIncarnation = entry_.fleet.find(*decision->endpoint)->incarnation();
+    record.endpoint = chosen->endpoint;
+    record.agentIncarnation = chosen->link->incarnation();
     record.entry = entry_.settings.process;
     record.timeMs = wallClockMs();
     const ClaimResult claim = co_await entry_.claims.claim(record, call_.startDeadline);
     switch (claim.kind) {
     case ClaimResult::Kind::Won:
-        co_await runWithClaim(*decision, record, claim);
+        co_await runWithClaim(*chosen, record, claim);
         break;
     case ClaimResult::Kind::Lost:
         co_await followClaim(record.key, claim);
@@ -74,17 +74,16 @@
 }
 
 /// Submits at most once: the agent's answer, whatever it is, ends the call.
-awaitable<void> CallRunner::runWithClaim(RouteDecision decision, ClaimRecord record, ClaimResult claim)
+awaitable<void> CallRunner::runWithClaim(ChosenRoute chosen, ClaimRecord record, ClaimResult claim)
 {
-    const std::shared_ptr<AgentLink> link = entry_.fleet.find(record.endpoint);
-    if (!link || link->incarnation() != record.agentIncarnation) {
+    if (chosen.link->incarnation() != record.agentIncarnation) {
         entry_.claims.voidClaim(record);
         co_await refuse(refusedNotRun("endpoint-changed", RETRY_SOON));
         co_return;
     }
     relay_->ignoreLostCaller();
     const ClaimRight right {claim.partition, claim.claim};
-    const AttemptEnd end = co_await attempt(decision, right);
+    const AttemptEnd end = co_await attempt(chosen, right);
     if (end.kind == AttemptEnd::Kind::Answered) {
         co_await finishAnswer(record.endpoint, end);
         co_return;
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -18,7 +18,7 @@
 {
 
 /// \brief Longer messages between entry and agent end their connection; above the largest request body.
-constexpr std::size_t MAX_RPC_MESSAGE_BYTES = 64 * 1024 * 1024;
+constexpr std::size_t MAX_RPC_MESSAGE_BYTES = std::size_t(64) * 1024 * 1024;
 
 /// \brief What the parts of one entry process share; all of it is used from one thread.
 struct EntryState {
--- a/src/entry/statuspage.cpp
+++ b/src/entry/statuspage.cpp
@@ -39,11 +39,11 @@
     }
     status["incarnation"] = link->incarnation().value();
     status["role"] = link->role().empty() ? std::string(roleName(endpoint.role)) : link->role();
-    if (link->load()) {
-        status["waiting_requests"] = link->load()->waitingRequests;
-        status["running_requests"] = link->load()->runningRequests;
-        status["waiting_tokens"] = link->load()->waitingTokens.count();
-        status["running_tokens"] = link->load()->runningTokens.count();
+    if (const std::optional<QueueLoad> load = link->load()) {
+        status["waiting_requests"] = load->waitingRequests;
+        status["running_requests"] = load->runningRequests;
+        status["waiting_tokens"] = load->waitingTokens.count();
+        status["running_tokens"] = load->runningTokens.count();
     }
     return status;
 }
--- a/tests/process/answerstest.cpp
+++ b/tests/process/answerstest.cpp
@@ -1,24 +1,12 @@
 #include <catch2/catch.hpp>
 
+#include "process/requests.h"
 #include "process/testfleet.h"
 
 using namespace mimosatally;
 using namespace mimosatally::test;
 using nlohmann::json;
 
-namespace
-{
-json completion(const std::string &prompt, int maxTokens)
-{
-    return {{"model", "model-a"}, {"prompt", prompt}, {"max_tokens", maxTokens}};
-}
-
-json chat(const std::string &text, int maxTokens, bool stream)
-{
-    return {{"model", "model-a"}, {"messages", json::array({{{"role", "user"}, {"content", text}}})}, {"max_tokens", maxTokens}, {"stream", stream}};
-}
-} // namespace
-
 TEST_CASE("Plain and streamed answers arrive whole with their headers", "[entry]")
 {
     TestFleet fleet;
@@ -44,4 +32,46 @@
     const HttpResponse models = get(entry, "/v1/models", "key-parkland");
     CHECK(jsonOf(models).at("data").at(0).at("id") == "model-a");
     CHECK(get(entry, "/metrics").body().find("mimosatally_answered_total") != std::string::npos);
+    const json customers = fleet.status("entry-1").at("customers");
+    CHECK(customers.at(0).at("answered") == 3);
+}
+
+// Guards against refusals that a client library cannot read, and against requests that reach an engine all the same.
+TEST_CASE("Bad requests get a refusal of the documented form", "[entry]")
+{
+    TestFleet fleet;
+    fleet.addEngine("engine-1");
+    fleet.addCustomer("parkland", "60%", "5s");
+    fleet.publish();
+    fleet.startAgent("engine-1");
+    fleet.startEntry("entry-1");
+    const std::string &entry = fleet.entryAddress("entry-1");
+    const auto refuse = [&](HttpRequest request, const std::string &key, unsigned status, const std::string &code) {
+        const HttpResponse response = call(entry, authorized(std::move(request), key));
+        INFO(response.body());
+        CHECK(response.result_int() == status);
+        const json body = jsonOf(response);
+        CHECK(body.at("error").at("code") == code);
+        CHECK(body.at("mimosatally").at("outcome") == "not_run");
+        CHECK(body.at("mimosatally").at("request") == headerValue(response, "X-Request-Id"));
+        CHECK(headerValue(response, "X-Mimosatally-Receipt").starts_with("entry-1/"));
+    };
+    const std::string key = "key-parkland";
+    refuse(jsonPost("/v1/completions", completion("x", 1)), "key-unknown", 401, "unknown-key");
+    refuse(makeHttpRequest(http::verb::post, "/v1/completions", "application/json", "{\"model\":"), key, 400, "malformed");
+    refuse(jsonPost("/v1/completions", json::array()), key, 400, "malformed");
+    refuse(jsonPost("/v1/completions", {{"model", 3}, {"prompt", "x"}}), key, 400, "malformed");
+    refuse(jsonPost("/v1/completions", {{"model", "model-a"}, {"prompt", 3}}), key, 400, "malformed");
+    refuse(jsonPost("/v1/completions", {{"model", "model-a"}, {"prompt", "x"}, {"max_tokens", -1}}), key, 400, "malformed");
+    refuse(jsonPost("/v1/chat/completions", {{"model", "model-a"}, {"messages", json::array({3})}}), key, 400, "malformed");
+    refuse(jsonPost("/v1/completions", {{"model", "model-z"}, {"prompt", "x"}}), key, 404, "unknown-model");
+    refuse(jsonPost("/services/nothing/x", json::object()), key, 404, "unknown-service");
+    refuse(jsonPost("/services/tickets/settlements", json::object()), key, 422, "idempotency-key-missing");
+    refuse(makeHttpRequest(http::verb::get, "/v2/x"), key, 404, "unknown-path");
+    // The route to a service that no agent serves is refused at once, with the time to come back as a header too.
+    const HttpResponse response = call(entry, authorized(makeHttpRequest(http::verb::get, "/services/tickets/x"), key));
+    CHECK(response.result_int() == 503);
+    CHECK(jsonOf(response).at("mimosatally").contains("retry_after_ms"));
+    const json ledger = jsonOf(get(fleet.standinAddress("engine-1"), "/ledger"));
+    CHECK(ledger.at("requests").empty());
 }
