--- a/src/config/configurationcheck.cpp
+++ b/src/config/configurationcheck.cpp
@@ -2,6 +2,7 @@
 #include "percent.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace mimosatally::internal
 {
@@ -30,10 +31,9 @@
 {
     for (Item &item : items) {
         const ReportFinding report = [&](const std::string &key, const std::string &message) {
-            std::string text = '`' + list + '.' + key;
-            text += "` of \"" + (item.*id).value();
-            text += "\" " + message;
-            findings.add({file, 0}, std::move(text));
+            std::ostringstream text;
+            text << '`' << list << '.' << key << "` of \"" << item.*id << "\" " << message;
+            findings.add({file, 0}, text.str());
         };
         check.check(report, item);
     }
--- a/tests/standins/standin_instances.cpp
+++ b/tests/standins/standin_instances.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's lagging instance list.
 
-#include "standinprogram.h"
+#include "platformstandin.h"
 
 #include <deque>
 #include <nlohmann/json.hpp>
--- a/tests/standins/standin_log.cpp
+++ b/tests/standins/standin_log.cpp
@@ -1,7 +1,7 @@
 // Stand-in of the platform's append-only log service.
 
 #include "logstore.h"
-#include "standinprogram.h"
+#include "platformstandin.h"
 
 using namespace mimosatally;
 using namespace mimosatally::standins;
