AuditVerifier: check chains, replay the scheduler, compare chains

Each chain is checked for missing, altered and forked records; an agent's records are replayed on a Scheduler; contradictions between processes (refused as not run but dispatched, a claim dispatched twice) are findings.

--- a/src/audit/auditverifier.cpp
+++ b/src/audit/auditverifier.cpp
@@ -1,3 +1,6 @@
+#include "audit/crosscheck.h"
+#include "audit/schedulerreplay.h"
+
 #include <mimosatally/Audit>
 
 #include <nlohmann/json.hpp>
@@ -6,9 +9,36 @@
 namespace mimosatally
 {
 
+using internal::AuditChain;
+
 struct AuditVerifier::Impl {
+    using ChainId = std::pair<ProcessId, IncarnationId>;
+
     std::set<std::string> seenBatches;
-    AuditReport report;
+    std::map<ChainId, AuditChain> chains;
+    std::vector<Finding> malformed;
+
+    void addBatch(Offset offset, const nlohmann::json &batch)
+    {
+        if (!seenBatches.insert(batch.at("id").get<std::string>()).second) {
+            return;
+        }
+        const ChainId id(ProcessId(batch.at("process").get<std::string>()), IncarnationId(batch.at("incarnation").get<std::string>()));
+        AuditChain &chain = chains.try_emplace(id, id.first, id.second).first->second;
+        for (const auto &record : batch.at("records")) {
+            try {
+                chain.add(record);
+            } catch (const MalformedInputError &error) {
+                noteMalformed(offset, error.what());
+            }
+        }
+        chain.noteLastHash(batch.at("hash").get<std::string>());
+    }
+
+    void noteMalformed(Offset offset, const std::string &message)
+    {
+        malformed.push_back({{"audit offset " + std::to_string(offset.count())}, message});
+    }
 };
 
 AuditVerifier::AuditVerifier()
@@ -21,18 +51,38 @@
 void AuditVerifier::add(Offset offset, const std::string &payload)
 {
     try {
-        const auto batch = nlohmann::json::parse(payload);
-        if (impl_->seenBatches.insert(batch.at("id").get<std::string>()).second) {
-            impl_->report.records += batch.at("records").size();
-        }
+        impl_->addBatch(offset, nlohmann::json::parse(payload));
     } catch (const nlohmann::json::exception &error) {
-        impl_->report.findings.push_back({{"offset " + std::to_string(offset.count())}, std::string("malformed batch: ") + error.what()});
+        impl_->noteMalformed(offset, std::string("malformed batch: ") + error.what());
     }
 }
 
 AuditReport AuditVerifier::verify() const
 {
-    return impl_->report;
+    AuditReport report;
+    report.chains = impl_->chains.size();
+    report.findings = impl_->malformed;
+    internal::CrossCheck crossCheck;
+    for (const auto &[id, chain] : impl_->chains) {
+        report.records += chain.records().size();
+        chain.check(report);
+        if (chain.isAgent()) {
+            internal::SchedulerReplay(chain, report).run();
+        }
+        crossCheck.add(chain);
+    }
+    crossCheck.check(report);
+    return report;
+}
+
+bool AuditVerifier::holds(const Receipt &receipt) const
+{
+    const auto chain = impl_->chains.find({receipt.process, receipt.incarnation});
+    if (chain == impl_->chains.end()) {
+        return false;
+    }
+    const auto record = chain->second.records().find(receipt.sequence);
+    return record != chain->second.records().end() && record->second.hash == receipt.hash;
 }
 
 } // namespace mimosatally
