--- a/include/mimosatally/config/processsettings.h
+++ b/include/mimosatally/config/processsettings.h
@@ -60,7 +60,7 @@
     std::string endpointAddress;
     /// \brief Bounds on the requests that wait or run at the agent, and on the bytes of their bodies.
     std::size_t maxQueuedRequests = 4096;
-    std::size_t maxQueuedBytes = 8 * 1024 * 1024;
+    std::size_t maxQueuedBytes = std::size_t(8) * 1024 * 1024;
     /// \brief Bound on the lifetime of orders; the same for every process beside the endpoint.
     Duration longestOrderLifetime = Duration(30000);
 };
--- a/include/mimosatally/http/httpclient.h
+++ b/include/mimosatally/http/httpclient.h
@@ -31,7 +31,7 @@
 public:
     struct Options {
         Duration connectTimeout = Duration(1000);
-        std::size_t maxResponseBytes = 16 * 1024 * 1024;
+        std::size_t maxResponseBytes = std::size_t(16) * 1024 * 1024;
         std::size_t maxIdleConnections = 8;
     };
 
--- a/include/mimosatally/platform/auditshipper.h
+++ b/include/mimosatally/platform/auditshipper.h
@@ -23,7 +23,7 @@
 public:
     struct Options {
         Duration period = Duration(1000);
-        Bytes batchSize = Bytes(64 * 1024);
+        Bytes batchSize = Bytes(64LL * 1024);
         Duration appendTimeout = Duration(2000);
         Duration maxBackoff = Duration(10000);
     };
--- a/src/agent/agentnode.cpp
+++ b/src/agent/agentnode.cpp
@@ -16,9 +16,9 @@
 namespace
 {
 /// \brief Design page, section 5.4.
-constexpr Bytes AUDIT_BUFFER(16 * 1024 * 1024);
+constexpr Bytes AUDIT_BUFFER(16LL * 1024 * 1024);
 /// \brief Longer messages end their connection; above the largest request body that entries accept.
-constexpr std::size_t MAX_RPC_MESSAGE_BYTES = 16 * 1024 * 1024;
+constexpr std::size_t MAX_RPC_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
 /// \brief Connections to the endpoint that are kept for reuse.
 constexpr std::size_t MAX_ENDPOINT_CONNECTIONS = 64;
 constexpr Duration REPORT_PERIOD(500);
--- a/src/agent/dispatch.cpp
+++ b/src/agent/dispatch.cpp
@@ -10,7 +10,7 @@
 constexpr unsigned STATUS_TOO_MANY_REQUESTS = 429;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 /// \brief Answers up to this size are held back until their outcome is recorded; larger ones are passed on as they arrive.
-constexpr std::size_t MAX_HELD_BYTES = 1024 * 1024;
+constexpr std::size_t MAX_HELD_BYTES = std::size_t(1024) * 1024;
 constexpr Duration UNREACHABLE_RETRY_AFTER(1000);
 
 /// \brief Ends a request that was cancelled while its answer arrived.
--- a/src/agent/endpointclient.cpp
+++ b/src/agent/endpointclient.cpp
@@ -88,8 +88,8 @@
     try {
         const json body = {{"request", id.value()}};
         co_await control_.send(makeHttpRequest(http::verb::post, "/cancel", "application/json", body.dump()), CONTROL_TIMEOUT);
-    } catch (const UnreachableError &) {
-        // The request ends with the endpoint's connection.
+    } catch (const UnreachableError &error) {
+        logEvent(LogEvent::EndpointUnreachable, {{"request", id}, {"error", error.what()}});
     }
 }
 
--- a/src/agent/outcomeappender.cpp
+++ b/src/agent/outcomeappender.cpp
@@ -13,7 +13,7 @@
 constexpr Duration RETRY_TIMEOUT(2000);
 constexpr Duration RETRY_PAUSE(500);
 /// \brief Bound on kept records; at a few hundred bytes each this is several thousand outcomes.
-constexpr std::size_t MAX_PENDING_BYTES = 4 * 1024 * 1024;
+constexpr std::size_t MAX_PENDING_BYTES = std::size_t(4) * 1024 * 1024;
 
 /// \brief JSON text of the record, without the body if that is not valid UTF-8.
 std::string outcomeText(OutcomeRecord record)
@@ -46,12 +46,12 @@
     co_return appended;
 }
 
-awaitable<bool> OutcomeAppender::tryAppend(Pending record, Duration timeout)
+awaitable<bool> OutcomeAppender::tryAppend(const Pending &record, Duration timeout)
 {
     bool appended = false;
     try {
-        std::vector<std::string> payloads(1, std::move(record.payload));
-        co_await log_.append(std::move(record.stream), std::move(payloads), timeout);
+        std::vector<std::string> payloads(1, record.payload);
+        co_await log_.append(record.stream, std::move(payloads), timeout);
         appended = true;
     } catch (const Error &error) {
         logEvent(LogEvent::OutcomeAppendFailed, {{"error", error.what()}, {"pending", pending_.size()}});
--- a/src/agent/outcomeappender.h
+++ b/src/agent/outcomeappender.h
@@ -33,7 +33,7 @@
         std::string payload;
     };
 
-    boost::asio::awaitable<bool> tryAppend(Pending record, Duration timeout);
+    boost::asio::awaitable<bool> tryAppend(const Pending &record, Duration timeout);
     boost::asio::awaitable<bool> retryFirst();
     void keep(Pending record);
 
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -67,6 +67,14 @@
     }
 }
 
+Scheduler &RequestQueue::scheduler()
+{
+    if (!scheduler_) {
+        throw InvariantViolation("requests are queued under a configuration only");
+    }
+    return *scheduler_;
+}
+
 bool RequestQueue::isConfigured() const
 {
     return scheduler_.has_value();
@@ -75,12 +83,12 @@
 std::optional<RequestOutcome> RequestQueue::add(const Request &request, Time now)
 {
     if (requests_.size() >= limits_.maxRequests || bytes_ + request->body.size() > limits_.maxBytes) {
-        const RequestOutcome outcome = RequestOutcome::notRun("queue-full", FULL_RETRY_AFTER);
+        RequestOutcome outcome = RequestOutcome::notRun("queue-full", FULL_RETRY_AFTER);
         recordRefusal(*request, outcome, now);
         return outcome;
     }
     const QueuedRequest queued {request->id, request->customer, request->expected, request->startDeadline};
-    if (const auto refusal = scheduler_->enqueue(queued, now)) {
+    if (const auto refusal = scheduler().enqueue(queued, now)) {
         RefusedInputs inputs = refusedInputs(RefusalStage::Enqueue, *refusal);
         inputs.expected = request->expected;
         inputs.startDeadline = request->startDeadline;
@@ -128,30 +136,26 @@
     invariant(request != nullptr, "an expired request is known");
     const RefusedInputs inputs = refusedInputs(RefusalStage::Expire, refusal);
     decisions_.add(DecisionKind::Refused, request->id, request->customer, now, inputs);
-    request->refusal = RequestOutcome::notRun(inputs.reason, refusal.retryAfter);
-    request->refusal->queued = now - request->receivedAt;
-    end(request);
+    end(request, RequestOutcome::notRun(inputs.reason, refusal.retryAfter), now);
 }
 
 void RequestQueue::complete(const Request &request, const CompletedInputs &result, Time now)
 {
     invariant(request->state == RequestState::Dispatched, "only a dispatched request completes");
-    scheduler_->complete(request->id, result.actual, now);
+    scheduler().complete(request->id, result.actual, now);
     decisions_.add(DecisionKind::Completed, request->id, request->customer, now, result);
     --running_;
-    end(request);
+    remove(request);
     applyPendingCapacity(now);
     advance(now);
 }
 
 CancelWord RequestQueue::cancel(const Request &request, Time now)
 {
-    const CancelWord word = scheduler_->cancel(request->id, now);
+    const CancelWord word = scheduler().cancel(request->id, now);
     decisions_.add(DecisionKind::Cancelled, request->id, request->customer, now, CancelledInputs {word});
     if (word == CancelWord::NeverStarted) {
-        request->refusal = RequestOutcome::notRun("cancelled", std::nullopt);
-        request->refusal->queued = now - request->receivedAt;
-        end(request);
+        end(request, RequestOutcome::notRun("cancelled", std::nullopt), now);
         applyPendingCapacity(now);
     }
     return word;
@@ -186,7 +190,14 @@
     paused_ = paused;
 }
 
-void RequestQueue::end(const Request &request)
+void RequestQueue::end(const Request &request, RequestOutcome refusal, Time now)
+{
+    refusal.queued = now - request->receivedAt;
+    request->refusal = std::move(refusal);
+    remove(request);
+}
+
+void RequestQueue::remove(const Request &request)
 {
     bytes_ -= request->body.size();
     setState(*request, RequestState::Ended);
--- a/src/agent/requestqueue.h
+++ b/src/agent/requestqueue.h
@@ -19,7 +19,7 @@
 struct QueueLimits {
     std::size_t maxRequests = 4096;
     /// \brief Sum of the request bodies of waiting and running requests.
-    std::size_t maxBytes = 8 * 1024 * 1024;
+    std::size_t maxBytes = std::size_t(8) * 1024 * 1024;
 };
 
 /// \brief The requests of one endpoint from their submit to their end: calls the Scheduler and records each call.
@@ -72,7 +72,10 @@
     void recordConfiguration(Time now);
     void applyPendingCapacity(Time now);
     void refuse(const Refusal &refusal, Time now);
-    void end(const Request &request);
+    /// \brief Ends a waiting request with its refusal.
+    void end(const Request &request, RequestOutcome refusal, Time now);
+    void remove(const Request &request);
+    Scheduler &scheduler();
     void setState(AgentRequest &request, RequestState state);
 
     EndpointId endpoint_;
--- a/src/agent/requestservice.cpp
+++ b/src/agent/requestservice.cpp
@@ -15,7 +15,7 @@
 /// \brief Longest time that an answer waits for its outcome record.
 constexpr Duration OUTCOME_APPEND_LIMIT(500);
 /// \brief Answers up to this size are part of their outcome record.
-constexpr std::size_t MAX_RECORDED_BODY = 16 * 1024;
+constexpr std::size_t MAX_RECORDED_BODY = std::size_t(16) * 1024;
 /// \brief Time to come back after a refusal that concerns this agent only; another endpoint may serve at once.
 constexpr Duration REFUSED_RETRY_AFTER(1000);
 
@@ -119,8 +119,7 @@
         co_await request->signal.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
     if (request->state == RequestState::Ended) {
-        invariant(request->refusal.has_value(), "a request that ends in the queue has a refusal");
-        co_return *request->refusal;
+        co_return request->refusal.value_or(RequestOutcome::unknown("ended"));
     }
     co_return co_await run(request, std::move(writer));
 }
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -22,7 +22,7 @@
 
 namespace
 {
-constexpr std::size_t STREAM_BUFFER_BYTES = 16 * 1024;
+constexpr std::size_t STREAM_BUFFER_BYTES = std::size_t(16) * 1024;
 
 /// \brief Whether an idle connection is still usable: open and without unread data.
 bool isUsable(boost::beast::tcp_stream &stream)
