--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -85,6 +85,9 @@
     /// \brief Greatest shortfall in percentage points of all service.
     double greatest = 0;
     std::size_t windows = 0;
+    /// \brief Customer and first second of the greatest shortfall.
+    std::size_t customer = 0;
+    std::size_t from = 0;
 };
 
 std::int64_t arrivedWeight(const Trace &trace, std::size_t from, std::size_t customer)
@@ -117,7 +120,12 @@
         const double promised = static_cast<double>(trace.contracts[customer].shareMillionths) * static_cast<double>(total) / 1'000'000;
         const double wanted = static_cast<double>(result.seconds[from][customer].waitingWeight + arrivedWeight(trace, from, customer));
         const double shortfall = std::min(promised, wanted) - static_cast<double>(served[customer]);
-        error.greatest = std::max(error.greatest, 100 * shortfall / static_cast<double>(total));
+        const double points = 100 * shortfall / static_cast<double>(total);
+        if (points > error.greatest) {
+            error.greatest = points;
+            error.customer = customer;
+            error.from = from;
+        }
         ++error.windows;
     }
 }
@@ -177,6 +185,10 @@
     json["avoidable_refusals"] = refusals.avoidable;
     json["avoidable_percent"] = rounded(100 * static_cast<double>(refusals.avoidable) / std::max(requests, 1.0));
     json["share_error_points"] = rounded(error.greatest);
+    if (error.greatest > 0) {
+        json["share_error_customer"] = trace.contracts[error.customer].customer.value();
+        json["share_error_from_s"] = error.from;
+    }
     json["share_windows"] = error.windows;
     json["cross_region_bytes"] = result.crossRegionBytes;
     json["cached_prompt_percent"] =
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -166,9 +166,9 @@
     const RouteDecision decision = entry.router.choose(routed, now_);
     if (result_.requests[index].attempts == 0) {
         const EngineSettings settings;
-        entry.arrived.add({routed.promptTokens - decision.cachedTokens, routed.expectedOutputTokens},
-                          static_cast<std::int64_t>(settings.prefillTokensPerSecond),
-                          static_cast<std::int64_t>(settings.decodeTokensPerSecond));
+        entry.arrived.addArrival({routed.promptTokens - decision.cachedTokens, routed.expectedOutputTokens},
+                                 static_cast<std::int64_t>(settings.prefillTokensPerSecond),
+                                 static_cast<std::int64_t>(settings.decodeTokensPerSecond));
         entry.retries.recordRequest(routed.customer, now_);
     }
     if (!decision.endpoint) {
--- a/include/mimosatally/placement/roleplanner.h
+++ b/include/mimosatally/placement/roleplanner.h
@@ -28,15 +28,20 @@
     Tokens output;
 };
 
-/// \brief Work that arrived since the previous report, by the phase that takes longer at nominal speed.
-///
-/// A request runs both phases on one engine, so the planner must know which work comes together.
+/// \brief Demand of a scope.
 struct DemandReport {
-    PhaseWork prefillHeavy;
-    PhaseWork decodeHeavy;
-
-    /// \brief Adds one request.
-    void add(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond);
+    /// \brief Work that arrived since the previous report.
+    PhaseWork arrived;
+    /// \brief Work that waits now.
+    PhaseWork waiting;
+    /// \brief Part of \a arrived by requests whose prefill takes longer than their decode.
+    ///
+    /// A request runs both phases on one engine, so the planner must know which work comes together. Without it the planner takes
+    /// all requests to be alike.
+    std::optional<PhaseWork> prefillHeavy;
+
+    /// \brief Adds one request to \a arrived and \a prefillHeavy.
+    void addArrival(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond);
 };
 
 /// \brief Speed of an engine in its role as a part of its nominal speed, in thousandths.
@@ -139,7 +144,11 @@
     [[nodiscard]] bool stale(Time now) const;
     void endPending(Time now);
     [[nodiscard]] Counts countRoles() const;
+    /// \brief Engine time of \a work per second at nominal speed.
+    [[nodiscard]] ClassDemand engineSeconds(const PhaseWork &work, double seconds) const;
     void smooth(ClassDemand &demand, const PhaseWork &work, double seconds) const;
+    /// \brief The mean demand and the waiting work, spread over the horizon.
+    [[nodiscard]] Demand demandOverHorizon() const;
     /// \brief Engine time that a second of the demand takes in the role.
     [[nodiscard]] double timeInRole(const ClassDemand &demand, EngineRole role) const;
     /// \brief Part of the demand that engines in the given roles can serve; above 1 there is spare capacity.
@@ -158,6 +167,7 @@
     std::map<EndpointId, Engine> engines_;
     std::optional<Pending> pending_;
     Demand rate_;
+    PhaseWork waiting_;
     std::optional<Time> demandAt_;
     /// \brief Roles of the change that is the best at present, and since when.
     std::optional<std::pair<EngineRole, EngineRole>> candidate_;
--- a/src/placement/roleplanner.cpp
+++ b/src/placement/roleplanner.cpp
@@ -25,6 +25,8 @@
 constexpr double SERVED_WITHOUT_CHANGE = 1.0;
 constexpr double MAX_SERVABLE = 8.0;
 constexpr int BISECTION_STEPS = 24;
+/// \brief Roles by how well they suit prefill.
+constexpr std::array<EngineRole, 3> PREFILL_FIRST = {EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode};
 constexpr std::array<EngineRole, 3> ROLES = {EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed};
 
 double toSeconds(Duration duration)
@@ -86,34 +88,69 @@
     }
 }
 
-void DemandReport::add(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond)
+void DemandReport::addArrival(const PhaseWork &request, std::int64_t prefillTokensPerSecond, std::int64_t decodeTokensPerSecond)
 {
+    const auto add = [&](PhaseWork &work) {
+        work.uncachedPrompt += request.uncachedPrompt;
+        work.output += request.output;
+    };
+    add(arrived);
+    if (!prefillHeavy) {
+        prefillHeavy.emplace();
+    }
     const std::int64_t prefill = request.uncachedPrompt.count() * decodeTokensPerSecond;
     const std::int64_t decode = request.output.count() * prefillTokensPerSecond;
-    PhaseWork &work = prefill > decode ? prefillHeavy : decodeHeavy;
-    work.uncachedPrompt += request.uncachedPrompt;
-    work.output += request.output;
+    if (prefill > decode) {
+        add(*prefillHeavy);
+    }
 }
 
 void RolePlanner::reportDemand(const DemandReport &demand, Time now)
 {
     const double seconds = demandAt_ ? toSeconds(now - *demandAt_) : 0;
     demandAt_ = now;
+    waiting_ = demand.waiting;
     if (seconds <= 0 || engines_.empty()) {
         return;
     }
-    smooth(rate_.prefillHeavy, demand.prefillHeavy, seconds);
-    smooth(rate_.decodeHeavy, demand.decodeHeavy, seconds);
+    const PhaseWork prefillHeavy = demand.prefillHeavy.value_or(demand.arrived);
+    smooth(rate_.prefillHeavy, prefillHeavy, seconds);
+    smooth(rate_.decodeHeavy, {demand.arrived.uncachedPrompt - prefillHeavy.uncachedPrompt, demand.arrived.output - prefillHeavy.output}, seconds);
 }
 
-void RolePlanner::smooth(ClassDemand &demand, const PhaseWork &work, double seconds) const
+RolePlanner::Demand RolePlanner::demandOverHorizon() const
+{
+    Demand demand = rate_;
+    const double prefill = rate_.prefillHeavy.prefill + rate_.decodeHeavy.prefill;
+    const double decode = rate_.prefillHeavy.decode + rate_.decodeHeavy.decode;
+    const ClassDemand waiting = engineSeconds(waiting_, toSeconds(horizon_));
+    // The kinds of the waiting requests are not reported; they are taken to be as among the arrivals.
+    const double prefillFactor = prefill > 0 ? 1 + waiting.prefill / prefill : 1;
+    const double decodeFactor = decode > 0 ? 1 + waiting.decode / decode : 1;
+    for (ClassDemand *kind : {&demand.prefillHeavy, &demand.decodeHeavy}) {
+        kind->prefill *= prefillFactor;
+        kind->decode *= decodeFactor;
+    }
+    return demand;
+}
+
+RolePlanner::ClassDemand RolePlanner::engineSeconds(const PhaseWork &work, double seconds) const
 {
+    if (engines_.empty()) {
+        return {};
+    }
     const EngineStatus &engine = engines_.begin()->second.status;
-    const double prefill = static_cast<double>(work.uncachedPrompt.count()) / static_cast<double>(std::max<std::int64_t>(engine.prefillTokensPerSecond, 1));
-    const double decode = static_cast<double>(work.output.count()) / static_cast<double>(std::max<std::int64_t>(engine.decodeTokensPerSecond, 1));
+    const auto prefillSpeed = static_cast<double>(std::max<std::int64_t>(engine.prefillTokensPerSecond, 1));
+    const auto decodeSpeed = static_cast<double>(std::max<std::int64_t>(engine.decodeTokensPerSecond, 1));
+    return {static_cast<double>(work.uncachedPrompt.count()) / prefillSpeed / seconds, static_cast<double>(work.output.count()) / decodeSpeed / seconds};
+}
+
+void RolePlanner::smooth(ClassDemand &demand, const PhaseWork &work, double seconds) const
+{
+    const ClassDemand now = engineSeconds(work, seconds);
     const double step = 1 - std::exp(-seconds / SMOOTHING_SECONDS);
-    demand.prefill += (prefill / seconds - demand.prefill) * step;
-    demand.decode += (decode / seconds - demand.decode) * step;
+    demand.prefill += (now.prefill - demand.prefill) * step;
+    demand.decode += (now.decode - demand.decode) * step;
 }
 
 double RolePlanner::timeInRole(const ClassDemand &demand, EngineRole role) const
@@ -154,10 +191,9 @@
 bool RolePlanner::canServe(const Counts &counts, const Demand &demand, double part) const
 {
     // Prefill-heavy requests go where they displace the least decode-heavy ones; the time that is left serves those.
-    constexpr std::array<EngineRole, 3> ORDER = {EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode};
     Counts left = counts;
     double unserved = part;
-    for (const EngineRole role : ORDER) {
+    for (const EngineRole role : PREFILL_FIRST) {
         const double time = timeInRole(demand.prefillHeavy, role);
         const double served = time > 0 ? std::min(unserved, left.of(role) / time) : unserved;
         unserved -= served;
@@ -167,7 +203,7 @@
         return false;
     }
     double capacity = 0;
-    for (const EngineRole role : ORDER) {
+    for (const EngineRole role : PREFILL_FIRST) {
         const double time = timeInRole(demand.decodeHeavy, role);
         if (time <= 0) {
             return true;
@@ -234,7 +270,7 @@
 std::optional<RolePlanner::Option> RolePlanner::bestOption(Time now) const
 {
     const Counts counts = countRoles();
-    const Demand &demand = rate_;
+    const Demand demand = demandOverHorizon();
     if (servable(counts, demand) >= SERVED_WITHOUT_CHANGE) {
         return std::nullopt;
     }
--- a/tests/unit/roleplannertest.cpp
+++ b/tests/unit/roleplannertest.cpp
@@ -29,8 +29,8 @@
             planner.reportEngine(status, at(second * 1000));
         }
         DemandReport demand;
-        demand.add({Tokens(static_cast<std::int64_t>(prefill * 1000)), Tokens(0)}, 1000, 1000);
-        demand.add({Tokens(0), Tokens(static_cast<std::int64_t>(decode * 1000))}, 1000, 1000);
+        demand.addArrival({Tokens(static_cast<std::int64_t>(prefill * 1000)), Tokens(0)}, 1000, 1000);
+        demand.addArrival({Tokens(0), Tokens(static_cast<std::int64_t>(decode * 1000))}, 1000, 1000);
         planner.reportDemand(demand, at(second * 1000));
         if (const auto change = planner.plan(at(second * 1000))) {
             return change;
@@ -100,7 +100,7 @@
     RolePlanner planner = makePlanner();
     run(planner, FOUR_MIXED, 6.0, 0.2, 0, 2);
     for (int second = 2; second < 40; ++second) {
-        planner.reportDemand({{Tokens(6000), Tokens(0)}, {Tokens(0), Tokens(200)}}, at(second * 1000));
+        planner.reportDemand({{Tokens(6000), Tokens(200)}, {}, PhaseWork {Tokens(6000), Tokens(0)}}, at(second * 1000));
         CHECK((second <= 4 || !planner.plan(at(second * 1000))));
     }
 }
@@ -113,7 +113,7 @@
         for (const EngineStatus &status : FOUR_MIXED) {
             planner.reportEngine(status, at(second * 1000));
         }
-        planner.reportDemand({{Tokens(3000), Tokens(2900)}, {Tokens(2900), Tokens(3000)}}, at(second * 1000));
+        planner.reportDemand({{Tokens(5900), Tokens(5900)}, {}, std::nullopt}, at(second * 1000));
         CHECK_FALSE(planner.plan(at(second * 1000)));
     }
 }
