--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -81,13 +81,16 @@
 
 awaitable<void> AgentLink::exchangeUntilStopped(TaskContext &context)
 {
-    do {
+    // g++ 12 lays out the frame of a coroutine wrongly if it awaits in a loop condition and has no local variable.
+    bool goesOn = true;
+    while (goesOn) {
         co_await exchangeOnce();
         // A peer that was behind gets the missing records without waiting.
         if (peerVersion_ < entry_.configuration.state().version) {
             co_await exchangeOnce();
         }
-    } while (co_await context.sleep(EXCHANGE_INTERVAL));
+        goesOn = co_await context.sleep(EXCHANGE_INTERVAL);
+    }
 }
 
 awaitable<void> AgentLink::exchangeOnce()
@@ -156,6 +159,7 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
+    arrived_ = {Tokens(load.getArrivedPromptTokens()), Tokens(load.getArrivedOutputTokens())};
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
@@ -204,6 +208,11 @@
     endpoint_ = std::move(endpoint);
 }
 
+TokenUsage AgentLink::arrived() const
+{
+    return arrived_;
+}
+
 const std::optional<QueueLoad> &AgentLink::load() const
 {
     return load_;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "entrystate.h"
 #include "httpapi.h"
+#include "rolecontroller.h"
 
 #include <mimosatally/Entry>
 #include <mimosatally/Http>
@@ -47,8 +48,11 @@
 /// \brief Notices agents that fell silent.
 awaitable<void> refreshAvailability(EntryState &entry, TaskContext &context)
 {
-    while (co_await context.sleep(AVAILABILITY_INTERVAL)) {
+    // g++ 12 lays out the frame of a coroutine wrongly if it awaits in a loop condition and has no local variable.
+    bool goesOn = true;
+    while (goesOn) {
         entry.fleet.refreshAvailability();
+        goesOn = co_await context.sleep(AVAILABILITY_INTERVAL);
     }
 }
 
@@ -84,6 +88,7 @@
                      std::_Exit(EXIT_INVARIANT_VIOLATED);
                  })
         , api_(entry_)
+        , roles_(entry_)
         , server_(io_,
                   parseAddress(settings.listen),
                   limitsOf(settings.http),
@@ -141,6 +146,9 @@
         supervisor.start("instance-list", [this](TaskContext &context) {
             return followInstanceList(entry_, context);
         });
+        supervisor.start("roles", [this](TaskContext &context) {
+            return roles_.run(context);
+        });
         entry_.configuration.start();
     }
 
@@ -165,6 +173,7 @@
     boost::asio::io_context io_ {1};
     EntryState entry_;
     HttpApi api_;
+    RoleController roles_;
     HttpServer server_;
     boost::asio::signal_set signals_;
     bool stopped_ = false;
