--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -90,37 +90,57 @@
     std::size_t from = 0;
 };
 
-std::int64_t arrivedWeight(const Trace &trace, std::size_t from, std::size_t customer)
+/// \brief Serves one customer's work at exactly its share of all service, second by second, in any amounts.
+class FluidReference
 {
-    const Time begin = Time() + std::chrono::seconds(from);
-    const Time end = begin + std::chrono::seconds(SHARE_WINDOW_SECONDS);
-    std::int64_t weight = 0;
-    for (const TraceRequest &request : trace.requests) {
-        weight += request.customer == customer && request.at >= begin && request.at < end ? weightOf(request) : 0;
+public:
+    FluidReference(double share, std::int64_t backlog)
+        : share_(share)
+        , backlog_(static_cast<double>(backlog))
+    {
+    }
+
+    /// \return the service that the share gives in this second.
+    double serve(const std::vector<CustomerSecond> &second, std::size_t customer)
+    {
+        std::int64_t total = 0;
+        for (const CustomerSecond &entry : second) {
+            total += entry.served;
+        }
+        backlog_ += static_cast<double>(second[customer].arrived);
+        const double served = std::min(share_ * static_cast<double>(total), backlog_);
+        backlog_ -= served;
+        return served;
     }
-    return weight;
-}
+
+private:
+    double share_;
+    double backlog_;
+};
 
 void addWindow(const Trace &trace, const RunResult &result, std::size_t from, ShareError &error)
 {
-    std::vector<std::int64_t> served(trace.contracts.size(), 0);
-    std::vector<bool> waited(trace.contracts.size(), true);
     std::int64_t total = 0;
+    std::vector<double> missing(trace.contracts.size(), 0);
+    std::vector<bool> waited(trace.contracts.size(), true);
+    std::vector<FluidReference> references;
+    for (std::size_t customer = 0; customer < missing.size(); ++customer) {
+        const double share = static_cast<double>(trace.contracts[customer].shareMillionths) / 1'000'000;
+        references.emplace_back(share, result.seconds[from][customer].waitingWeight);
+    }
     for (std::size_t second = from; second < from + SHARE_WINDOW_SECONDS; ++second) {
-        for (std::size_t customer = 0; customer < served.size(); ++customer) {
-            served[customer] += result.seconds[second][customer].served;
-            total += result.seconds[second][customer].served;
-            waited[customer] = waited[customer] && result.seconds[second][customer].waitedThroughout;
+        for (std::size_t customer = 0; customer < missing.size(); ++customer) {
+            const CustomerSecond &entry = result.seconds[second][customer];
+            total += entry.served;
+            missing[customer] += references[customer].serve(result.seconds[second], customer) - static_cast<double>(entry.served);
+            waited[customer] = waited[customer] && entry.waitedThroughout;
         }
     }
-    for (std::size_t customer = 0; customer < served.size(); ++customer) {
+    for (std::size_t customer = 0; customer < missing.size(); ++customer) {
         if (!waited[customer] || total == 0) {
             continue;
         }
-        const double promised = static_cast<double>(trace.contracts[customer].shareMillionths) * static_cast<double>(total) / 1'000'000;
-        const double wanted = static_cast<double>(result.seconds[from][customer].waitingWeight + arrivedWeight(trace, from, customer));
-        const double shortfall = std::min(promised, wanted) - static_cast<double>(served[customer]);
-        const double points = 100 * shortfall / static_cast<double>(total);
+        const double points = 100 * missing[customer] / static_cast<double>(total);
         if (points > error.greatest) {
             error.greatest = points;
             error.customer = customer;
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -326,7 +326,9 @@
         }
         while (nextArrival_ < trace_.requests.size() && trace_.requests[nextArrival_].at <= now_) {
             ++open_;
-            waitingWeight_[trace_.requests[nextArrival_].customer] += weightOf(trace_.requests[nextArrival_]);
+            const TraceRequest &arrived = trace_.requests[nextArrival_];
+            waitingWeight_[arrived.customer] += weightOf(arrived);
+            result_.seconds.back()[arrived.customer].arrived += weightOf(arrived);
             route(nextArrival_++);
         }
         for (std::size_t engine = 0; engine < ENGINES; ++engine) {
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -49,6 +49,8 @@
 /// \brief Served weighted tokens and waiting work of one customer in one second.
 struct CustomerSecond {
     std::int64_t served = 0;
+    /// \brief Weight of the requests that arrived.
+    std::int64_t arrived = 0;
     /// \brief Weight that waits at the begin of the second.
     std::int64_t waitingWeight = 0;
     bool waitedThroughout = true;
--- a/src/queueing/waitestimate.cpp
+++ b/src/queueing/waitestimate.cpp
@@ -30,7 +30,9 @@
 Scheduler::Impl::Weight Scheduler::Impl::weightAhead(const CustomerQueue &customer, Weight ownWeight, Time deadline) const
 {
     const Weight others = order.owedBefore(customers, totalService, deadline);
-    return std::min(waitingWeight, untilServedByShare(customer, ownWeight) + others);
+    // The customer's own requests go first in any case.
+    const Weight ahead = std::max(untilServedByShare(customer, ownWeight) + others, ownWeight);
+    return std::min(waitingWeight, ahead);
 }
 
 std::int64_t Scheduler::Impl::microsAhead(const CustomerQueue &customer, Weight ahead, Weight ownWeight) const
