Correct at each endpoint only its own part of the deviation between endpoints

Change: an endpoint corrects the part of the deviation that it serves itself, at least its part of all service; the virtual time counts local service only.

--- a/src/queueing/contractchange.cpp
+++ b/src/queueing/contractchange.cpp
@@ -1,3 +1,4 @@
+#include "muldiv.h"
 #include "schedulerimpl.h"
 
 #include <algorithm>
@@ -6,6 +7,7 @@
 {
 
 using internal::CustomerQueue;
+using internal::multiplyDivide;
 using internal::WaitingRequest;
 
 namespace
@@ -90,13 +92,22 @@
     impl_->replaceCustomers(contracts);
 }
 
-void Scheduler::Impl::addRemoteService(CustomerQueue &customer, Weight delta)
+void Scheduler::Impl::addRemoteService(CustomerQueue &customer, Weight growth, Weight totalGrowth, Weight localTotal)
 {
-    if (delta > 0) {
-        const Weight ahead = std::max(customer.shareTag, totalService + REMOTE_LEAD_ROUNDS * roundWeight);
-        customer.shareTag = std::min(customer.shareTag + customer.atShare(delta), ahead);
+    const Weight local = std::max<Weight>(customer.served - customer.servedAtReport, 0);
+    customer.servedAtReport = customer.served;
+    if (customer.share == 0) {
+        return;
     }
-    customer.shareTag = std::max(customer.shareTag, totalService - REMOTE_LAG_ROUNDS * roundWeight);
+    // All endpoints see the same deviation one report late. Each corrects the part of it that it serves itself; if each corrected
+    // all of it, they would overshoot together.
+    const Weight deviation = customer.atShare(growth) - totalGrowth;
+    const Weight byCustomer = multiplyDivide(deviation, local, local + growth);
+    const Weight byTotal = multiplyDivide(deviation, localTotal, localTotal + totalGrowth);
+    const Weight correction = deviation > 0 ? std::max(byCustomer, byTotal) : std::min(byCustomer, byTotal);
+    const Weight most = std::max(customer.shareTag, totalService + REMOTE_LEAD_ROUNDS * roundWeight);
+    const Weight least = std::min(customer.shareTag, totalService - REMOTE_LAG_ROUNDS * roundWeight);
+    customer.shareTag = std::clamp(customer.shareTag + correction, least, most);
 }
 
 Scheduler::Impl::Weight Scheduler::Impl::remoteGrowth(CustomerQueue &customer, Weight served) const
@@ -124,10 +135,11 @@
             total += growth[*position];
         }
     }
+    const Impl::Weight localTotal = std::max<Impl::Weight>(impl_->totalService - impl_->totalAtReport, 0);
+    impl_->totalAtReport = impl_->totalService;
     impl_->order.clear();
-    impl_->totalService += total;
     for (Impl::Position position = 0; position < impl_->customers.size(); ++position) {
-        impl_->addRemoteService(impl_->customers[position], growth[position]);
+        impl_->addRemoteService(impl_->customers[position], growth[position], total, localTotal);
         impl_->addToOrder(position);
     }
 }
--- a/src/queueing/customerqueue.h
+++ b/src/queueing/customerqueue.h
@@ -67,6 +67,7 @@
     Weight served = 0;
     /// \brief Last known service at other endpoints, and how far it fell since; see Scheduler::setRemoteService.
     Weight remoteServed = 0;
+    Weight servedAtReport = 0;
     Weight remoteDebt = 0;
 
     WaitCorrection waitCorrection;
--- a/src/queueing/schedulerimpl.h
+++ b/src/queueing/schedulerimpl.h
@@ -72,7 +72,8 @@
     void setRound();
     /// \brief Growth of the service at other endpoints since the last report.
     [[nodiscard]] Weight remoteGrowth(internal::CustomerQueue &customer, Weight served) const;
-    void addRemoteService(internal::CustomerQueue &customer, Weight delta);
+    /// \brief Moves the share tag by the growth of service at other endpoints since the last report.
+    void addRemoteService(internal::CustomerQueue &customer, Weight growth, Weight totalGrowth, Weight localTotal);
 
     EndpointCapacity capacity;
     TokenCosts costs;
@@ -88,6 +89,8 @@
     std::vector<Refusal> overdue;
 
     Weight totalService = 0;
+    /// \brief Value at the last report of service at other endpoints.
+    Weight totalAtReport = 0;
     /// \brief Start tags of the last unused capacity served, by priority.
     std::map<int, Weight> unusedTime;
     std::uint64_t arrivals = 0;
