Estimate reported work from the number and the tokens of requests

Cause: the router turned reported tokens into time by one mean mix, so a queue of ten notes (3.6 s) counted as 0.9 s and a check (0.95 s) as 1.6 s; requests were refused while a neighbour was free. Change: a running linear fit of engine time over tokens of own requests, used with the reported counts and tokens.

--- a/src/routing/endpointestimate.cpp
+++ b/src/routing/endpointestimate.cpp
@@ -8,8 +8,6 @@
 
 namespace
 {
-/// \brief Weight of one observation in a mean.
-constexpr double MEAN_STEP = 0.1;
 /// \brief A dispatch whose result is never reported is forgotten after this time.
 constexpr Duration LONGEST_REQUEST = Duration(600000);
 /// \brief Speed in the phase that the role does not favour, as a part of the nominal speed, until speeds are measured.
@@ -63,10 +61,20 @@
     if (configuration_.kind == EndpointKind::Service) {
         return static_cast<double>(load.waitingRequests + load.runningRequests) * SERVICE_CALL;
     }
-    const PhaseSpeeds speed = speeds();
-    const Seconds perToken = promptPart_ / speed.prefill + (1 - promptPart_) / speed.decode;
     // A running request has on average half of its work behind it.
-    return (asDouble(load.waitingTokens) + asDouble(load.runningTokens) / 2) * perToken;
+    const double requests = static_cast<double>(load.waitingRequests) + static_cast<double>(load.runningRequests) / 2;
+    return costs().seconds(requests, asDouble(load.waitingTokens) + asDouble(load.runningTokens) / 2);
+}
+
+RequestCost EndpointEstimate::costs() const
+{
+    if (requestCost_.meanSeconds() > 0) {
+        return requestCost_;
+    }
+    // Before the first own request, all tokens are taken to be prompt tokens.
+    RequestCost assumed;
+    assumed.add(speeds().prefill, 1.0);
+    return assumed;
 }
 
 void EndpointEstimate::reportLoad(const EndpointLoad &load, Time now)
@@ -101,12 +109,7 @@
     ownUnfinished_ += seconds;
     ownSinceReport_ += seconds;
     ++ownCountSinceReport_;
-    meanRequest_ += (seconds - meanRequest_) * (meanRequest_ == 0 ? 1 : MEAN_STEP);
-    const double prompt = asDouble(request.promptTokens);
-    const double all = prompt + asDouble(request.expectedOutputTokens);
-    if (all > 0) {
-        promptPart_ += (prompt / all - promptPart_) * MEAN_STEP;
-    }
+    requestCost_.add(asDouble(request.promptTokens) + asDouble(request.expectedOutputTokens), seconds);
 }
 
 std::optional<EndpointEstimate::OwnDispatch> EndpointEstimate::recordResult(const RequestId &request, AttemptResult result, Time now)
@@ -161,7 +164,7 @@
         return 0;
     }
     // When the request starts, the other slots still hold half-done work.
-    return std::max(left - static_cast<Seconds>(slots - 1) * meanRequest_ / 2, 0.0);
+    return std::max(left - static_cast<Seconds>(slots - 1) * requestCost_.meanSeconds() / 2, 0.0);
 }
 
 Seconds EndpointEstimate::serviceTime(const RouteRequest &request, Tokens cached) const
--- a/src/routing/endpointestimate.h
+++ b/src/routing/endpointestimate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endpointhealth.h"
+#include "requestcost.h"
 
 #include <mimosatally/routing/router.h>
 
@@ -66,6 +67,7 @@
 
 private:
     [[nodiscard]] PhaseSpeeds speeds() const;
+    [[nodiscard]] RequestCost costs() const;
     [[nodiscard]] Seconds reportedWork(const EndpointLoad &load) const;
     void forgetOldDispatches(Time now);
 
@@ -79,9 +81,8 @@
     /// \brief Of these, what the last report cannot contain.
     Seconds ownSinceReport_ = 0;
     std::size_t ownCountSinceReport_ = 0;
-    /// \brief Mean engine time of own requests; measures reported requests whose mix is unknown.
-    Seconds meanRequest_ = 0;
-    double promptPart_ = 1;
+    /// \brief Engine time of own requests; measures reported requests.
+    RequestCost requestCost_;
     EndpointHealth health_;
     bool present_ = true;
     bool leaving_ = false;
