--- a/model/authority.pml
+++ b/model/authority.pml
@@ -46,7 +46,7 @@
 
 /* OrderGate of the agent. */
 byte incarnation;
-mtype:state state = ReadBackPending;
+mtype:state gateState = ReadBackPending;
 byte seenEpoch = NO_EPOCH;
 byte current = NO_ORDER;
 bool authorityRead;
@@ -88,9 +88,9 @@
 #define notRepeated(order) (!received[order])
 #endif
 #ifdef TWO_ORDERS_AT_ONCE
-#define isReady (state != ReadBackPending)
+#define isReady (gateState != ReadBackPending)
 #else
-#define isReady (state == Ready)
+#define isReady (gateState == Ready)
 #endif
 #ifdef NO_LIFETIME_CHECK
 #define withinLifetime(order) true
@@ -150,7 +150,7 @@
 
 inline write(order)
 {
-    state = Writing;
+    gateState = Writing;
     /* No conflicting orders: no earlier write may still take effect. */
     assert(!otherWriteUnderWay(order));
     writeUnderWay[order] = true
@@ -161,7 +161,7 @@
 {
     if
     :: sameIncarnation(order) && notOldEpoch(order) && notRepeated(order) && isReady ->
-       received[order] = true; current = order; newestAtReceipt = newest; authorityRead = false; lifetimeOver[order] = false; state = AuthorityPending
+       received[order] = true; current = order; newestAtReceipt = newest; authorityRead = false; lifetimeOver[order] = false; gateState = AuthorityPending
     :: else
     fi
 }
@@ -178,13 +178,13 @@
        assert(!lifetimeOver[current]);
 #ifdef PAUSED_PREDECESSOR
        if
-       :: pausedOrder == NO_ORDER -> pausedOrder = current; state = Writing
+       :: pausedOrder == NO_ORDER -> pausedOrder = current; gateState = Writing
        :: true -> write(current)
        fi
 #else
        write(current)
 #endif
-    :: else -> current = NO_ORDER; newestAtReceipt = 0; state = Ready
+    :: else -> current = NO_ORDER; newestAtReceipt = 0; gateState = Ready
     fi
 }
 
@@ -215,7 +215,7 @@
         :: true
         fi;
         if
-        :: current == order && state == Writing -> current = NO_ORDER; newestAtReceipt = 0; state = ReadBackPending
+        :: current == order && gateState == Writing -> current = NO_ORDER; newestAtReceipt = 0; gateState = ReadBackPending
         :: true
         fi
        }
@@ -228,20 +228,20 @@
 {
     do
     /* Reads stream `authority` to its end. */
-    :: atomic { seenEpoch < newest || (state == AuthorityPending && !authorityRead) -> seenEpoch = newest; authorityRead = true }
+    :: atomic { seenEpoch < newest || (gateState == AuthorityPending && !authorityRead) -> seenEpoch = newest; authorityRead = true }
     :: atomic {
-        state == AuthorityPending && authorityIsRead -> authorize()
+        gateState == AuthorityPending && authorityIsRead -> authorize()
        }
     /* OrderGate::abandon: the stream cannot be read. */
-    :: atomic { state == AuthorityPending -> current = NO_ORDER; newestAtReceipt = 0; state = Ready }
+    :: atomic { gateState == AuthorityPending -> current = NO_ORDER; newestAtReceipt = 0; gateState = Ready }
     /* OrderGate::finishWrite without an answer. */
-    :: atomic { state == Writing -> current = NO_ORDER; newestAtReceipt = 0; state = ReadBackPending }
+    :: atomic { gateState == Writing -> current = NO_ORDER; newestAtReceipt = 0; gateState = ReadBackPending }
 #ifdef NO_READ_BACK
-    :: atomic { state == ReadBackPending -> state = Ready }
+    :: atomic { gateState == ReadBackPending -> gateState = Ready }
 #endif
     /* OrderGate::finishReadBack; after a write without an answer only once its lifetime is over. */
     :: atomic {
-        state == ReadBackPending && writesHaveEnded -> state = Ready
+        gateState == ReadBackPending && writesHaveEnded -> gateState = Ready
        }
     /* The endpoint crashes: its writes end, and its state is read back first (OrderGate::endpointRestarted). */
     :: atomic {
@@ -251,7 +251,7 @@
         writeUnderWay[2] = false;
 #endif
         checkedToken = NO_EPOCH;
-        current = NO_ORDER; newestAtReceipt = 0; state = ReadBackPending
+        current = NO_ORDER; newestAtReceipt = 0; gateState = ReadBackPending
        }
     /* The agent restarts without memory; its writes may still take effect. */
     :: atomic {
@@ -260,7 +260,7 @@
 #ifdef LARGE
         received[2] = false;
 #endif
-        state = ReadBackPending; seenEpoch = NO_EPOCH; current = NO_ORDER; newestAtReceipt = 0; authorityRead = false
+        gateState = ReadBackPending; seenEpoch = NO_EPOCH; current = NO_ORDER; newestAtReceipt = 0; authorityRead = false
        }
 #ifdef PAUSED_PREDECESSOR
     :: atomic {
--- a/model/claims.pml
+++ b/model/claims.pml
@@ -208,7 +208,7 @@
 proctype Entry(byte c)
 {
     byte other;
-    mtype:word word;
+    mtype:word given;
 
     /* The entry knows some incarnation of the agent, maybe an old one. */
     atomic {
@@ -250,9 +250,9 @@
     :: executed[c]
     :: atomic {
         /* Agent.cancel asks for the word of the agent. */
-        true -> renounce(c, word);
+        true -> renounce(c, given);
         if
-        :: word == NeverStarted -> sayNotRun(c); appendVoid(c)
+        :: given == NeverStarted -> sayNotRun(c); appendVoid(c)
         :: else
         fi
        }
@@ -269,13 +269,13 @@
     if
     :: validClaim != NONE && hasOutcome[validClaim]
     :: atomic {
-        validClaim != NONE && validClaim != c -> other = validClaim; renounce(other, word);
+        validClaim != NONE && validClaim != c -> other = validClaim; renounce(other, given);
 #ifdef VOID_WITHOUT_WORD
-        word = NeverStarted;
+        given = NeverStarted;
 #endif
        }
        if
-       :: word == NeverStarted -> atomic { appendVoid(other) }
+       :: given == NeverStarted -> atomic { appendVoid(other) }
        :: else
        fi
 #ifdef LOSER_WINS_AFTER_VOID
