--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -166,9 +166,9 @@
     const RouteDecision decision = entry.router.choose(routed, now_);
     if (result_.requests[index].attempts == 0) {
         const EngineSettings settings;
-        entry.arrived.add({routed.promptTokens - decision.cachedTokens, routed.expectedOutputTokens},
-                          static_cast<std::int64_t>(settings.prefillTokensPerSecond),
-                          static_cast<std::int64_t>(settings.decodeTokensPerSecond));
+        entry.arrived.addArrival({routed.promptTokens - decision.cachedTokens, routed.expectedOutputTokens},
+                                 static_cast<std::int64_t>(settings.prefillTokensPerSecond),
+                                 static_cast<std::int64_t>(settings.decodeTokensPerSecond));
         entry.retries.recordRequest(routed.customer, now_);
     }
     if (!decision.endpoint) {
@@ -326,7 +326,9 @@
         }
         while (nextArrival_ < trace_.requests.size() && trace_.requests[nextArrival_].at <= now_) {
             ++open_;
-            waitingWeight_[trace_.requests[nextArrival_].customer] += weightOf(trace_.requests[nextArrival_]);
+            const TraceRequest &arrived = trace_.requests[nextArrival_];
+            waitingWeight_[arrived.customer] += weightOf(arrived);
+            result_.seconds.back()[arrived.customer].arrived += weightOf(arrived);
             route(nextArrival_++);
         }
         for (std::size_t engine = 0; engine < ENGINES; ++engine) {
