--- a/src/agent/agentinterface.cpp
+++ b/src/agent/agentinterface.cpp
@@ -78,8 +78,8 @@
     load.setRunningRequests(static_cast<std::uint32_t>(queue.runningRequests));
     load.setWaitingTokens(queue.waitingTokens.count());
     load.setRunningTokens(queue.runningTokens.count());
-    internal::describe(load.initArrivedPrefillHeavy(), queue_.arrived().prefillHeavy);
-    internal::describe(load.initArrivedDecodeHeavy(), queue_.arrived().decodeHeavy);
+    internal::describe(load.initArrived(), queue_.arrived().arrived);
+    internal::describe(load.initArrivedPrefillHeavy(), queue_.arrived().prefillHeavy.value_or(PhaseWork()));
     load.setPrefillTokensPerSecond(report_.prefillTokensPerSecond);
     load.setDecodeTokensPerSecond(report_.decodeTokensPerSecond);
     load.setFreeCacheBlocks(report_.freeCacheBlocks);
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -99,7 +99,7 @@
     decisions_.add(DecisionKind::Queued, request->id, request->customer, now, inputs);
     requests_.emplace(request->id, request);
     bytes_ += request->body.size();
-    arrived_.add({request->expected.prompt, request->expected.output}, capacity_.prefillTokensPerSecond, capacity_.decodeTokensPerSecond);
+    arrived_.addArrival({request->expected.prompt, request->expected.output}, capacity_.prefillTokensPerSecond, capacity_.decodeTokensPerSecond);
     request->state = RequestState::Waiting;
     if (onQueued_) {
         onQueued_(request->startDeadline);
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -164,7 +164,8 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
-    arrived_ = {readWork(load.getArrivedPrefillHeavy()), readWork(load.getArrivedDecodeHeavy())};
+    arrived_.arrived = readWork(load.getArrived());
+    arrived_.prefillHeavy = readWork(load.getArrivedPrefillHeavy());
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
--- a/src/entry/rolescope.cpp
+++ b/src/entry/rolescope.cpp
@@ -32,10 +32,9 @@
     return {now.uncachedPrompt - before.uncachedPrompt, now.output - before.output};
 }
 
-void increase(PhaseWork &sum, const PhaseWork &work)
+PhaseWork sum(const PhaseWork &left, const PhaseWork &right)
 {
-    sum.uncachedPrompt += work.uncachedPrompt;
-    sum.output += work.output;
+    return {left.uncachedPrompt + right.uncachedPrompt, left.output + right.output};
 }
 } // namespace
 
@@ -89,9 +88,7 @@
         status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
         status.runningRequests = engine.link->load().value_or(QueueLoad()).runningRequests;
         planner_->reportEngine(status, now);
-        const DemandReport arrived = newArrivals(engine);
-        increase(demand.prefillHeavy, arrived.prefillHeavy);
-        increase(demand.decodeHeavy, arrived.decodeHeavy);
+        addArrivals(demand, engine);
     }
     planner_->reportDemand(demand, now);
     return planner_->plan(now);
@@ -110,18 +107,18 @@
     });
 }
 
-DemandReport RoleScope::newArrivals(const ScopeEngine &engine)
+void RoleScope::addArrivals(DemandReport &demand, const ScopeEngine &engine)
 {
     const DemandReport &total = engine.link->arrived();
     const auto [found, isNew] = arrivals_.try_emplace(engine.endpoint.id, Arrivals {engine.link->incarnation(), total});
     Arrivals &last = found->second;
-    if (isNew || last.incarnation != engine.link->incarnation()) {
-        last = {engine.link->incarnation(), total};
-        return {};
+    if (!isNew && last.incarnation == engine.link->incarnation()) {
+        const PhaseWork prefillHeavy = total.prefillHeavy.value_or(PhaseWork());
+        const PhaseWork lastPrefillHeavy = last.total.prefillHeavy.value_or(PhaseWork());
+        demand.arrived = sum(demand.arrived, difference(total.arrived, last.total.arrived));
+        demand.prefillHeavy = sum(demand.prefillHeavy.value_or(PhaseWork()), difference(prefillHeavy, lastPrefillHeavy));
     }
-    const DemandReport arrived {difference(total.prefillHeavy, last.total.prefillHeavy), difference(total.decodeHeavy, last.total.decodeHeavy)};
-    last.total = total;
-    return arrived;
+    last = {engine.link->incarnation(), total};
 }
 
 std::vector<LeaseScope> scopesOf(const Configuration &configuration, const RegionId &region)
--- a/src/entry/rolescope.h
+++ b/src/entry/rolescope.h
@@ -47,7 +47,7 @@
     };
 
     void removeMissing(const std::vector<ScopeEngine> &engines);
-    [[nodiscard]] DemandReport newArrivals(const ScopeEngine &engine);
+    void addArrivals(DemandReport &demand, const ScopeEngine &engine);
 
     LeaseScope id_;
     LeaseHolder lease_;
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -38,10 +38,10 @@
   reportAgeMs @10 :UInt32;
   # Age of the endpoint's own last report.
   customerServed @11 :List(CustomerServed);
-  arrivedPrefillHeavy @12 :PhaseWork;
-  # Sum over the requests that were queued since the start of the incarnation and need more time for prefill than for decode.
-  arrivedDecodeHeavy @13 :PhaseWork;
-  # The same for all other requests.
+  arrived @12 :PhaseWork;
+  # Sum over the requests that were queued since the start of the incarnation.
+  arrivedPrefillHeavy @13 :PhaseWork;
+  # The same for those that need more time for prefill than for decode.
 }
 
 struct PhaseWork {
