Add the command line, operator commands, examples and pages for operators

Cause: operators need to check, publish and act on instances with a verdict they can rely on. Example files of two fleets, pages on configuration, contracts and operations, and a benchmark of parsing and applying.

--- a/include/mimosatally/config/processsettings.h
+++ b/include/mimosatally/config/processsettings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosatally
@@ -60,7 +61,7 @@
     std::string endpointAddress;
     /// \brief Bounds on the requests that wait or run at the agent, and on the bytes of their bodies.
     std::size_t maxQueuedRequests = 4096;
-    std::size_t maxQueuedBytes = 8 * 1024 * 1024;
+    std::size_t maxQueuedBytes = 8'388'608;
     /// \brief Bound on the lifetime of orders; the same for every process beside the endpoint.
     Duration longestOrderLifetime = Duration(30000);
 };
@@ -71,4 +72,19 @@
 /// \throws FindingsError with all findings and their lines.
 AgentSettings parseAgentSettings(const std::string &toml, const std::string &fileName);
 
+/// \brief Bootstrap operators of any settings file; findings about its other keys are not reported. \throws FindingsError
+std::vector<Operator> readBootstrapOperators(const std::string &toml, const std::string &fileName);
+
+enum class FileKind {
+    Configuration,
+    EntrySettings,
+    AgentSettings,
+};
+
+std::string_view toString(FileKind kind);
+
+/// \brief Checks a file: settings have the key `process`, and those of an agent the key `endpoint`.
+/// \return what the file is. \throws FindingsError with all findings and their lines.
+FileKind checkFile(const std::string &toml, const std::string &fileName);
+
 } // namespace mimosatally
--- /dev/null
+++ b/src/cli/logsession.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "command.h"
+
+#include <mimosatally/Config>
+#include <mimosatally/Platform>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosatally::internal
+{
+
+/// \brief Runs a coroutine to its end and returns its result or throws its error.
+int runToEnd(boost::asio::io_context &io, boost::asio::awaitable<int> task);
+
+/// \brief An operator's reading of stream `configuration`, and the append of one record with its verdict.
+class LogSession
+{
+public:
+    LogSession(boost::asio::io_context &io, const std::string &logAddress, std::vector<Operator> bootstrapOperators);
+
+    /// \brief Reads up to the end of the stream.
+    /// \throws UnreachableError, UsageError if no configuration can be verified with the known operators.
+    boost::asio::awaitable<void> catchUp();
+
+    [[nodiscard]] const ConfigurationState &state() const;
+
+    /// \brief Appends a record, reads it back and prints progress. \return the exit code.
+    ///
+    /// A lost answer is resolved by the record's id: only the first record of an id can be accepted, so it is appended again
+    /// when it is not found.
+    boost::asio::awaitable<int> appendWithVerdict(RecordId id, std::string payload);
+
+private:
+    /// \brief What reading back showed about the own record.
+    struct Verdict {
+        Offset offset;
+        ApplyResult result;
+    };
+
+    boost::asio::awaitable<void> readToEnd();
+    boost::asio::awaitable<bool> tryAppend(std::string payload);
+    boost::asio::awaitable<void> tryReadBack();
+    void note(const std::vector<ConfigurationRecord> &records, const std::vector<AppliedRecord> &applied);
+    static int report(const Verdict &verdict);
+
+    boost::asio::io_context &io_;
+    LogClient client_;
+    ConfigurationReplica replica_;
+    RecordId awaited_;
+    std::optional<Verdict> verdict_;
+    bool sawDocument_ = false;
+};
+
+/// \brief Arguments `--operator`, `--key` and `--settings` of commands that sign records.
+struct Signer {
+    OperatorId id;
+    std::string privateKey;
+    std::vector<Operator> bootstrapOperators;
+};
+
+/// \throws UsageError
+Signer readSigner(const Arguments &arguments);
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/cli/processcommands.cpp
@@ -0,0 +1,75 @@
+#include "command.h"
+
+#include <mimosatally/Config>
+#include <mimosatally/agent/agentprocess.h>
+#include <mimosatally/entry/entryprocess.h>
+
+#include <iostream>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+int entry(const Arguments &arguments)
+{
+    const std::string file = textOf(arguments, "SETTINGS");
+    return runEntry(parseEntrySettings(readFile(file), file));
+}
+
+int agent(const Arguments &arguments)
+{
+    const std::string file = textOf(arguments, "SETTINGS");
+    return runAgent(parseAgentSettings(readFile(file), file));
+}
+
+int check(const Arguments &arguments)
+{
+    std::size_t findings = 0;
+    for (const std::string &file : arguments.at("FILE").asStringList()) {
+        try {
+            std::cout << file << ": " << toString(checkFile(readFile(file), file)) << " without findings\n";
+        } catch (const FindingsError &error) {
+            std::cout << error.what() << '\n';
+            findings += error.findings().size();
+        }
+    }
+    if (findings > 0) {
+        std::cout << findings << " findings\n";
+    }
+    return findings == 0 ? ExitCode::Success : ExitCode::Negative;
+}
+} // namespace
+
+const Command ENTRY_COMMAND = {"entry",
+                               R"(Runs an entry until SIGTERM.
+
+Usage: mimosatally entry SETTINGS
+       mimosatally entry --help
+
+docs/configuration.md describes the settings file.
+)",
+                               entry};
+
+const Command AGENT_COMMAND = {"agent",
+                               R"(Runs the agent of one endpoint until SIGTERM, or until its instance is drained or withdrawn.
+
+Usage: mimosatally agent SETTINGS
+       mimosatally agent --help
+
+docs/configuration.md describes the settings file.
+)",
+                               agent};
+
+const Command CHECK_COMMAND = {"check",
+                               R"(Checks configuration and settings files and prints every finding with its line.
+
+Usage: mimosatally check FILE...
+       mimosatally check --help
+
+A file with the key `process` is a settings file, of an agent if it also has the key `endpoint`; every other file is a
+configuration. Exit code 1 means findings.
+)",
+                               check};
+
+} // namespace mimosatally::internal
--- a/src/config/processsettings.cpp
+++ b/src/config/processsettings.cpp
@@ -32,7 +32,7 @@
     return result;
 }
 
-std::vector<Operator> readBootstrapOperators(TomlTable &root)
+std::vector<Operator> readOperators(TomlTable &root)
 {
     std::vector<Operator> result;
     for (TomlTable &table : root.tables("bootstrap_operators")) {
@@ -57,7 +57,7 @@
     result.dataCentre = DataCentreId(root.requiredString("data_centre"));
     result.logService = root.address("log_service");
     result.instanceList = root.address("instance_list");
-    result.bootstrapOperators = readBootstrapOperators(root);
+    result.bootstrapOperators = readOperators(root);
     result.http = readHttp(root);
     result.logLevel = static_cast<LogLevel>(root.choice("log_level", LOG_LEVELS, static_cast<std::size_t>(result.logLevel)));
     result.seed = static_cast<std::uint64_t>(root.integer("seed", 0, 0));
@@ -103,4 +103,47 @@
     });
 }
 
+std::vector<Operator> readBootstrapOperators(const std::string &toml, const std::string &fileName)
+{
+    Findings findings;
+    std::vector<Operator> result;
+    const std::optional<toml::value> parsed = internal::parseToml(toml, fileName, findings);
+    if (parsed) {
+        TomlTable root(*parsed, {}, fileName, findings);
+        result = readOperators(root);
+    }
+    findings.throwIfAny();
+    return result;
+}
+
+std::string_view toString(FileKind kind)
+{
+    switch (kind) {
+    case FileKind::Configuration:
+        return "configuration";
+    case FileKind::EntrySettings:
+        return "settings of an entry";
+    case FileKind::AgentSettings:
+        return "settings of an agent";
+    }
+    return "";
+}
+
+FileKind checkFile(const std::string &toml, const std::string &fileName)
+{
+    Findings findings;
+    const std::optional<toml::value> parsed = internal::parseToml(toml, fileName, findings);
+    findings.throwIfAny();
+    if (!parsed || !parsed->contains("process")) {
+        parseConfiguration(toml, fileName);
+        return FileKind::Configuration;
+    }
+    if (parsed->contains("endpoint")) {
+        parseAgentSettings(toml, fileName);
+        return FileKind::AgentSettings;
+    }
+    parseEntrySettings(toml, fileName);
+    return FileKind::EntrySettings;
+}
+
 } // namespace mimosatally
--- a/src/entry/entrystate.cpp
+++ b/src/entry/entrystate.cpp
@@ -25,6 +25,7 @@
 {
     ConfigurationFollower::Options options;
     options.snapshotEvery = settings.snapshotEvery;
+    options.snapshotAge = settings.snapshotAge;
     options.seed = seed;
     return options;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,9 +1,6 @@
-#include <mimosatally/Core>
+#include <mimosatally/Cli>
 
-#include <iostream>
-
-int main()
+int main(int argc, char **argv)
 {
-    std::cout << "mimosatally " MIMOSATALLY_VERSION "\n";
-    return 0;
+    return mimosatally::runCommandLine({argv + 1, argv + argc});
 }
--- a/tests/configuration/sampleconfiguration.h
+++ b/tests/configuration/sampleconfiguration.h
@@ -9,6 +9,9 @@
 namespace mimosatally::samples
 {
 
+constexpr std::int64_t WHOLE_SHARE = 1'000'000;
+constexpr std::size_t PORTS = 60'000;
+
 /// \brief Operator `op` and its keys.
 struct SampleOperator {
     SigningKeyPair keys = generateSigningKeyPair();
@@ -32,8 +35,6 @@
 /// \brief Configuration with instances `i0`, `i1`, ... and customers `c0`, `c1`, ...
 inline Configuration sampleConfiguration(const Operator &signer, std::size_t contracts, std::size_t endpoints)
 {
-    constexpr std::int64_t WHOLE_SHARE = 1'000'000;
-    constexpr std::size_t PORTS = 60'000;
     Configuration result;
     result.models = {ModelId("model")};
     result.dataCentres = {{DataCentreId("dc"), RegionId("region")}};
--- /dev/null
+++ b/tests/process/operatorcommandstest.cpp
@@ -0,0 +1,127 @@
+#include "testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace mimosatally;
+using namespace mimosatally::test;
+
+namespace
+{
+/// \brief A log stand-in and an operator's key file and configuration.
+class Desk
+{
+public:
+    Desk()
+        : log_(BINARY_DIRECTORY "/standin_log", {}, path("log"))
+        , logAddress_(log_.waitForAddress())
+    {
+        CHECK(run({"key", "new", "--out=" + path("key.json")}) == 0);
+        std::ifstream file(path("key.json"));
+        publicKey_ = nlohmann::json::parse(file).at("public_key");
+    }
+
+    ~Desk()
+    {
+        std::filesystem::remove_all(directory_);
+    }
+
+    Desk(const Desk &) = delete;
+    Desk &operator=(const Desk &) = delete;
+
+    int run(std::vector<std::string> arguments)
+    {
+        TestProgram program(BINARY_DIRECTORY "/mimosatally", std::move(arguments), path("output"));
+        const int code = program.wait();
+        output = program.output();
+        return code;
+    }
+
+    int publish(const std::string &wait, std::vector<std::string> options = {})
+    {
+        std::ofstream(path("c.toml")) << "models = [\"m\"]\n[[data_centres]]\nid = \"d\"\nregion = \"r\"\n[[operators]]\nid = \"op\"\npublic_key = \""
+                                      << publicKey_ << "\"\n[[contracts]]\ncustomer = \"c\"\nshare = \"50%\"\nlongest_wait = \"" << wait
+                                      << "\"\n[[endpoints]]\nid = \"e\"\ninstance = \"i\"\ndata_centre = \"d\"\nagent_address = \"127.0.0.1:1\"\n"
+                                      << "models = [\"m\"]\n";
+        std::vector<std::string> arguments = {"publish", path("c.toml")};
+        arguments.insert(arguments.end(), options.begin(), options.end());
+        return run(signedBy(std::move(arguments)));
+    }
+
+    std::vector<std::string> signedBy(std::vector<std::string> arguments) const
+    {
+        for (const std::string &option : {"--log=" + logAddress_, std::string("--operator=op"), "--key=" + path("key.json")}) {
+            arguments.push_back(option);
+        }
+        return arguments;
+    }
+
+    void control(const nlohmann::json &faults)
+    {
+        call(logAddress_, jsonPost("/control", faults));
+    }
+
+    [[nodiscard]] std::string path(const std::string &name) const
+    {
+        return directory_ + '/' + name;
+    }
+
+    std::string output;
+
+private:
+    static std::string makeDirectory()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "mimosatally-desk-XXXXXX").string();
+        if (mkdtemp(name.data()) == nullptr) {
+            throw Error("cannot create a directory for the test");
+        }
+        return name;
+    }
+
+    std::string directory_ = makeDirectory();
+    TestProgram log_;
+    std::string logAddress_;
+    std::string publicKey_;
+};
+} // namespace
+
+// Guards against a wrong verdict when operators race or the log loses an answer.
+TEST_CASE("Operator commands report the verdict on their record", "[cli]")
+{
+    Desk desk;
+    CHECK(desk.publish("1s") == 0);
+    CHECK(desk.publish("1s") == 0);
+    CHECK(desk.output.find("unchanged") != std::string::npos);
+    desk.control({{"drop_answers", 1}});
+    CHECK(desk.publish("2s") == 0);
+    CHECK(desk.output.find("accepted: configuration version 1") != std::string::npos);
+    CHECK(desk.publish("3s", {"--base=0"}) == 1);
+    CHECK(desk.output.find("void: base is not current") != std::string::npos);
+    CHECK(desk.run(desk.signedBy({"drain", "i"})) == 0);
+    CHECK(desk.run(desk.signedBy({"drain", "nobody"})) == 1);
+    CHECK(desk.run(desk.signedBy({"replace", "i"})) == 0);
+    CHECK(desk.run(desk.signedBy({"withdraw", "i"})) == 0);
+    CHECK(desk.publish("0s") == 1);
+    desk.control({{"down", true}});
+    CHECK(desk.publish("4s") == 3);
+}
+
+// Guards against exit codes and help texts that differ from docs/operations.md.
+TEST_CASE("Every command has a help text, and wrong usage ends with code 2", "[cli]")
+{
+    Desk desk;
+    for (const std::string command : {"entry", "agent", "check", "publish", "drain", "replace", "withdraw", "status", "audit", "key"}) {
+        CHECK(desk.run({command, "--help"}) == 0);
+        CHECK(desk.output.find("Usage: mimosatally " + command) != std::string::npos);
+        CHECK(desk.run({command, "--no-such-option"}) == 2);
+    }
+    CHECK(desk.run({"--help"}) == 0);
+    CHECK(desk.run({"--version"}) == 0);
+    CHECK(desk.run({"dance"}) == 2);
+    CHECK(desk.run({"check", SOURCE_DIRECTORY "/examples/parkland/configuration.toml", SOURCE_DIRECTORY "/examples/mrema/agent.toml"}) == 0);
+    CHECK(desk.run({"check", desk.path("missing")}) == 2);
+    CHECK(desk.run({"status", "--entry=127.0.0.1:1", "--key=k"}) == 3);
+    CHECK(desk.run({"audit", "verify", desk.path("missing")}) == 2);
+}
--- /dev/null
+++ b/tests/unit/configurationlogtest.cpp
@@ -0,0 +1,97 @@
+#include "configuration/sampleconfiguration.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosatally;
+using samples::SampleOperator;
+
+namespace
+{
+std::string document(const SampleOperator &signer, int priority = 1)
+{
+    Configuration configuration = samples::sampleConfiguration(signer.description(), 2, 3);
+    configuration.contracts.front().priority = priority;
+    return formatConfiguration(configuration);
+}
+
+/// \brief Log with an accepted publish record at offset 0.
+ConfigurationLog startedLog(const SampleOperator &signer)
+{
+    ConfigurationLog log({signer.description()});
+    REQUIRE(log.apply(Offset(0), signer.publish("first", -1, document(signer))).isAccepted());
+    return log;
+}
+} // namespace
+
+// Guards against a lost update when two operators publish on the same base.
+TEST_CASE("Of two publish records on one base the lower offset is accepted", "[config]")
+{
+    const SampleOperator signer;
+    ConfigurationLog log = startedLog(signer);
+    CHECK(log.apply(Offset(3), signer.publish("a", 0, document(signer, 2))).isAccepted());
+    const ApplyResult loser = log.apply(Offset(4), signer.publish("b", 0, document(signer, 3)));
+    CHECK(loser.verdict == ApplyResult::Verdict::Void);
+    CHECK(loser.reason.starts_with("base is not current"));
+    CHECK(log.state().version == ConfigurationVersion(3));
+    CHECK(log.apply(Offset(3), signer.publish("c", 3, document(signer, 4))).verdict == ApplyResult::Verdict::Ignored);
+    CHECK(log.state().configuration.contracts.front().priority == 2);
+}
+
+// Guards against records of strangers, altered records and documents with findings.
+TEST_CASE("Records without a valid signature or document are void", "[config]")
+{
+    const SampleOperator signer;
+    const SampleOperator stranger;
+    ConfigurationLog log = startedLog(signer);
+    std::string altered = signer.publish("b", 0, document(signer));
+    altered.replace(altered.find("c0"), 2, "cx");
+    std::int64_t offset = 1;
+    for (const std::string &payload : {stranger.publish("a", 0, document(signer)),
+                                       stranger.act("c", InstanceAction::Drain, "i0"),
+                                       altered,
+                                       signer.publish("d", 0, "share = 1"),
+                                       signer.act("e", InstanceAction::Drain, "nobody"),
+                                       signer.act("f", InstanceAction::Replace, "i0"),
+                                       std::string("{\"kind\":\"publish\"}"),
+                                       std::string("[1")}) {
+        CHECK(log.apply(Offset(offset++), payload).verdict == ApplyResult::Verdict::Void);
+    }
+    CHECK(log.state().version == ConfigurationVersion(0));
+}
+
+// Guards against an order about an instance that blocks a publish or takes effect twice.
+TEST_CASE("Records about instances commute with publish records and take effect once", "[config]")
+{
+    const SampleOperator signer;
+    ConfigurationLog log = startedLog(signer);
+    const std::string drain = signer.act("drain", InstanceAction::Drain, "i0");
+    CHECK(log.apply(Offset(1), drain).isAccepted());
+    CHECK(log.apply(Offset(2), signer.publish("next", 0, document(signer, 5))).isAccepted());
+    CHECK(log.state().stateOf(InstanceId("i0")) == InstanceState::Draining);
+    CHECK(log.apply(Offset(3), signer.act("replace", InstanceAction::Replace, "i0")).isAccepted());
+    CHECK(log.apply(Offset(4), drain).verdict == ApplyResult::Verdict::Void);
+    CHECK(log.state().stateOf(InstanceId("i0")) == InstanceState::Active);
+    CHECK(log.apply(Offset(5), signer.act("withdraw", InstanceAction::Withdraw, "i0")).isAccepted());
+    CHECK_FALSE(log.apply(Offset(6), signer.act("again", InstanceAction::Replace, "i0")).isAccepted());
+}
+
+// Guards against a peer that never catches up once its records are no longer kept.
+TEST_CASE("A peer that is far behind gets a snapshot, and the snapshot keeps the ids of accepted records", "[config]")
+{
+    const SampleOperator signer;
+    ConfigurationLog log = startedLog(signer);
+    Configuration large = samples::sampleConfiguration(signer.description(), 2, 2500);
+    REQUIRE(log.apply(Offset(1), signer.publish("large", 0, formatConfiguration(large))).isAccepted());
+    const std::string drain = signer.act("drain", InstanceAction::Drain, "i7");
+    REQUIRE(log.apply(Offset(2), drain).isAccepted());
+    const std::vector<ConfigurationRecord> records = log.acceptedAfter(ConfigurationVersion(-1));
+    REQUIRE(records.size() == 1);
+    ConfigurationLog peer({signer.description()});
+    CHECK(peer.restore(records.front().payload).isAccepted());
+    CHECK(peer.state().configuration == log.state().configuration);
+    CHECK(peer.state().instanceStates == log.state().instanceStates);
+    CHECK(peer.nextOffset() == Offset(3));
+    CHECK(peer.apply(Offset(3), drain).verdict == ApplyResult::Verdict::Void);
+    CHECK(log.acceptedAfter(ConfigurationVersion(1)).size() == 1);
+    CHECK(log.acceptedAfter(ConfigurationVersion(2)).empty());
+}
