--- a/tests/standins/standin_engine.cpp
+++ b/tests/standins/standin_engine.cpp
@@ -1,5 +1,5 @@
 #include "enginestate.h"
-#include "standinprogram.h"
+#include "standinserver.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/tests/standins/standin_service.cpp
+++ b/tests/standins/standin_service.cpp
@@ -1,4 +1,4 @@
-#include "standinprogram.h"
+#include "standinserver.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
