--- a/tests/standins/platformstandin.h
+++ b/tests/standins/platformstandin.h
@@ -1,24 +1,64 @@
 #pragma once
 
-#include "standinoptions.h"
-
 #include <mimosatally/Core>
 #include <mimosatally/Http>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <docopt.h>
+#include <exception>
 #include <iostream>
-#include <nlohmann/json.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosatally::standins
+{
+
+using Arguments = std::map<std::string, docopt::value>;
+
+/// \brief Waits in a coroutine; 0 does not wait.
+inline boost::asio::awaitable<void> pause(boost::asio::io_context &io, Duration duration)
+{
+    if (duration > Duration(0)) {
+        boost::asio::steady_timer timer(io, duration);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
 
-namespace mimosatally::standin
+/// \brief Path of a request target without its query.
+inline std::string pathOf(const HttpRequest &request)
 {
+    const std::string target(request.target());
+    return target.substr(0, target.find('?'));
+}
 
-/// \brief Serves until SIGTERM or SIGINT; prints `listening on IP:PORT` once the port is open.
-inline int serveUntilSignal(boost::asio::io_context &io, const StandinOptions &options, HttpServer::Handler handler)
+/// \brief Parameter of the query of a request target, or an empty string. Values are not percent-decoded.
+inline std::string queryOf(const HttpRequest &request, const std::string &name)
 {
+    const std::string target(request.target());
+    std::size_t position = target.find('?');
+    while (position != std::string::npos) {
+        const std::size_t end = target.find('&', position + 1);
+        const std::string pair = target.substr(position + 1, end == std::string::npos ? end : end - position - 1);
+        if (pair.starts_with(name + '=')) {
+            return pair.substr(name.size() + 1);
+        }
+        position = end;
+    }
+    return {};
+}
+
+/// \brief Serves on 127.0.0.1 until SIGTERM; prints `listening on IP:PORT` when ready.
+inline int serve(boost::asio::io_context &io, long port, HttpServer::Handler handler)
+{
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port));
     HttpLimits limits;
-    limits.maxBodyBytes = 64 * 1024 * 1024;
-    HttpServer server(io, parseAddress(options.text("listen", "127.0.0.1:0")), limits, std::move(handler));
+    limits.maxBodyBytes = std::size_t(64) * 1024 * 1024;
+    HttpServer server(io, address, limits, std::move(handler));
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](const boost::system::error_code &, int) {
         io.stop();
@@ -28,22 +68,17 @@
     return 0;
 }
 
-inline HttpResponse jsonResponse(unsigned status, const nlohmann::json &body)
-{
-    return makeHttpResponse(status, "application/json", body.dump());
-}
-
-/// \brief Value of one query parameter of a target such as `/path?after=3`, or the fallback.
-inline long queryNumber(const std::string &target, const std::string &name, long fallback)
+/// \brief Parses the arguments and runs \a body; errors end the program with status 1.
+template<class Body>
+int runProgram(const char *usage, int argc, char **argv, Body body)
 {
-    const auto start = target.find(name + '=');
-    return start == std::string::npos ? fallback : std::stol(target.substr(start + name.size() + 1));
-}
-
-/// \brief Path of a target without its query.
-inline std::string pathOf(const std::string &target)
-{
-    return target.substr(0, target.find('?'));
+    const Arguments arguments = docopt::docopt(usage, std::vector<std::string>(argv + 1, argv + argc), true);
+    try {
+        return body(arguments);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
 }
 
-} // namespace mimosatally::standin
+} // namespace mimosatally::standins
