--- /dev/null
+++ b/tests/process/agentstoptest.cpp
@@ -0,0 +1,230 @@
+#include <catch2/catch.hpp>
+
+#include "process/testfleet.h"
+#include "standins/enginetext.h"
+
+using namespace mimosatally;
+using namespace mimosatally::test;
+using nlohmann::json;
+
+namespace
+{
+constexpr int TOKENS = 60;
+
+HttpRequest completion(const std::string &prompt, bool stream)
+{
+    const json body = {{"model", "model-a"}, {"prompt", prompt}, {"max_tokens", TOKENS}, {"stream", stream}};
+    return authorized(jsonPost("/v1/completions", body), "key-parkland");
+}
+
+HttpRequest post(const std::string &key, const std::string &text)
+{
+    HttpRequest request = authorized(jsonPost("/services/tickets/settle", {{"post", text}}), "key-parkland");
+    request.set("Idempotency-Key", key);
+    return request;
+}
+
+/// \brief Text of all events of a streamed completion.
+std::string streamedText(const std::string &body)
+{
+    std::string text;
+    std::size_t start = 0;
+    while ((start = body.find("data: {", start)) != std::string::npos) {
+        start += 6;
+        const std::size_t end = body.find("\n\n", start);
+        const json event = json::parse(body.substr(start, end - start));
+        if (event.contains("choices")) {
+            text += event.at("choices").at(0).at("text").get<std::string>();
+        }
+    }
+    return text;
+}
+
+/// \brief Numbers of the engine's ledger summed over all requests.
+long total(const json &ledger, const char *field)
+{
+    long sum = 0;
+    for (const auto &run : ledger.at("requests")) {
+        sum += run.at(field).get<long>();
+    }
+    return sum;
+}
+
+/// \brief Two slow engines and one customer; the agents and the entry are started.
+struct EngineFleet : TestFleet {
+    explicit EngineFleet(std::vector<std::string> firstOptions = {"--decode", "300"})
+    {
+        addEngine("engine-1", std::move(firstOptions));
+        addEngine("engine-2", {"--decode", "300"});
+        addCustomer("parkland", "100%", "30s");
+        publish();
+        startAgent("engine-1");
+        startAgent("engine-2");
+        startEntry("entry-1");
+    }
+
+    json ledger(const std::string &endpoint)
+    {
+        return jsonOf(get(standinAddress(endpoint), "/ledger"));
+    }
+
+    [[nodiscard]] const std::string &entry() const
+    {
+        return entryAddress("entry-1");
+    }
+
+    /// \brief Starts streams until both engines run some; each one has begun.
+    std::vector<std::unique_ptr<TestCall>> startStreams(int count)
+    {
+        std::vector<std::unique_ptr<TestCall>> calls;
+        for (int i = 0; i < count; ++i) {
+            calls.push_back(std::make_unique<TestCall>(entry(), completion(prompt(i), true)));
+        }
+        for (const auto &call : calls) {
+            call->readUntil("data: ");
+        }
+        return calls;
+    }
+
+    static std::string prompt(int number)
+    {
+        return "Load " + std::to_string(number) + " is";
+    }
+
+    static void checkWhole(std::vector<std::unique_ptr<TestCall>> &calls)
+    {
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            const std::string answer = calls[i]->readToEnd();
+            INFO(answer.substr(answer.size() > 300 ? answer.size() - 300 : 0));
+            CHECK(answer.find("data: [DONE]") != std::string::npos);
+            CHECK(streamedText(answer) == standin::engineAnswer(prompt(static_cast<int>(i)), TOKENS));
+        }
+    }
+
+    /// \brief Each stream is whole, or it says that its outcome is unknown after a true beginning of its own answer.
+    /// \return the number of whole streams.
+    static int checkWholeOrUnknown(std::vector<std::unique_ptr<TestCall>> &calls)
+    {
+        int whole = 0;
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            const std::string answer = calls[i]->readToEnd();
+            const std::string expected = standin::engineAnswer(prompt(static_cast<int>(i)), TOKENS);
+            const std::string text = streamedText(answer);
+            INFO(answer.substr(answer.size() > 300 ? answer.size() - 300 : 0));
+            if (answer.find("data: [DONE]") != std::string::npos) {
+                ++whole;
+                CHECK(text == expected);
+            } else {
+                CHECK(answer.find(R"("outcome":"outcome_unknown")") != std::string::npos);
+                CHECK_FALSE(text.empty());
+                CHECK(expected.starts_with(text));
+            }
+        }
+        return whole;
+    }
+};
+} // namespace
+
+// Guards against a planned stop that cuts off streams, and against new work for a leaving agent.
+TEST_CASE("An agent that gets SIGTERM finishes its streams, ships its records and exits 0", "[agent]")
+{
+    EngineFleet fleet;
+    auto calls = fleet.startStreams(6);
+    const long before = total(fleet.ledger("engine-1"), "started");
+    fleet.agent("engine-1").send(SIGTERM);
+    fleet.agent("engine-1").waitForOutput("ProcessStopping");
+    for (int i = 0; i < 4; ++i) {
+        CHECK(call(fleet.entry(), completion("later", false)).result_int() == 200);
+    }
+    EngineFleet::checkWhole(calls);
+    CHECK(fleet.agent("engine-1").wait() == 0);
+    const json ledger = fleet.ledger("engine-1");
+    CHECK(total(ledger, "started") == before);
+    CHECK(total(ledger, "completed") == before);
+    CHECK(fleet.records("audit").dump().find("ProcessStopped") != std::string::npos);
+}
+
+// Guards against an operator's drain that cuts off work or leaves the agent in service.
+TEST_CASE("An agent whose instance is drained while requests run finishes them and exits 0", "[agent]")
+{
+    EngineFleet fleet;
+    auto calls = fleet.startStreams(6);
+    fleet.order(InstanceAction::Drain, "engine-1");
+    fleet.agent("engine-1").waitForOutput("ProcessStopping");
+    const long before = total(fleet.ledger("engine-1"), "started");
+    CHECK(call(fleet.entry(), completion("later", false)).result_int() == 200);
+    EngineFleet::checkWhole(calls);
+    CHECK(fleet.agent("engine-1").wait() == 0);
+    CHECK(total(fleet.ledger("engine-1"), "started") == before);
+    CHECK(total(fleet.ledger("engine-1"), "completed") == before);
+    CHECK(total(fleet.ledger("engine-2"), "completed") >= 1);
+}
+
+// Guards against callers who are left without an end of their stream by an engine's crash, or get a mixed answer.
+TEST_CASE("Streams of an engine that crashes are whole or say that their outcome is unknown", "[agent]")
+{
+    EngineFleet fleet({"--decode", "300", "--crash-after-tokens", "40"});
+    auto calls = fleet.startStreams(4);
+    const int whole = EngineFleet::checkWholeOrUnknown(calls);
+    CHECK(whole == total(fleet.ledger("engine-2"), "completed"));
+    CHECK(call(fleet.entry(), completion("later", false)).result_int() == 200);
+}
+
+// Guards against lost requests when an agent is killed, and against a restarted agent that is not used again.
+TEST_CASE("Requests of a killed agent are answered or end as unknown, and its restart is used again", "[agent]")
+{
+    EngineFleet fleet;
+    auto calls = fleet.startStreams(6);
+    fleet.agent("engine-1").send(SIGKILL);
+    const int whole = EngineFleet::checkWholeOrUnknown(calls);
+    CHECK(whole == total(fleet.ledger("engine-2"), "completed"));
+    fleet.agent("engine-1").wait();
+    const long before = total(fleet.ledger("engine-1"), "completed");
+    fleet.startAgent("engine-1");
+    waitUntil("engine-1 serves again", [&] {
+        CHECK(call(fleet.entry(), completion("again", false)).result_int() == 200);
+        return total(fleet.ledger("engine-1"), "completed") > before;
+    });
+}
+
+// Guards against a settlement post that is paid twice when its agent is paused or killed in the middle.
+TEST_CASE("A claimed call runs at most once when its agent is paused and when it is killed", "[agent]")
+{
+    TestFleet fleet;
+    fleet.addService("tickets-1", {"--delay-ms", "500"});
+    fleet.addCustomer("parkland", "100%", "30s");
+    fleet.publish();
+    fleet.startAgent("tickets-1");
+    fleet.startEntry("entry-1");
+    const std::string &entry = fleet.entryAddress("entry-1");
+    const auto runs = [&](const std::string &text) {
+        const json ledger = jsonOf(get(fleet.standinAddress("tickets-1"), "/ledger"));
+        return ledger.at("bodies").value(sha256Hex(json {{"post", text}}.dump()), 0);
+    };
+    TestCall paused(entry, post("key-1", "paid once"));
+    waitUntil("the post runs", [&] {
+        return runs("paid once") == 1;
+    });
+    fleet.agent("tickets-1").send(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    fleet.agent("tickets-1").send(SIGCONT);
+    const unsigned status = paused.response().result_int();
+    CHECK((status == 200 || status == 502 || status == 504));
+    const unsigned repeated = call(entry, post("key-1", "paid once")).result_int();
+    CHECK((repeated == 200 || repeated == 502 || repeated == 504));
+    CHECK(runs("paid once") == 1);
+
+    TestCall killed(entry, post("key-2", "killed"));
+    waitUntil("the second post runs", [&] {
+        return runs("killed") == 1;
+    });
+    fleet.agent("tickets-1").send(SIGKILL);
+    const HttpResponse unknown = killed.response();
+    CHECK((unknown.result_int() == 502 || unknown.result_int() == 504));
+    CHECK(jsonOf(unknown).at("mimosatally").at("outcome") == "outcome_unknown");
+    fleet.agent("tickets-1").wait();
+    fleet.startAgent("tickets-1");
+    fleet.waitForState("entry-1", "tickets-1", "usable");
+    CHECK(call(entry, post("key-2", "killed")).result_int() >= 500);
+    CHECK(runs("killed") == 1);
+}
--- a/tests/process/testprogram.h
+++ b/tests/process/testprogram.h
@@ -86,6 +86,12 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
 
+    /// \brief Process id; -1 after wait().
+    [[nodiscard]] pid_t id() const
+    {
+        return id_;
+    }
+
     [[nodiscard]] std::string output() const
     {
         std::ifstream file(output_);
