--- a/include/mimosatally/membership/endpointdirectory.h
+++ b/include/mimosatally/membership/endpointdirectory.h
@@ -57,7 +57,7 @@
     /// \param leaving final for the incarnation once true.
     void observeAnswer(const EndpointId &endpoint, const IncarnationId &incarnation, bool leaving, Time now);
 
-    /// \brief An agent refused work because it is leaving.
+    /// \brief An agent refused work because it is leaving. Final for the incarnation, even if it is heard of for the first time.
     void observeLeaving(const EndpointId &endpoint, const IncarnationId &incarnation);
 
     /// \brief The connection to an incarnation ended; nothing happens if a newer incarnation is connected.
--- a/src/membership/endpointdirectory.cpp
+++ b/src/membership/endpointdirectory.cpp
@@ -68,10 +68,18 @@
 
 void EndpointDirectory::observeLeaving(const EndpointId &endpoint, const IncarnationId &incarnation)
 {
-    const auto found = observed_.find(endpoint);
-    if (found != observed_.end() && found->second.incarnation == incarnation) {
-        found->second.leaving = true;
+    if (!configured_.contains(endpoint)) {
+        return;
+    }
+    Observation &observation = observed_[endpoint];
+    if (isPredecessor(observation, incarnation)) {
+        return;
+    }
+    if (observation.incarnation != incarnation) {
+        replaceIncarnation(observation, incarnation);
+        observation.connected = false;
     }
+    observation.leaving = true;
 }
 
 void EndpointDirectory::observeConnectionLost(const EndpointId &endpoint, const IncarnationId &incarnation)
