--- a/src/routing/routerimpl.cpp
+++ b/src/routing/routerimpl.cpp
@@ -16,7 +16,7 @@
 constexpr double NEAR_EQUAL_PART = 0.1;
 constexpr double NEAR_EQUAL_SECONDS = 0.01;
 /// \brief Engine time saved by a cached prefix or a fitting role shortens the wait of every later request, not of this one alone.
-constexpr double SAVED_WORK_WEIGHT = 32;
+constexpr double SAVED_WORK_WEIGHT = 8;
 /// \brief Work in the batch slows the request down even if it starts at once.
 constexpr double BATCH_SLOWDOWN = 0.5;
 /// \brief A little more than a call to another data centre of the region costs (docs/design.md, section 1.2).
