--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -198,6 +198,24 @@
     return *agent_;
 }
 
+void AgentLink::watch(const std::shared_ptr<SubmitWatch> &watch)
+{
+    std::erase_if(watches_, [](const std::weak_ptr<SubmitWatch> &item) {
+        return item.expired();
+    });
+    watches_.push_back(watch);
+}
+
+void AgentLink::reportSilence()
+{
+    for (const std::weak_ptr<SubmitWatch> &item : watches_) {
+        if (const std::shared_ptr<SubmitWatch> watch = item.lock()) {
+            watch->agentSilent(incarnation_);
+        }
+    }
+    watches_.clear();
+}
+
 const IncarnationId &AgentLink::incarnation() const
 {
     return incarnation_;
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosatally.capnp.h"
+#include "submitwatch.h"
 
 #include <mimosatally/Config>
 #include <mimosatally/Placement>
@@ -38,6 +39,12 @@
     /// \brief Capability of the connected agent. \throws DisconnectedError
     [[nodiscard]] schema::Agent::Client agent();
 
+    /// \brief Makes \a watch hear when the agent falls silent.
+    void watch(const std::shared_ptr<SubmitWatch> &watch);
+
+    /// \brief Tells the watches that the agent is silent.
+    void reportSilence();
+
     /// \brief Incarnation of the connected agent; empty without a connection.
     [[nodiscard]] const IncarnationId &incarnation() const;
 
@@ -66,6 +73,7 @@
     std::unique_ptr<RpcConnection> connection_;
     std::optional<schema::Agent::Client> agent_;
     IncarnationId incarnation_;
+    std::vector<std::weak_ptr<SubmitWatch>> watches_;
     ConfigurationVersion peerVersion_ = ConfigurationVersion(-1);
     std::optional<QueueLoad> load_;
     DemandReport arrived_;
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -54,34 +54,12 @@
 }
 } // namespace
 
-kj::Promise<CallerWatch::SubmitResponse> CallerWatch::whenGone()
-{
-    auto pair = kj::newPromiseAndFulfiller<SubmitResponse>();
-    fulfiller_ = kj::mv(pair.fulfiller);
-    if (gone_) {
-        markGone();
-    }
-    return kj::mv(pair.promise);
-}
-
-void CallerWatch::markGone()
-{
-    gone_ = true;
-    if (fulfiller_.get() != nullptr && fulfiller_->isWaiting()) {
-        fulfiller_->reject(kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::heapString("the caller is gone")));
-    }
-}
-
-bool CallerWatch::isGone() const
-{
-    return gone_;
-}
-
 CallRunner::CallRunner(EntryState &entry, HttpExchange &exchange, Call call)
     : entry_(entry)
     , exchange_(exchange)
     , call_(std::move(call))
     , relay_(std::make_shared<AnswerRelay>(entry.io, exchange, [this](HttpResponse &response) {
+        watch_->answerRelayed();
         response.set("X-Request-Id", call_.id.value());
         response.set("X-Mimosatally-Receipt", receipt_);
     }))
@@ -93,7 +71,7 @@
     receipt_ = entry_.decisions.admitted(call_);
     if (call_.mayRepeat) {
         exchange_.onPeerClosed([watch = watch_] {
-            watch->markGone();
+            watch->callerGone();
         });
         co_await runRepeatable();
     } else {
@@ -175,10 +153,12 @@
     auto request = agent.submitRequest();
     fillRequest(request.initRequest(), link, right);
     request.setSink(kj::heap<AnswerSink>(entry_.io, relay_, relayAttempt));
+    link.watch(watch_);
+    watch_->start(incarnation, call_.mayRepeat);
     kj::Promise<SubmitResponse> sent = request.send();
     std::string failure;
-    const std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenGone()), failure);
-    if (call_.mayRepeat && (watch_->isGone() || relay_->isCallerGone())) {
+    const std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenEnded()), failure);
+    if (call_.mayRepeat && (watch_->isCallerGone() || relay_->isCallerGone())) {
         co_await cancelAtAgent(agent, incarnation);
         co_return endOf(AttemptEnd::Kind::CallerGone, "caller-gone");
     }
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -3,6 +3,7 @@
 #include "answerrelay.h"
 #include "call.h"
 #include "entrystate.h"
+#include "submitwatch.h"
 
 #include <memory>
 #include <optional>
@@ -43,22 +44,6 @@
     Offset claim;
 };
 
-/// \brief Tells a CallRunner that its caller went away; outlives the runner where the exchange does.
-class CallerWatch
-{
-public:
-    using SubmitResponse = capnp::Response<schema::Agent::SubmitResults>;
-
-    /// \brief Promise that is rejected when the caller goes away.
-    kj::Promise<SubmitResponse> whenGone();
-    void markGone();
-    [[nodiscard]] bool isGone() const;
-
-private:
-    kj::Own<kj::PromiseFulfiller<SubmitResponse>> fulfiller_;
-    bool gone_ = false;
-};
-
 /// \brief Routes one call, sends it to agents and relays the answer. Lives until the call has ended.
 class CallRunner
 {
@@ -69,7 +54,7 @@
     boost::asio::awaitable<void> run();
 
 private:
-    using SubmitResponse = CallerWatch::SubmitResponse;
+    using SubmitResponse = SubmitWatch::SubmitResponse;
 
     boost::asio::awaitable<void> runRepeatable();
     boost::asio::awaitable<void> runClaimed();
@@ -103,7 +88,7 @@
     int attempts_ = 0;
     bool mayHaveRun_ = false;
     CallRefusal refusal_;
-    std::shared_ptr<CallerWatch> watch_ = std::make_shared<CallerWatch>();
+    std::shared_ptr<SubmitWatch> watch_ = std::make_shared<SubmitWatch>();
 };
 
 } // namespace mimosatally::internal
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -88,8 +88,12 @@
 
 void Fleet::refreshAvailability()
 {
+    const Time now = MilliClock::now();
     for (const auto &[id, member] : members_) {
         refreshAvailability(id);
+        if (entry_.directory.availability(id, now) == EndpointAvailability::Silent) {
+            member.link->reportSilence();
+        }
     }
 }
 
