--- /dev/null
+++ b/tests/unit/audittest.cpp
@@ -0,0 +1,334 @@
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Audit>
+
+#include <nlohmann/json.hpp>
+
+using namespace mimosatally;
+using Json = nlohmann::json;
+
+namespace
+{
+const ProcessId AGENT("agent-1");
+const IncarnationId INCARNATION("i1");
+constexpr ConfigurationVersion VERSION(5);
+constexpr Bytes LARGE(1 << 20);
+
+Time at(int milliseconds)
+{
+    return Time(Duration(milliseconds));
+}
+
+ConfigurationInputs configuration()
+{
+    ConfigurationInputs inputs;
+    inputs.contracts = {{CustomerId("large"), 700000, 0, Duration(10000), {}}, {CustomerId("small"), 300000, 0, Duration(10000), {}}};
+    inputs.capacity = EndpointCapacity {1, 8000, 600};
+    inputs.endpoint = EndpointId("engine-1");
+    return inputs;
+}
+
+/// \brief Writes the chain of an agent that queues and dispatches on a real Scheduler.
+class AgentRun
+{
+public:
+    explicit AgentRun(Bytes maxBuffered = LARGE, ProcessId process = AGENT)
+        : chain(std::move(process), INCARNATION, maxBuffered)
+    {
+        chain.start("agent", VERSION, at(0));
+        const ConfigurationInputs inputs = configuration();
+        scheduler_.emplace(Scheduler::Builder().capacity(*inputs.capacity).contracts(inputs.contracts).tokenCosts(inputs.costs).build());
+        add(DecisionKind::ConfigurationApplied, "", "", 0, inputs);
+    }
+
+    template<class Inputs>
+    Receipt add(DecisionKind kind, const std::string &request, const std::string &customer, int now, const Inputs &inputs)
+    {
+        return chain.append({kind, RequestId(request), CustomerId(customer), VERSION, at(now), toJson(inputs)});
+    }
+
+    void queue(const std::string &request, const std::string &customer, int now, Offset claim = Offset(-1))
+    {
+        const QueuedInputs inputs {{Tokens(100), Tokens(10)}, at(now + 10000), claim < Offset(0), claim < Offset(0) ? -1 : 0, claim};
+        REQUIRE_FALSE(scheduler_->enqueue({RequestId(request), CustomerId(customer), inputs.expected, inputs.startDeadline}, at(now)));
+        add(DecisionKind::Queued, request, customer, now, inputs);
+    }
+
+    std::string dispatch(int now)
+    {
+        const auto request = scheduler_->dispatchNext(at(now));
+        REQUIRE(request);
+        add(DecisionKind::Dispatched, request->value(), "", now, DispatchedInputs {});
+        return request->value();
+    }
+
+    void complete(const std::string &request, int now)
+    {
+        const CompletedInputs inputs {200, {Tokens(100), Tokens(20)}, Bytes(80)};
+        scheduler_->complete(RequestId(request), inputs.actual, at(now));
+        add(DecisionKind::Completed, request, "", now, inputs);
+    }
+
+    /// \brief Six requests of two customers, one after the other.
+    void serve()
+    {
+        for (int number = 0; number < 6; ++number) {
+            queue("r" + std::to_string(number), number % 2 == 0 ? "large" : "small", 10 + number);
+        }
+        for (int number = 0; number < 6; ++number) {
+            complete(dispatch(100 + 10 * number), 105 + 10 * number);
+        }
+    }
+
+    DecisionChain chain;
+
+private:
+    std::optional<Scheduler> scheduler_;
+};
+
+std::vector<std::string> exported(DecisionChain &chain, Bytes batchSize = Bytes(900))
+{
+    std::vector<std::string> batches;
+    while (const auto batch = chain.nextBatch(batchSize)) {
+        batches.push_back(*batch);
+        chain.confirmBatch();
+    }
+    return batches;
+}
+
+AuditReport verify(const std::vector<std::string> &batches)
+{
+    AuditVerifier verifier;
+    for (std::size_t index = 0; index < batches.size(); ++index) {
+        verifier.add(Offset(static_cast<std::int64_t>(index)), batches[index]);
+    }
+    return verifier.verify();
+}
+
+std::vector<std::string> servedBatches()
+{
+    AgentRun run;
+    run.serve();
+    run.chain.close(VERSION, at(1000));
+    return exported(run.chain);
+}
+
+/// \brief Writes the records anew with correct hashes, as a process would that lies from the start.
+std::vector<std::string> rechained(const std::vector<std::string> &batches, const std::function<void(std::vector<Json> &)> &change)
+{
+    std::vector<Json> records;
+    for (const std::string &batch : batches) {
+        const Json parsed = Json::parse(batch);
+        records.insert(records.end(), parsed.at("records").begin(), parsed.at("records").end());
+    }
+    change(records);
+    DecisionChain chain(AGENT, INCARNATION, LARGE);
+    for (const Json &record : records) {
+        chain.append({parseDecisionKind(record.at("kind").get<std::string>()),
+                      RequestId(record.value("request", "")),
+                      CustomerId(record.value("customer", "")),
+                      ConfigurationVersion(record.at("version").get<std::int64_t>()),
+                      at(record.at("at_ms").get<int>()),
+                      record.at("inputs").dump()});
+    }
+    return exported(chain);
+}
+
+void checkFinding(const AuditReport &report, int sequence, const std::string &text)
+{
+    INFO(text);
+    REQUIRE_FALSE(report.findings.empty());
+    const Finding &finding = report.findings.front();
+    CHECK(finding.place.file == "agent-1/i1");
+    CHECK(finding.place.line == sequence);
+    CHECK_THAT(finding.message, Catch::Contains(text));
+}
+} // namespace
+
+// Guards against findings about an honest process, and against a replay that does not happen.
+TEST_CASE("An honest chain has no findings", "[audit]")
+{
+    auto batches = servedBatches();
+    REQUIRE(batches.size() > 3);
+    SECTION("a repeated batch is ignored")
+    {
+        batches.push_back(batches[1]);
+    }
+    SECTION("batches may arrive in any order")
+    {
+        std::swap(batches[0], batches[2]);
+    }
+    const AuditReport report = verify(batches);
+    CHECK(report.findings.empty());
+    CHECK(report.openEnds.empty());
+    CHECK(report.chains == 1);
+    CHECK(report.records == 21);
+    CHECK(report.dispatchesReplayed == 6);
+    CHECK(report.dispatchesNotReplayed == 0);
+}
+
+// Guards against an export from which records were removed.
+TEST_CASE("Missing records are found", "[audit]")
+{
+    auto batches = servedBatches();
+    const int removed = Json::parse(batches[1]).at("records").front().at("sequence").get<int>();
+    const int next = Json::parse(batches[2]).at("records").front().at("sequence").get<int>();
+    batches.erase(batches.begin() + 1);
+    const AuditReport report = verify(batches);
+    checkFinding(report, next, "records " + std::to_string(removed) + " to " + std::to_string(next - 1) + " are missing");
+    CHECK(report.dispatchesReplayed + report.dispatchesNotReplayed >= 5);
+    CHECK(report.dispatchesNotReplayed > 0);
+}
+
+// Guards against records that were altered after the fact, also the last one, which no later record names.
+TEST_CASE("Altered records are found", "[audit]")
+{
+    auto batches = servedBatches();
+    Json batch = Json::parse(batches[2]);
+    const int sequence = batch.at("records").front().at("sequence").get<int>();
+    batch.at("records").front()["at_ms"] = batch.at("records").front().at("at_ms").get<int>() + 1;
+    batches[2] = batch.dump();
+    checkFinding(verify(batches), sequence + 1, "altered");
+
+    batches = servedBatches();
+    batch = Json::parse(batches.back());
+    batch.at("records").back()["version"] = 6;
+    batches.back() = batch.dump();
+    checkFinding(verify(batches), 20, "does not have the hash that its batch states");
+}
+
+// Guards against a process that tells two stories, and against a second record with the same number.
+TEST_CASE("A forked chain is found", "[audit]")
+{
+    auto batches = servedBatches();
+    Json batch = Json::parse(batches.back());
+    batch["id"] = "another";
+    batch.at("records").back()["at_ms"] = 2000;
+    batches.push_back(batch.dump());
+    checkFinding(verify(batches), 20, "two different records");
+}
+
+// Guards against a process that serves customers in another order than the contracts say, with correct hashes.
+TEST_CASE("A dispatch that the contracts do not choose is found", "[audit]")
+{
+    const auto batches = rechained(servedBatches(), [](std::vector<Json> &records) {
+        const std::string first = records[8].at("request");
+        REQUIRE(records[8].at("kind") == "Dispatched");
+        records[8]["request"] = records[10].at("request");
+        records[10]["request"] = first;
+    });
+    checkFinding(verify(batches), 8, "but the contracts choose");
+}
+
+// Guards against queueing for longer than the contract allows, with correct hashes.
+TEST_CASE("Records against the contract are found", "[audit]")
+{
+    auto batches = rechained(servedBatches(), [](std::vector<Json> &records) {
+        records[2]["inputs"]["start_deadline_ms"] = 50000;
+    });
+    checkFinding(verify(batches), 2, "beyond the contract's longest wait");
+
+    batches = rechained(servedBatches(), [](std::vector<Json> &records) {
+        for (std::size_t index = 8; index < records.size(); ++index) {
+            records[index]["at_ms"] = records[index].at("at_ms").get<int>() + 20000;
+        }
+    });
+    checkFinding(verify(batches), 8, "started after its start deadline");
+
+    batches = rechained(servedBatches(), [](std::vector<Json> &records) {
+        records[12]["version"] = 4;
+    });
+    checkFinding(verify(batches), 12, "version is lower");
+}
+
+// Guards against a killed process whose last records are taken for the end of its work.
+TEST_CASE("A chain without a closing record is an open end", "[audit]")
+{
+    AgentRun run;
+    run.serve();
+    const AuditReport report = verify(exported(run.chain));
+    CHECK(report.findings.empty());
+    REQUIRE(report.openEnds.size() == 1);
+    CHECK(report.openEnds.front().place.line == 19);
+}
+
+// Guards against a buffer that loses records silently during an outage of the log.
+TEST_CASE("Records dropped by a full buffer are reported with their count", "[audit]")
+{
+    AgentRun run(Bytes(1500));
+    run.serve();
+    CHECK(run.chain.bufferedBytes() <= Bytes(1500));
+    run.chain.close(VERSION, at(1000));
+    const AuditReport report = verify(exported(run.chain));
+    REQUIRE(report.findings.size() == 1);
+    CHECK(report.findings.front().place.line == 0);
+    CHECK_THAT(report.findings.front().message, Catch::Contains("dropped " + std::to_string(21 - report.records) + " records"));
+    CHECK(report.dispatchesReplayed == 0);
+}
+
+// Guards against a batch that is sent twice with different content after a lost answer.
+TEST_CASE("A batch is repeated unchanged until it is confirmed", "[audit]")
+{
+    AgentRun run;
+    const auto batch = run.chain.nextBatch(LARGE);
+    run.chain.retryBatch();
+    run.queue("r", "large", 10);
+    CHECK(run.chain.nextBatch(LARGE) == batch);
+    run.chain.confirmBatch();
+    CHECK(run.chain.nextBatch(LARGE) != batch);
+}
+
+// Guards against a refusal as not run of a request that ran, told by two processes.
+TEST_CASE("A request that was refused as not run and dispatched is found", "[audit]")
+{
+    AgentRun run;
+    run.serve();
+    run.chain.close(VERSION, at(1000));
+    DecisionChain entry(ProcessId("entry-1"), IncarnationId("e1"), LARGE);
+    entry.start("entry", VERSION, at(0));
+    RefusedInputs refusal;
+    refusal.reason = "endpoint-failed";
+    entry.append({DecisionKind::Refused, RequestId("r3"), CustomerId("small"), VERSION, at(200), toJson(refusal)});
+    entry.close(VERSION, at(1000));
+    auto batches = exported(run.chain);
+    const auto more = exported(entry);
+    batches.insert(batches.end(), more.begin(), more.end());
+    const AuditReport report = verify(batches);
+    REQUIRE(report.findings.size() == 1);
+    CHECK(report.findings.front().place.file == "entry-1/e1");
+    CHECK(report.findings.front().place.line == 1);
+    CHECK_THAT(report.findings.front().message, Catch::Contains("was refused as not run, but it was dispatched"));
+}
+
+// Guards against a non-repeatable call that runs at two endpoints.
+TEST_CASE("A claim that was dispatched twice is found", "[audit]")
+{
+    std::vector<std::string> batches;
+    for (const char *process : {"agent-1", "agent-2"}) {
+        AgentRun run(LARGE, ProcessId(process));
+        run.queue("post", "large", 10, Offset(77));
+        run.complete(run.dispatch(20), 30);
+        run.chain.close(VERSION, at(1000));
+        const auto more = exported(run.chain);
+        batches.insert(batches.end(), more.begin(), more.end());
+    }
+    const AuditReport report = verify(batches);
+    REQUIRE(report.findings.size() == 1);
+    CHECK_THAT(report.findings.front().message, Catch::Contains("claim of request post was dispatched before"));
+}
+
+// Guards against a receipt that proves nothing: a rewritten chain does not hold it.
+TEST_CASE("A receipt is held by the chain that gave it only", "[audit]")
+{
+    AgentRun run;
+    const Receipt receipt = run.add(DecisionKind::CallerRejected, "r", "", 10, CallerRejectedInputs {"unknown key"});
+    const auto batches = exported(run.chain, LARGE);
+    AuditVerifier honest;
+    honest.add(Offset(0), batches.front());
+    CHECK(honest.holds(receipt));
+    AuditVerifier rewritten;
+    rewritten.add(Offset(0), rechained(batches, [](std::vector<Json> &records) {
+                                 records[0]["at_ms"] = 1;
+                             }).front());
+    CHECK_FALSE(rewritten.holds(receipt));
+}
