--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -41,12 +41,16 @@
     std::optional<Time> finished;
     /// \brief When the caller got a refusal, and the time to come back that it named.
     std::optional<Time> refused;
+    /// \brief Reason of the last refusal by an agent, or `no-endpoint` from the router.
+    std::string refusalReason = "no-endpoint";
     int attempts = 0;
 };
 
 /// \brief Served weighted tokens and waiting work of one customer in one second.
 struct CustomerSecond {
     std::int64_t served = 0;
+    /// \brief Weight of the requests that arrived.
+    std::int64_t arrived = 0;
     /// \brief Weight that waits at the begin of the second.
     std::int64_t waitingWeight = 0;
     bool waitedThroughout = true;
--- /dev/null
+++ b/src/entry/rolescope.cpp
@@ -0,0 +1,147 @@
+#include "rolescope.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief Short against the seconds that a role change takes, long against the renewals, so that one lost renewal does no harm.
+constexpr Duration LEASE_TTL = Duration(6000);
+
+LeaseScope scopeId(const ModelId &model, const RegionId &region)
+{
+    return LeaseScope(model.value() + '/' + region.value());
+}
+
+EngineRole parseRole(const std::string &role, EngineRole fallback)
+{
+    if (role == "prefill") {
+        return EngineRole::Prefill;
+    }
+    if (role == "decode") {
+        return EngineRole::Decode;
+    }
+    return role == "mixed" ? EngineRole::Mixed : fallback;
+}
+
+PhaseWork difference(const PhaseWork &now, const PhaseWork &before)
+{
+    return {now.uncachedPrompt - before.uncachedPrompt, now.output - before.output};
+}
+
+void increase(PhaseWork &sum, const PhaseWork &work)
+{
+    sum.uncachedPrompt += work.uncachedPrompt;
+    sum.output += work.output;
+}
+} // namespace
+
+RoleScope::RoleScope(LeaseScope id, ProcessId process, IncarnationId incarnation)
+    : id_(id)
+    , lease_(std::move(id), std::move(process), std::move(incarnation), LEASE_TTL)
+{
+}
+
+const LeaseScope &RoleScope::id() const
+{
+    return id_;
+}
+
+LeaseHolder &RoleScope::lease()
+{
+    return lease_;
+}
+
+bool RoleScope::isChanging() const
+{
+    return changing_;
+}
+
+void RoleScope::setChanging(bool changing)
+{
+    changing_ = changing;
+}
+
+void RoleScope::reset()
+{
+    planner_.reset();
+    arrivals_.clear();
+}
+
+std::optional<RoleChange> RoleScope::plan(const std::vector<ScopeEngine> &engines, RolePolicy policy, Time now)
+{
+    if (!planner_ || !(policy_ == policy)) {
+        reset();
+        policy_ = policy;
+        planner_.emplace(RolePlanner::Builder().policy(policy).build());
+    }
+    removeMissing(engines);
+    DemandReport demand;
+    for (const ScopeEngine &engine : engines) {
+        EngineStatus status;
+        status.engine = engine.endpoint.id;
+        status.role = parseRole(engine.link->role(), engine.endpoint.role);
+        status.available = engine.available;
+        status.prefillTokensPerSecond = engine.endpoint.prefillTokensPerSecond;
+        status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
+        status.runningRequests = engine.link->load().value_or(QueueLoad()).runningRequests;
+        planner_->reportEngine(status, now);
+        const DemandReport arrived = newArrivals(engine);
+        increase(demand.prefillHeavy, arrived.prefillHeavy);
+        increase(demand.decodeHeavy, arrived.decodeHeavy);
+    }
+    planner_->reportDemand(demand, now);
+    return planner_->plan(now);
+}
+
+void RoleScope::removeMissing(const std::vector<ScopeEngine> &engines)
+{
+    std::erase_if(arrivals_, [&](const auto &entry) {
+        const bool missing = std::ranges::none_of(engines, [&](const ScopeEngine &engine) {
+            return engine.endpoint.id == entry.first;
+        });
+        if (missing) {
+            planner_->removeEngine(entry.first);
+        }
+        return missing;
+    });
+}
+
+DemandReport RoleScope::newArrivals(const ScopeEngine &engine)
+{
+    const DemandReport &total = engine.link->arrived();
+    const auto [found, isNew] = arrivals_.try_emplace(engine.endpoint.id, Arrivals {engine.link->incarnation(), total});
+    Arrivals &last = found->second;
+    if (isNew || last.incarnation != engine.link->incarnation()) {
+        last = {engine.link->incarnation(), total};
+        return {};
+    }
+    const DemandReport arrived {difference(total.prefillHeavy, last.total.prefillHeavy), difference(total.decodeHeavy, last.total.decodeHeavy)};
+    last.total = total;
+    return arrived;
+}
+
+std::vector<LeaseScope> scopesOf(const Configuration &configuration, const RegionId &region)
+{
+    std::set<LeaseScope> scopes;
+    for (const Endpoint &endpoint : configuration.endpoints) {
+        if (endpoint.kind == EndpointKind::Engine && endpoint.region == region) {
+            for (const ModelId &model : endpoint.models) {
+                scopes.insert(scopeId(model, region));
+            }
+        }
+    }
+    return {scopes.begin(), scopes.end()};
+}
+
+bool isInScope(const Endpoint &endpoint, const LeaseScope &scope)
+{
+    return endpoint.kind == EndpointKind::Engine && std::ranges::any_of(endpoint.models, [&](const ModelId &model) {
+               return scopeId(model, endpoint.region) == scope;
+           });
+}
+
+} // namespace mimosatally::internal
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
+#include <limits>
 
 namespace mimosatally
 {
@@ -20,7 +22,7 @@
 
 namespace
 {
-constexpr std::size_t STREAM_BUFFER_BYTES = 16 * 1024;
+constexpr std::size_t STREAM_BUFFER_BYTES = std::size_t(16) * 1024;
 
 /// \brief Whether an idle connection is still usable: open and without unread data.
 bool isUsable(boost::beast::tcp_stream &stream)
@@ -121,7 +123,8 @@
     }
     boost::beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
+    // Beast 1.74 takes every stated length as too long if there is no limit at all.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await http::async_read_header(*stream, buffer, parser, redirect_error(use_awaitable, error));
     if (error) {
         throwUnreachable(server_, error);
--- a/src/queueing/schedulerimpl.h
+++ b/src/queueing/schedulerimpl.h
@@ -62,6 +62,8 @@
     /// \brief As expectedWait(), from the queue alone.
     [[nodiscard]] Duration queueWait(Position position, Weight ownWeight, Time deadline) const;
     [[nodiscard]] Weight weightAhead(const internal::CustomerQueue &customer, Weight ownWeight, Time deadline) const;
+    /// \brief Engine time of \a ahead, of which the customer's own waiting requests are up to \a ownWeight.
+    [[nodiscard]] std::int64_t microsAhead(const internal::CustomerQueue &customer, Weight ahead, Weight ownWeight) const;
     [[nodiscard]] Weight untilServedByShare(const internal::CustomerQueue &customer, Weight ownWeight) const;
     [[nodiscard]] Refusal refuseWaiting(const internal::WaitingRequest &waiting, RefusalReason reason, Duration wait, Time now) const;
 
@@ -70,7 +72,8 @@
     void setRound();
     /// \brief Growth of the service at other endpoints since the last report.
     [[nodiscard]] Weight remoteGrowth(internal::CustomerQueue &customer, Weight served) const;
-    void addRemoteService(internal::CustomerQueue &customer, Weight delta);
+    /// \brief Moves the share tag by the growth of service at other endpoints since the last report.
+    void addRemoteService(internal::CustomerQueue &customer, Weight growth, Weight totalGrowth, Weight localTotal);
 
     EndpointCapacity capacity;
     TokenCosts costs;
@@ -86,6 +89,8 @@
     std::vector<Refusal> overdue;
 
     Weight totalService = 0;
+    /// \brief Value at the last report of service at other endpoints.
+    Weight totalAtReport = 0;
     /// \brief Start tags of the last unused capacity served, by priority.
     std::map<int, Weight> unusedTime;
     std::uint64_t arrivals = 0;
--- a/src/routing/routerimpl.cpp
+++ b/src/routing/routerimpl.cpp
@@ -16,7 +16,7 @@
 constexpr double NEAR_EQUAL_PART = 0.1;
 constexpr double NEAR_EQUAL_SECONDS = 0.01;
 /// \brief Engine time saved by a cached prefix or a fitting role shortens the wait of every later request, not of this one alone.
-constexpr double SAVED_WORK_WEIGHT = 16;
+constexpr double SAVED_WORK_WEIGHT = 32;
 /// \brief Work in the batch slows the request down even if it starts at once.
 constexpr double BATCH_SLOWDOWN = 0.5;
 /// \brief A little more than a call to another data centre of the region costs (docs/design.md, section 1.2).
@@ -166,6 +166,17 @@
     return first->cost <= second->cost ? *first : *second;
 }
 
+std::vector<Router::Impl::Candidate> Router::Impl::startingWithin(const std::vector<Candidate> &candidates, Seconds allowed)
+{
+    std::vector<Candidate> result;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.startWait <= allowed) {
+            result.push_back(candidate);
+        }
+    }
+    return result;
+}
+
 bool Router::Impl::mayLeaveRegion(const RouteRequest &request, Time now) const
 {
     if (!request.excluded.empty()) {
@@ -214,15 +225,13 @@
     const std::vector<Impl::Candidate> here = impl_->candidatesInRegion(request, *pool, now);
     std::optional<Impl::Candidate> best;
     if (!here.empty()) {
-        best = impl_->pick(here);
+        const std::vector<Impl::Candidate> inTime = Impl::startingWithin(here, allowed);
+        best = impl_->pick(inTime.empty() ? here : inTime);
     }
     if (best && (best->startWait <= allowed || !impl_->mayLeaveRegion(request, now))) {
         return impl_->decide(*best);
     }
-    std::vector<Impl::Candidate> elsewhere = impl_->candidatesElsewhere(request, *pool, now);
-    std::erase_if(elsewhere, [&](const Impl::Candidate &candidate) {
-        return candidate.startWait > allowed;
-    });
+    const std::vector<Impl::Candidate> elsewhere = Impl::startingWithin(impl_->candidatesElsewhere(request, *pool, now), allowed);
     if (!elsewhere.empty()) {
         return impl_->decide(impl_->pick(elsewhere));
     }
