Price role changes by what a swinging mix makes of them; add the trace shift

Cause: on a mix that shifts every 80 s, three changes to one phase brought Parkland 14.938/s against 15.171/s without any: the price left out the change back and the time until the next swing is noticed.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -25,7 +25,7 @@
   --seed N         Seed of the random choices.
   --strategy NAME  Runs one strategy alone: policy, static-round-robin, least-loaded or greedy-role-change.
   --json           Prints JSON instead of a table.
-  --generate KIND  Writes a trace: steady, swing, surge, withdrawal or stale.
+  --generate KIND  Writes a trace: steady, swing, shift, surge, withdrawal or stale.
 )";
 
 constexpr int SLOTS = 8;
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -114,6 +114,11 @@
             scheduler = Scheduler::Builder().capacity(capacity).contracts(trace.contracts).tokenCosts({}).build();
         }
         known_[engine].role = initialRole(strategy, engine);
+        for (const InitialRole &initial : trace.roles) {
+            if (initial.engine == engine && strategy == Strategy::Policy) {
+                known_[engine].role = initial.role;
+            }
+        }
         agents_.emplace_back(settings, known_[engine].role, SLOTS, std::move(scheduler));
     }
     for (const TraceRequest &request : trace.requests) {
--- a/bench/policy/trace.cpp
+++ b/bench/policy/trace.cpp
@@ -66,6 +66,9 @@
             trace_.withdrawals.push_back(withdrawal);
             return withdrawal.engine < ENGINES;
         }
+        if (kind == "role") {
+            return readRole(in);
+        }
         if (kind == "reports") {
             std::int64_t from = 0;
             std::int64_t to = 0;
@@ -77,6 +80,16 @@
         return false;
     }
 
+    bool readRole(std::istream &in)
+    {
+        InitialRole initial;
+        std::string role;
+        in >> initial.engine >> role;
+        initial.role = role == "prefill" ? EngineRole::Prefill : role == "decode" ? EngineRole::Decode : EngineRole::Mixed;
+        trace_.roles.push_back(initial);
+        return initial.engine < ENGINES && (role == "mixed" || initial.role != EngineRole::Mixed);
+    }
+
     bool readContract(std::istream &in)
     {
         std::string customer;
--- a/bench/policy/trace.h
+++ b/bench/policy/trace.h
@@ -37,6 +37,12 @@
     std::size_t engine = 0;
 };
 
+/// \brief Role of an engine at the start of a run of the policy; engines are mixed otherwise.
+struct InitialRole {
+    std::size_t engine = 0;
+    EngineRole role = EngineRole::Mixed;
+};
+
 /// \brief Interval in which load reports are this old when they arrive.
 struct ReportDelay {
     Time from;
@@ -50,6 +56,7 @@
     std::vector<TraceRequest> requests;
     std::vector<Withdrawal> withdrawals;
     std::vector<ReportDelay> reportDelays;
+    std::vector<InitialRole> roles;
 
     /// \brief Time of the last request.
     [[nodiscard]] Time end() const;
@@ -68,7 +75,7 @@
 /// \throws FindingsError with the lines that cannot be read.
 Trace readTrace(std::istream &in, const std::string &name);
 
-/// \brief Writes a generated trace; \a kind is steady, swing, surge, withdrawal or stale.
+/// \brief Writes a generated trace; \a kind is steady, swing, shift, surge, withdrawal or stale.
 /// \throws MalformedInputError if \a kind is unknown.
 void generateTrace(std::ostream &out, const std::string &kind, std::uint64_t seed);
 
--- a/include/mimosatally/placement/roleplanner.h
+++ b/include/mimosatally/placement/roleplanner.h
@@ -154,6 +154,8 @@
     /// \brief Part of the demand that engines in the given roles can serve; above 1 there is spare capacity.
     [[nodiscard]] double servable(const Counts &counts, const Demand &demand) const;
     [[nodiscard]] bool canServe(const Counts &counts, const Demand &demand, double part) const;
+    /// \brief Engine time that a change to the role costs, with what it costs when the mix swings back.
+    [[nodiscard]] double lostSeconds(EngineRole to) const;
     [[nodiscard]] const Engine *cheapestEngine(EngineRole role, Time now) const;
     [[nodiscard]] std::optional<Option> evaluate(EngineRole from, EngineRole to, const Counts &counts, const Demand &demand, Time now) const;
     [[nodiscard]] std::optional<Option> bestOption(Time now) const;
--- a/src/placement/roleplanner.cpp
+++ b/src/placement/roleplanner.cpp
@@ -23,6 +23,10 @@
 constexpr int CHANGE_TIMES_TO_TIMEOUT = 6;
 /// \brief Spare capacity below this part is used before roles change.
 constexpr double SERVED_WITHOUT_CHANGE = 1.0;
+/// \brief A mix that swings makes a change to one phase be followed by one back; a mixed engine serves every mix.
+constexpr int CHANGES_PER_SWING = 2;
+/// \brief Time until the next swing is noticed (smoothing and confirmation), in which an engine of one phase has the wrong role.
+constexpr double NOTICE_SECONDS = 10;
 constexpr double MAX_SERVABLE = 8.0;
 constexpr int BISECTION_STEPS = 24;
 /// \brief Roles by how well they suit prefill.
@@ -224,6 +228,15 @@
     return low;
 }
 
+double RolePlanner::lostSeconds(EngineRole to) const
+{
+    if (to == EngineRole::Mixed) {
+        return toSeconds(changeTime_);
+    }
+    const double slower = (speeds_.favoured - speeds_.other) / 1000.0;
+    return toSeconds(changeTime_) * CHANGES_PER_SWING + NOTICE_SECONDS * slower;
+}
+
 const RolePlanner::Engine *RolePlanner::cheapestEngine(EngineRole role, Time now) const
 {
     const Engine *best = nullptr;
@@ -259,7 +272,7 @@
     const double all = figures.prefillDemand + figures.decodeDemand;
     const double gained = std::min(figures.servedAfter, SERVED_WITHOUT_CHANGE) - std::min(figures.servedBefore, SERVED_WITHOUT_CHANGE);
     figures.gain = gained * all * std::max(toSeconds(horizon_ - changeTime_), 0.0);
-    figures.price = toSeconds(changeTime_) * policy_.changePrice;
+    figures.price = lostSeconds(to) * policy_.changePrice;
     if (figures.gain <= figures.price) {
         return std::nullopt;
     }
