--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -73,6 +73,9 @@
         const double bound = foresightBound(trace, EngineSettings(), SLOTS) / seconds;
         const double policy = report["strategies"]["policy"]["goodput"].get<double>();
         report["foresight_bound_goodput"] = std::round(bound * 1000) / 1000;
+        EngineSettings mixed;
+        mixed.speeds.favoured = mixed.speeds.mixed;
+        report["mixed_bound_goodput"] = std::round(foresightBound(trace, mixed, SLOTS) / seconds * 1000) / 1000;
         report["policy_to_best_baseline"] = std::round(policy / bestBaseline * 1000) / 1000;
         report["policy_to_bound"] = std::round(policy / bound * 1000) / 1000;
     }
@@ -91,7 +94,7 @@
                       << waits["wait_p95_ms"] << " p99 " << waits["wait_p99_ms"] << " ms\n";
         }
     }
-    for (const char *key : {"foresight_bound_goodput", "policy_to_best_baseline", "policy_to_bound", "isolation"}) {
+    for (const char *key : {"foresight_bound_goodput", "mixed_bound_goodput", "policy_to_best_baseline", "policy_to_bound", "isolation"}) {
         if (report.contains(key)) {
             std::cout << key << ": " << report[key] << '\n';
         }
