--- a/src/routing/routerimpl.cpp
+++ b/src/routing/routerimpl.cpp
@@ -25,23 +25,6 @@
 constexpr Duration REFUSAL_MEMORY = Duration(2000);
 constexpr int FULL_PERMILLE = 1000;
 
-/// \brief Wait that a request accepts to reach the home of its prefix. Without a home, a prefix spreads over all endpoints of the
-/// region, each of which then sees it too seldom to keep it.
-constexpr double HOME_CREDIT_SECONDS = 1.0;
-
-/// \brief Jump consistent hash (Lamping and Veach): when an endpoint is added, only its part of the keys moves.
-std::size_t jumpHash(std::uint64_t key, std::size_t buckets)
-{
-    std::int64_t bucket = -1;
-    std::int64_t next = 0;
-    while (next < static_cast<std::int64_t>(buckets)) {
-        bucket = next;
-        key = key * 2862933555777941757U + 1;
-        next = static_cast<std::int64_t>(static_cast<double>(bucket + 1) * (static_cast<double>(1LL << 31U) / static_cast<double>((key >> 33U) + 1)));
-    }
-    return static_cast<std::size_t>(bucket);
-}
-
 double toSeconds(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000;
@@ -124,17 +107,7 @@
     return std::find(request.excluded.begin(), request.excluded.end(), id) == request.excluded.end();
 }
 
-std::optional<Router::Impl::Index> Router::Impl::homeOf(const RouteRequest &request, const Pool &pool)
-{
-    const std::size_t count = pool.sameDataCentre.size() + pool.sameRegion.size();
-    if (request.cacheBlockHashes.empty() || count == 0) {
-        return std::nullopt;
-    }
-    const std::size_t place = jumpHash(request.cacheBlockHashes.front(), count);
-    return place < pool.sameDataCentre.size() ? pool.sameDataCentre[place] : pool.sameRegion[place - pool.sameDataCentre.size()];
-}
-
-std::vector<Router::Impl::Candidate> Router::Impl::evaluate(const RouteRequest &request, const std::vector<Index> &sampled, std::optional<Index> home, Time now)
+std::vector<Router::Impl::Candidate> Router::Impl::evaluate(const RouteRequest &request, const std::vector<Index> &sampled, Time now)
 {
     std::vector<Index> distinct = sampled;
     std::sort(distinct.begin(), distinct.end());
@@ -153,9 +126,6 @@
         if (endpoint.configuration().dataCentre != dataCentre) {
             cost += OTHER_DATA_CENTRE_SECONDS;
         }
-        if (home == index) {
-            cost -= HOME_CREDIT_SECONDS;
-        }
         result.push_back({index, cached, wait, service, cost});
     }
     return result;
@@ -167,11 +137,7 @@
     sample(pool.sameDataCentre, sampled);
     sample(pool.sameRegion, sampled);
     addHolders(request, false, sampled);
-    const std::optional<Index> home = homeOf(request, pool);
-    if (home) {
-        sampled.push_back(*home);
-    }
-    return evaluate(request, sampled, home, now);
+    return evaluate(request, sampled, now);
 }
 
 std::vector<Router::Impl::Candidate> Router::Impl::candidatesElsewhere(const RouteRequest &request, const Pool &pool, Time now)
@@ -179,7 +145,7 @@
     std::vector<Index> sampled;
     sample(pool.otherRegions, sampled);
     addHolders(request, true, sampled);
-    return evaluate(request, sampled, std::nullopt, now);
+    return evaluate(request, sampled, now);
 }
 
 Router::Impl::Candidate Router::Impl::pick(const std::vector<Candidate> &candidates)
--- a/src/routing/routerimpl.h
+++ b/src/routing/routerimpl.h
@@ -44,9 +44,7 @@
     void sample(const std::vector<Index> &from, std::vector<Index> &into);
     /// \brief Adds the endpoints of \a distance that hold the longest prefixes of the prompt.
     void addHolders(const RouteRequest &request, bool otherRegions, std::vector<Index> &into) const;
-    /// \brief The endpoint of the region that requests with this prompt prefix share while none of the region's caches decides.
-    [[nodiscard]] static std::optional<Index> homeOf(const RouteRequest &request, const Pool &pool);
-    [[nodiscard]] std::vector<Candidate> evaluate(const RouteRequest &request, const std::vector<Index> &endpoints, std::optional<Index> home, Time now);
+    [[nodiscard]] std::vector<Candidate> evaluate(const RouteRequest &request, const std::vector<Index> &endpoints, Time now);
     [[nodiscard]] bool admitted(const RouteRequest &request, Index endpoint, Time now);
     [[nodiscard]] static std::vector<Candidate> startingWithin(const std::vector<Candidate> &candidates, Seconds allowed);
     [[nodiscard]] Candidate pick(const std::vector<Candidate> &candidates);
