--- a/src/cli/processcommands.cpp
+++ b/src/cli/processcommands.cpp
@@ -14,13 +14,17 @@
 int entry(const Arguments &arguments)
 {
     const std::string file = textOf(arguments, "SETTINGS");
-    return runEntry(parseEntrySettings(readFile(file), file));
+    const EntrySettings settings = parseEntrySettings(readFile(file), file);
+    startLogging(settings.process.value(), settings.logLevel);
+    return runEntry(settings);
 }
 
 int agent(const Arguments &arguments)
 {
     const std::string file = textOf(arguments, "SETTINGS");
-    return runAgent(parseAgentSettings(readFile(file), file));
+    const AgentSettings settings = parseAgentSettings(readFile(file), file);
+    startLogging(settings.process.value(), settings.logLevel);
+    return runAgent(settings);
 }
 
 int check(const Arguments &arguments)
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,3 +4,4 @@
 {
     return mimosatally::runCommandLine({argv + 1, argv + argc});
 }
+
