--- a/demo.sh
+++ b/demo.sh
@@ -220,7 +220,8 @@
     REQUESTS[i]=$!
 done
 wait "${REQUESTS[@]}" || true
-refused=$(grep -lx 429 "$DIR"/status-* | head -n 1 || true)
+mapfile -t refusals < <(grep -lx 429 "$DIR"/status-*)
+refused=${refusals[0]:-}
 echo "80 long prompts of a customer that waits 50 ms at most: $(cat "$DIR"/status-* | sort | uniq -c | tr -s ' \n' ' ')"
 [ -n "$refused" ]
 cat "${refused/status/refusal}"
@@ -238,7 +239,8 @@
 echo "the stream is complete: $(grep -c '^data: ' "$DIR/stream") events"
 
 heading "Decisions in the logs"
-grep -hE 'MT(3001|3002|3003|3004|4002) ' "$DIR"/entry-*.log "$DIR"/agent-*.log | sort | cut -c 1-260 | head -n 24
+grep -hE 'MT(3001|3002|3003|3004|4002) ' "$DIR"/entry-*.log "$DIR"/agent-*.log | sort | cut -c 1-260 >"$DIR/decisions"
+head -n 24 "$DIR/decisions"
 
 heading "Stop everything in order and verify the audit records"
 for name in entry_1 entry_2; do
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,4 +4,3 @@
 {
     return mimosatally::runCommandLine({argv + 1, argv + argc});
 }
-
