--- a/include/mimosatally/rpc/promisebridge.h
+++ b/include/mimosatally/rpc/promisebridge.h
@@ -110,8 +110,11 @@
         std::rethrow_exception(completion->error);
     }
     if constexpr (!std::is_void_v<T>) {
-        invariant(completion->value.has_value(), "a completion has a value or an error");
-        co_return std::move(completion->value).value();
+        std::optional<internal::ValueOrUnit<T>> value = std::move(completion->value);
+        if (!value) {
+            throw InvariantViolation("a completion has a value or an error");
+        }
+        co_return std::move(*value);
     }
 }
 
--- a/src/entry/callrefusal.cpp
+++ b/src/entry/callrefusal.cpp
@@ -27,7 +27,7 @@
 
 bool isContractReason(const std::string &reason)
 {
-    return reason == "wait-too-long" || reason == "deadline-passed";
+    return reason == "wait-too-long" || reason == "deadline-passed" || reason == "no-endpoint-in-time";
 }
 
 nlohmann::json textOrNull(const std::string &text)
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -15,7 +15,8 @@
 /// \brief A piece of an answer that is on its way arrives within this time, unless the caller does not read.
 constexpr Duration LONGEST_PAUSE_AT_END = Duration(20000);
 constexpr Duration CANCEL_TIMEOUT = Duration(2000);
-/// \brief Time to come back after a lost attempt of a repeatable call: health and load reports are new by then.
+/// \brief Time to come back after a lost attempt of a repeatable call or without an endpoint: exchanges have brought new health and
+/// load reports by then.
 constexpr Duration RETRY_AFTER_LOSS = Duration(1000);
 
 AttemptEnd endOf(AttemptEnd::Kind kind, std::string reason)
@@ -261,7 +262,8 @@
     if (attempts_ > 0) {
         return refusal_;
     }
-    return refusedNotRun(decision.reason, decision.retryAfter);
+    // The model or service is configured, so an agent of it can be connected again soon.
+    return refusedNotRun(decision.reason, decision.retryAfter.value_or(RETRY_AFTER_LOSS));
 }
 
 CallRefusal CallRunner::refusalAfter(const AttemptEnd &end) const
