--- a/include/mimosatally/authority/ordergate.h
+++ b/include/mimosatally/authority/ordergate.h
@@ -96,9 +96,17 @@
     /// ReadBackPending if the endpoint restarted in the meantime.
     std::optional<OrderRefusal> authorize(Time readStart, Time now);
 
+    /// \brief As above, for a caller that may have been overtaken: ReadBackPending unless \a order is the order being decided.
+    ///
+    /// While the stream is read, the endpoint may restart and be read back, and the next order may be received in the same millisecond.
+    std::optional<OrderRefusal> authorize(const OrderId &order, Time readStart, Time now);
+
     /// \brief The stream could not be read; the received order is refused.
     OrderRefusal abandon();
 
+    /// \brief As above, for a caller that may have been overtaken.
+    OrderRefusal abandon(const OrderId &order);
+
     /// \brief The write ended. \param answered whether the endpoint answered it; without an answer it may still take effect.
     void finishWrite(bool answered, Time now);
 
@@ -121,6 +129,7 @@
     [[nodiscard]] Epoch highestEpoch(const LeaseScope &scope) const;
 
 private:
+    [[nodiscard]] bool isDeciding(const OrderId &order) const;
     [[nodiscard]] std::optional<OrderRefusal> check(const Order &order) const;
     [[nodiscard]] std::optional<OrderRefusal> checkEpoch(const Order &order) const;
     void forgetOldOrders(const LeaseScope &scope);
--- a/src/authority/ordergate.cpp
+++ b/src/authority/ordergate.cpp
@@ -119,6 +119,16 @@
     return std::nullopt;
 }
 
+std::optional<OrderRefusal> OrderGate::authorize(const OrderId &order, Time readStart, Time now)
+{
+    return isDeciding(order) ? authorize(readStart, now) : OrderRefusal::ReadBackPending;
+}
+
+bool OrderGate::isDeciding(const OrderId &order) const
+{
+    return state_ == OrderGateState::AuthorityPending && current_ && current_->id == order;
+}
+
 std::optional<OrderRefusal> OrderGate::checkEpoch(const Order &order) const
 {
     const Epoch highest = highestEpoch(order.scope);
@@ -141,6 +151,11 @@
     return OrderRefusal::AuthorityUnread;
 }
 
+OrderRefusal OrderGate::abandon(const OrderId &order)
+{
+    return isDeciding(order) ? abandon() : OrderRefusal::ReadBackPending;
+}
+
 void OrderGate::finishWrite(bool answered, Time now)
 {
     // endpointRestarted() may have ended the write already.
--- a/tests/random/leaseworld.cpp
+++ b/tests/random/leaseworld.cpp
@@ -223,7 +223,7 @@
     }
     realTime_ += static_cast<std::int64_t>(draw.below(300));
     const Order order = *gate_->current();
-    if (!gate_->authorize(start, now(agentClock_))) {
+    if (!gate_->authorize(order.id, start, now(agentClock_))) {
         startWrite(order);
     }
 }
--- a/tests/unit/authoritytest.cpp
+++ b/tests/unit/authoritytest.cpp
@@ -156,3 +156,16 @@
         CHECK(gate.finishReadBack(at(1250)));
     }
 }
+
+// Guards against an order that is written on the decision about another one, while its own read of the stream was under way.
+TEST_CASE("An order that was overtaken is refused", "[authority]")
+{
+    OrderGate gate = readyGate();
+    REQUIRE_FALSE(gate.receive(orderOf("o", Epoch(0)), at(1100)));
+    gate.endpointRestarted(at(1100));
+    REQUIRE(gate.finishReadBack(at(1100)));
+    REQUIRE_FALSE(gate.receive(orderOf("p", Epoch(0)), at(1100)));
+    CHECK(gate.authorize(OrderId("o"), at(1100), at(1200)) == OrderRefusal::ReadBackPending);
+    CHECK(gate.abandon(OrderId("o")) == OrderRefusal::ReadBackPending);
+    CHECK_FALSE(gate.authorize(OrderId("p"), at(1100), at(1200)));
+}
