--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -164,7 +164,8 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
-    arrived_ = {readWork(load.getArrivedPrefillHeavy()), readWork(load.getArrivedDecodeHeavy())};
+    arrived_.arrived = readWork(load.getArrived());
+    arrived_.prefillHeavy = readWork(load.getArrivedPrefillHeavy());
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
@@ -198,6 +199,24 @@
     return *agent_;
 }
 
+void AgentLink::watch(const std::shared_ptr<SubmitWatch> &watch)
+{
+    std::erase_if(watches_, [](const std::weak_ptr<SubmitWatch> &item) {
+        return item.expired();
+    });
+    watches_.push_back(watch);
+}
+
+void AgentLink::reportSilence()
+{
+    for (const std::weak_ptr<SubmitWatch> &item : watches_) {
+        if (const std::shared_ptr<SubmitWatch> watch = item.lock()) {
+            watch->agentSilent(incarnation_);
+        }
+    }
+    watches_.clear();
+}
+
 const IncarnationId &AgentLink::incarnation() const
 {
     return incarnation_;
