--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -244,11 +244,15 @@
         if (surges[customer]) {
             continue;
         }
-        const double before = percentile(waitsOf(calm, without, customer), 0.99);
-        const double during = percentile(waitsOf(trace, with, customer), 0.99);
+        const std::vector<double> calmWaits = waitsOf(calm, without, customer);
+        const std::vector<double> surgeWaits = waitsOf(trace, with, customer);
+        const double before = percentile(calmWaits, 0.99);
+        const double during = percentile(surgeWaits, 0.99);
         Json &entry = json[trace.contracts[customer].customer.value()];
         entry["wait_p99_without_surge_ms"] = before;
         entry["wait_p99_with_surge_ms"] = during;
+        entry["started_without_surge"] = calmWaits.size();
+        entry["started_with_surge"] = surgeWaits.size();
         entry["ratio"] = rounded(during / std::max(before, 1.0));
     }
     return json;
