--- a/src/agent/requestqueue.h
+++ b/src/agent/requestqueue.h
@@ -4,6 +4,7 @@
 #include "agentrequest.h"
 
 #include <mimosatally/Config>
+#include <mimosatally/Placement>
 #include <mimosatally/Queueing>
 
 #include <functional>
@@ -19,7 +20,7 @@
 struct QueueLimits {
     std::size_t maxRequests = 4096;
     /// \brief Sum of the request bodies of waiting and running requests.
-    std::size_t maxBytes = 8 * 1024 * 1024;
+    std::size_t maxBytes = std::size_t(8) * 1024 * 1024;
 };
 
 /// \brief The requests of one endpoint from their submit to their end: calls the Scheduler and records each call.
@@ -63,8 +64,8 @@
 
     [[nodiscard]] QueueLoad load() const;
 
-    /// \brief Expected tokens of all requests that were queued since the start of the process.
-    [[nodiscard]] TokenUsage arrived() const;
+    /// \brief Expected work of all requests that were queued since the start of the process.
+    [[nodiscard]] const DemandReport &arrived() const;
 
     [[nodiscard]] std::vector<CustomerService> service() const;
     [[nodiscard]] std::optional<Time> nextDeadline() const;
@@ -76,7 +77,10 @@
     void recordConfiguration(Time now);
     void applyPendingCapacity(Time now);
     void refuse(const Refusal &refusal, Time now);
-    void end(const Request &request);
+    /// \brief Ends a waiting request with its refusal.
+    void end(const Request &request, RequestOutcome refusal, Time now);
+    void remove(const Request &request);
+    Scheduler &scheduler();
     void setState(AgentRequest &request, RequestState state);
 
     EndpointId endpoint_;
@@ -89,7 +93,7 @@
     std::optional<EndpointCapacity> pendingCapacity_;
     std::unordered_map<RequestId, Request> requests_;
     std::size_t bytes_ = 0;
-    TokenUsage arrived_;
+    DemandReport arrived_;
     std::size_t running_ = 0;
     bool paused_ = false;
     std::function<void(Time)> onQueued_;
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -23,6 +23,11 @@
     return role == "decode" ? EngineRole::Decode : EngineRole::Mixed;
 }
 
+PhaseWork readWork(schema::PhaseWork::Reader message)
+{
+    return {Tokens(message.getPromptTokens()), Tokens(message.getOutputTokens())};
+}
+
 std::vector<ConfigurationRecord> readRecords(capnp::List<schema::StreamRecord>::Reader list)
 {
     std::vector<ConfigurationRecord> records;
@@ -159,7 +164,8 @@
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
     load_ = QueueLoad {report.waitingRequests, report.runningRequests, report.waitingTokens, report.runningTokens};
-    arrived_ = {Tokens(load.getArrivedPromptTokens()), Tokens(load.getArrivedOutputTokens())};
+    arrived_.arrived = readWork(load.getArrived());
+    arrived_.prefillHeavy = readWork(load.getArrivedPrefillHeavy());
     role_ = load.getRole().cStr();
     std::vector<CustomerService> served;
     for (const auto item : load.getCustomerServed()) {
@@ -193,6 +199,24 @@
     return *agent_;
 }
 
+void AgentLink::watch(const std::shared_ptr<SubmitWatch> &watch)
+{
+    std::erase_if(watches_, [](const std::weak_ptr<SubmitWatch> &item) {
+        return item.expired();
+    });
+    watches_.push_back(watch);
+}
+
+void AgentLink::reportSilence()
+{
+    for (const std::weak_ptr<SubmitWatch> &item : watches_) {
+        if (const std::shared_ptr<SubmitWatch> watch = item.lock()) {
+            watch->agentSilent(incarnation_);
+        }
+    }
+    watches_.clear();
+}
+
 const IncarnationId &AgentLink::incarnation() const
 {
     return incarnation_;
@@ -208,7 +232,7 @@
     endpoint_ = std::move(endpoint);
 }
 
-TokenUsage AgentLink::arrived() const
+const DemandReport &AgentLink::arrived() const
 {
     return arrived_;
 }
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "mimosatally.capnp.h"
+#include "submitwatch.h"
 
 #include <mimosatally/Config>
+#include <mimosatally/Placement>
 #include <mimosatally/Queueing>
 #include <mimosatally/Rpc>
 #include <mimosatally/Supervision>
@@ -37,14 +39,20 @@
     /// \brief Capability of the connected agent. \throws DisconnectedError
     [[nodiscard]] schema::Agent::Client agent();
 
+    /// \brief Makes \a watch hear when the agent falls silent.
+    void watch(const std::shared_ptr<SubmitWatch> &watch);
+
+    /// \brief Tells the watches that the agent is silent.
+    void reportSilence();
+
     /// \brief Incarnation of the connected agent; empty without a connection.
     [[nodiscard]] const IncarnationId &incarnation() const;
 
     [[nodiscard]] const Endpoint &endpoint() const;
     void setEndpoint(Endpoint endpoint);
 
-    /// \brief Tokens that arrived at the connected incarnation since its start.
-    [[nodiscard]] TokenUsage arrived() const;
+    /// \brief Work that arrived at the connected incarnation since its start.
+    [[nodiscard]] const DemandReport &arrived() const;
 
     /// \brief Last reported load, for the status page.
     [[nodiscard]] const std::optional<QueueLoad> &load() const;
@@ -65,9 +73,10 @@
     std::unique_ptr<RpcConnection> connection_;
     std::optional<schema::Agent::Client> agent_;
     IncarnationId incarnation_;
+    std::vector<std::weak_ptr<SubmitWatch>> watches_;
     ConfigurationVersion peerVersion_ = ConfigurationVersion(-1);
     std::optional<QueueLoad> load_;
-    TokenUsage arrived_;
+    DemandReport arrived_;
     std::string role_;
 };
 
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -3,6 +3,7 @@
 #include "answerrelay.h"
 #include "call.h"
 #include "entrystate.h"
+#include "submitwatch.h"
 
 #include <memory>
 #include <optional>
@@ -30,28 +31,19 @@
     TokenUsage usage;
 };
 
+/// \brief Endpoint that was chosen for an attempt. The link stays alive when the configuration drops the endpoint.
+struct ChosenRoute {
+    RouteDecision decision;
+    EndpointId endpoint;
+    std::shared_ptr<AgentLink> link;
+};
+
 /// \brief Right to run a call that may not be repeated.
 struct ClaimRight {
     int partition = 0;
     Offset claim;
 };
 
-/// \brief Tells a CallRunner that its caller went away; outlives the runner where the exchange does.
-class CallerWatch
-{
-public:
-    using SubmitResponse = capnp::Response<schema::Agent::SubmitResults>;
-
-    /// \brief Promise that is rejected when the caller goes away.
-    kj::Promise<SubmitResponse> whenGone();
-    void markGone();
-    [[nodiscard]] bool isGone() const;
-
-private:
-    kj::Own<kj::PromiseFulfiller<SubmitResponse>> fulfiller_;
-    bool gone_ = false;
-};
-
 /// \brief Routes one call, sends it to agents and relays the answer. Lives until the call has ended.
 class CallRunner
 {
@@ -62,23 +54,24 @@
     boost::asio::awaitable<void> run();
 
 private:
-    using SubmitResponse = CallerWatch::SubmitResponse;
+    using SubmitResponse = SubmitWatch::SubmitResponse;
 
     boost::asio::awaitable<void> runRepeatable();
     boost::asio::awaitable<void> runClaimed();
-    boost::asio::awaitable<void> runWithClaim(RouteDecision decision, ClaimRecord record, ClaimResult claim);
+    boost::asio::awaitable<void> runWithClaim(ChosenRoute chosen, ClaimRecord record, ClaimResult claim);
     boost::asio::awaitable<void> followClaim(ClaimKey key, ClaimResult claim);
     boost::asio::awaitable<void> answerFromOutcome(const OutcomeRecord &outcome);
 
     /// \brief Chooses a connected endpoint. \return nothing if there is none; refusal_ says why.
-    std::optional<RouteDecision> route();
-    boost::asio::awaitable<AttemptEnd> attempt(const RouteDecision &decision, std::optional<ClaimRight> right);
+    std::optional<ChosenRoute> route();
+    boost::asio::awaitable<AttemptEnd> attempt(const ChosenRoute &chosen, std::optional<ClaimRight> right);
     boost::asio::awaitable<AttemptEnd> submit(AgentLink &link, std::optional<ClaimRight> right, int relayAttempt);
     boost::asio::awaitable<AttemptEnd> readOutcome(schema::Outcome::Reader outcome);
     void fillRequest(schema::Request::Builder request, const AgentLink &link, std::optional<ClaimRight> right) const;
-    void noteEnd(const RouteDecision &decision, const IncarnationId &incarnation, const AttemptEnd &end);
+    void noteEnd(const EndpointId &endpoint, const IncarnationId &incarnation, const AttemptEnd &end);
     /// \brief Whether another attempt is allowed after \a end; if not, refusal_ is set.
     bool mayTryAgain(const AttemptEnd &end);
+    [[nodiscard]] CallRefusal refusalWithoutRoute(const RouteDecision &decision) const;
     [[nodiscard]] CallRefusal refusalAfter(const AttemptEnd &end) const;
 
     boost::asio::awaitable<void> finishAnswer(const EndpointId &endpoint, const AttemptEnd &end);
@@ -95,7 +88,7 @@
     int attempts_ = 0;
     bool mayHaveRun_ = false;
     CallRefusal refusal_;
-    std::shared_ptr<CallerWatch> watch_ = std::make_shared<CallerWatch>();
+    std::shared_ptr<SubmitWatch> watch_ = std::make_shared<SubmitWatch>();
 };
 
 } // namespace mimosatally::internal
--- a/src/entry/rolescope.cpp
+++ b/src/entry/rolescope.cpp
@@ -26,6 +26,16 @@
     }
     return role == "mixed" ? EngineRole::Mixed : fallback;
 }
+
+PhaseWork difference(const PhaseWork &now, const PhaseWork &before)
+{
+    return {now.uncachedPrompt - before.uncachedPrompt, now.output - before.output};
+}
+
+PhaseWork sum(const PhaseWork &left, const PhaseWork &right)
+{
+    return {left.uncachedPrompt + right.uncachedPrompt, left.output + right.output};
+}
 } // namespace
 
 RoleScope::RoleScope(LeaseScope id, ProcessId process, IncarnationId incarnation)
@@ -78,12 +88,7 @@
         status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
         status.runningRequests = engine.link->load().value_or(QueueLoad()).runningRequests;
         planner_->reportEngine(status, now);
-        const PhaseWork arrived = newArrivals(engine);
-        const PhaseWork waiting = waitingWork(engine);
-        demand.arrived.uncachedPrompt += arrived.uncachedPrompt;
-        demand.arrived.output += arrived.output;
-        demand.waiting.uncachedPrompt += waiting.uncachedPrompt;
-        demand.waiting.output += waiting.output;
+        addArrivals(demand, engine);
     }
     planner_->reportDemand(demand, now);
     return planner_->plan(now);
@@ -102,32 +107,18 @@
     });
 }
 
-PhaseWork RoleScope::newArrivals(const ScopeEngine &engine)
+void RoleScope::addArrivals(DemandReport &demand, const ScopeEngine &engine)
 {
-    const TokenUsage total = engine.link->arrived();
+    const DemandReport &total = engine.link->arrived();
     const auto [found, isNew] = arrivals_.try_emplace(engine.endpoint.id, Arrivals {engine.link->incarnation(), total});
     Arrivals &last = found->second;
-    if (isNew || last.incarnation != engine.link->incarnation()) {
-        last = {engine.link->incarnation(), total};
-        return {};
-    }
-    const PhaseWork work {total.prompt - last.total.prompt, total.output - last.total.output};
-    last.total = total;
-    return work;
-}
-
-PhaseWork RoleScope::waitingWork(const ScopeEngine &engine)
-{
-    const std::optional<QueueLoad> &load = engine.link->load();
-    const TokenUsage arrived = engine.link->arrived();
-    const std::int64_t all = arrived.prompt.count() + arrived.output.count();
-    if (!load || all == 0) {
-        return {};
+    if (!isNew && last.incarnation == engine.link->incarnation()) {
+        const PhaseWork prefillHeavy = total.prefillHeavy.value_or(PhaseWork());
+        const PhaseWork lastPrefillHeavy = last.total.prefillHeavy.value_or(PhaseWork());
+        demand.arrived = sum(demand.arrived, difference(total.arrived, last.total.arrived));
+        demand.prefillHeavy = sum(demand.prefillHeavy.value_or(PhaseWork()), difference(prefillHeavy, lastPrefillHeavy));
     }
-    // The load report has one sum of waiting tokens; it is divided in the ratio of all tokens that arrived.
-    const auto waiting = static_cast<double>(load->waitingTokens.count());
-    const auto prompt = static_cast<std::int64_t>(waiting * static_cast<double>(arrived.prompt.count()) / static_cast<double>(all));
-    return {Tokens(prompt), load->waitingTokens - Tokens(prompt)};
+    last = {engine.link->incarnation(), total};
 }
 
 std::vector<LeaseScope> scopesOf(const Configuration &configuration, const RegionId &region)
