Test the share of a customer that reaches one endpoint alone

A first guess of 450 as the least number was too high, because tags move by a bounded part per report.

--- a/tests/unit/schedulertest.cpp
+++ b/tests/unit/schedulertest.cpp
@@ -162,3 +162,26 @@
     scheduler.setRemoteService({{CustomerId("a"), 0}}, at(0));
     CHECK(serve(scheduler, 20, at(0)).at('a') == Approx(10).margin(1));
 }
+
+// Guards against a fleet in which a customer that reaches one endpoint alone never gets its share of the fleet.
+TEST_CASE("A customer of one endpoint approaches its share of the fleet", "[scheduler]")
+{
+    const std::vector<Contract> contracts = {contract("a", 500'000), contract("b", 500'000)};
+    Scheduler both = makeScheduler(contracts);
+    Scheduler onlyA = makeScheduler(contracts);
+    enqueueMany(both, "a", 600, at(0), 50);
+    enqueueMany(both, "b", 600, at(0), 50);
+    enqueueMany(onlyA, "a", 600, at(0), 50);
+    int servedB = 0;
+    for (int round = 0; round < 50; ++round) {
+        servedB += serve(both, 10, at(0), 50)['b'];
+        serve(onlyA, 10, at(0), 50);
+        // Reports are one round late, as exchanges are.
+        const auto here = both.service();
+        both.setRemoteService(onlyA.service(), at(0));
+        onlyA.setRemoteService(here, at(0));
+    }
+    // Half of the fleet is all 500 requests of one endpoint. The tags move by a bounded part per report, so it is approached: by
+    // the rule more than four fifths, against 250 without reports.
+    CHECK(servedB >= 400);
+}
