--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -138,6 +138,11 @@
         return logAddress_;
     }
 
+    [[nodiscard]] const std::string &agentAddress(const std::string &endpoint) const
+    {
+        return agentAddresses_.at(endpoint);
+    }
+
     TestProgram &agent(const std::string &endpoint)
     {
         return *agents_.at(endpoint);
