Keep decisions after the closing record out of the chain at shutdown; tests of orders, shipping, replay and bad messages

Cause: a submit or a configuration that arrived while an agent flushed its records was recorded after the chain's closing record, which ends the process as an invariant violation. Change: the agent cuts off its peers, whose work is done, before it closes the chain, and refuses orders while leaving; queue events are logged with endpoint and version.

--- a/src/agent/agentinterface.cpp
+++ b/src/agent/agentinterface.cpp
@@ -130,6 +130,10 @@
 
 awaitable<void> AgentNode::execute(Order order, std::shared_ptr<OrderResult> result)
 {
+    if (leaving_) {
+        result->reason = "leaving";
+        co_return;
+    }
     try {
         *result = co_await orders_.execute(std::move(order));
     } catch (const InvariantViolation &violation) {
--- a/src/agent/agentnode.cpp
+++ b/src/agent/agentnode.cpp
@@ -27,7 +27,7 @@
 constexpr Duration WORK_POLL(10);
 constexpr Duration OUTCOME_FLUSH_LIMIT(10000);
 constexpr Duration AUDIT_FLUSH_LIMIT(5000);
-/// \brief Time for the last answers to leave the process before its sockets are closed.
+/// \brief Time for the last answers to leave the process before its connections are closed.
 constexpr Duration LINGER(100);
 
 std::uint64_t chooseSeed(std::uint64_t seed)
@@ -166,11 +166,15 @@
 
 awaitable<void> AgentNode::shutDown()
 {
-    while (requests_.active() > 0 && !supervisor_.hasEscalated()) {
+    while ((requests_.active() > 0 || orders_.isBusy()) && !supervisor_.hasEscalated()) {
         co_await sleep(WORK_POLL);
     }
     server_->stopAccepting();
+    co_await sleep(LINGER);
+    // Nothing may add a decision after the chain's closing record, so peers are cut off first; their work is done.
+    server_.reset();
     configuration_.stop();
+    stopped_ = true;
     co_await supervisor_.stop();
     const std::size_t lost = co_await outcomes_.flush(OUTCOME_FLUSH_LIMIT);
     chain_.close(version(), MilliClock::now());
@@ -178,7 +182,6 @@
     if (lost > 0 || !shipped) {
         logEvent(LogEvent::RecordsNotShipped, {{"outcomes", lost}, {"audit_bytes", chain_.bufferedBytes()}});
     }
-    co_await sleep(LINGER);
     logEvent(LogEvent::ProcessStopped, {});
 }
 
@@ -190,6 +193,9 @@
 
 void AgentNode::applyConfiguration(const ConfigurationState &state)
 {
+    if (stopped_) {
+        return;
+    }
     decisions_.setVersion(state.version);
     applyInstanceState(state);
     const Endpoint *endpoint = state.findEndpoint(settings_.endpoint);
--- a/src/agent/agentnode.h
+++ b/src/agent/agentnode.h
@@ -86,6 +86,7 @@
     Time nextWake_ = Time::max();
     boost::asio::steady_timer leaveSignal_;
     bool leaving_ = false;
+    bool stopped_ = false;
     std::unique_ptr<RpcServer> server_;
     std::unique_ptr<HttpServer> status_;
 };
--- a/src/agent/orderrunner.cpp
+++ b/src/agent/orderrunner.cpp
@@ -189,6 +189,11 @@
     }
 }
 
+bool OrderRunner::isBusy() const
+{
+    return gate_.state() == OrderGateState::AuthorityPending || gate_.state() == OrderGateState::Writing;
+}
+
 void OrderRunner::noteEndpointLost()
 {
     // During a write its own end decides from when a read-back counts.
--- a/src/agent/orderrunner.h
+++ b/src/agent/orderrunner.h
@@ -46,6 +46,9 @@
     /// \brief Task of the supervisor: reads the endpoint's state back after each order and at the start.
     boost::asio::awaitable<void> run(TaskContext &context);
 
+    /// \brief Whether an order is being decided or carried out.
+    [[nodiscard]] bool isBusy() const;
+
     /// \brief The endpoint could not be reached; it may have crashed in the middle of an order.
     void noteEndpointLost();
 
--- a/src/agent/requestqueue.cpp
+++ b/src/agent/requestqueue.cpp
@@ -101,6 +101,12 @@
     bytes_ += request->body.size();
     arrived_.addArrival({request->expected.prompt, request->expected.output}, capacity_.prefillTokensPerSecond, capacity_.decodeTokensPerSecond);
     request->state = RequestState::Waiting;
+    logEvent(LogEvent::RequestQueued,
+             {{"request", request->id},
+              {"customer", request->customer},
+              {"endpoint", endpoint_},
+              {"waiting", scheduler().load().waitingRequests},
+              {"configuration", decisions_.version()}});
     if (onQueued_) {
         onQueued_(request->startDeadline);
     }
@@ -127,6 +133,12 @@
         ++running_;
         request.dispatchedAt = now;
         decisions_.add(DecisionKind::Dispatched, request.id, request.customer, now, DispatchedInputs {now - request.receivedAt});
+        logEvent(LogEvent::RequestDispatched,
+                 {{"request", request.id},
+                  {"customer", request.customer},
+                  {"endpoint", endpoint_},
+                  {"queued_ms", now - request.receivedAt},
+                  {"configuration", decisions_.version()}});
         setState(request, RequestState::Dispatched);
     }
 }
@@ -145,6 +157,13 @@
     invariant(request->state == RequestState::Dispatched, "only a dispatched request completes");
     scheduler().complete(request->id, result.actual, now);
     decisions_.add(DecisionKind::Completed, request->id, request->customer, now, result);
+    logEvent(LogEvent::RequestCompleted,
+             {{"request", request->id},
+              {"customer", request->customer},
+              {"endpoint", endpoint_},
+              {"status", result.status},
+              {"prompt_tokens", result.actual.prompt},
+              {"output_tokens", result.actual.output}});
     --running_;
     remove(request);
     applyPendingCapacity(now);
--- a/src/agent/requestservice.cpp
+++ b/src/agent/requestservice.cpp
@@ -127,19 +127,12 @@
 awaitable<RequestOutcome> RequestService::run(Request request, std::shared_ptr<AnswerWriter> writer)
 {
     const Duration queued = request->dispatchedAt - request->receivedAt;
-    logEvent(LogEvent::RequestDispatched, {{"request", request->id}, {"customer", request->customer}, {"queued_ms", queued}});
     Dispatch dispatch(endpoint_, request, std::move(writer));
     RequestOutcome outcome = co_await dispatch.run();
     outcome.queued = queued;
     if (outcome.kind != OutcomeKind::NotRun) {
         memory_.noteRun(request->id);
     }
-    logEvent(LogEvent::RequestCompleted,
-             {{"request", request->id},
-              {"customer", request->customer},
-              {"status", outcome.status},
-              {"prompt_tokens", outcome.usage.prompt},
-              {"output_tokens", outcome.usage.output}});
     queue_.complete(request, CompletedInputs {outcome.status, outcome.usage, outcome.answerBytes}, MilliClock::now());
     if (!request->mayRepeat && outcome.kind == OutcomeKind::Answered) {
         co_await recordOutcome(request, outcome, dispatch);
--- a/tests/process/agentstoptest.cpp
+++ b/tests/process/agentstoptest.cpp
@@ -3,6 +3,8 @@
 #include "process/testfleet.h"
 #include "standins/enginetext.h"
 
+#include <mimosatally/Audit>
+
 using namespace mimosatally;
 using namespace mimosatally::test;
 using nlohmann::json;
@@ -141,7 +143,20 @@
     const json ledger = fleet.ledger("engine-1");
     CHECK(total(ledger, "started") == before);
     CHECK(total(ledger, "completed") == before);
-    CHECK(fleet.records("audit").dump().find("ProcessStopped") != std::string::npos);
+    AuditVerifier verifier;
+    std::int64_t offset = 0;
+    for (const json &batch : fleet.records("audit")) {
+        verifier.add(Offset(offset++), batch.dump());
+    }
+    const AuditReport report = verifier.verify();
+    for (const Finding &finding : report.findings) {
+        UNSCOPED_INFO(toString(finding));
+    }
+    CHECK(report.findings.empty());
+    CHECK(report.dispatchesReplayed > 0);
+    for (const Finding &openEnd : report.openEnds) {
+        CHECK_FALSE(openEnd.place.file.starts_with("agent-engine-1/"));
+    }
 }
 
 // Guards against an operator's drain that cuts off work or leaves the agent in service.
--- a/tests/standins/standin_engine.cpp
+++ b/tests/standins/standin_engine.cpp
@@ -288,14 +288,15 @@
     {
         orderRunning_ = true;
         orderId_ = entry.at("id").get<std::string>();
+        const std::string kind = entry.at("kind").get<std::string>();
+        const bool interrupts = !kind.ends_with("Adapter");
         for (const auto &generation : running_) {
-            generation->cutOff = true;
+            generation->cutOff = generation->cutOff || interrupts;
         }
         if (options_.crashInOrder) {
             _exit(CRASH_EXIT_CODE);
         }
         co_await sleep(options_.orderTime);
-        const std::string kind = entry.at("kind").get<std::string>();
         const std::string argument = entry.at("argument").get<std::string>();
         if (kind == "changeRole") {
             options_.role = argument;
--- a/tests/unit/agentfixture.h
+++ b/tests/unit/agentfixture.h
@@ -53,6 +53,7 @@
         , outcomes(io, log, 1)
         , service(io, incarnation, queue, endpoint, outcomes)
     {
+        chain.start("agent", ConfigurationVersion(-1), MilliClock::now());
         Configuration configuration;
         Contract contract;
         contract.customer = CustomerId("parkland");
@@ -124,6 +125,18 @@
         return **outcome;
     }
 
+    /// \brief What the records of the agent's decisions prove.
+    AuditReport audit()
+    {
+        chain.close(ConfigurationVersion(-1), MilliClock::now());
+        AuditVerifier verifier;
+        for (std::int64_t offset = 0; const auto batch = chain.nextBatch(Bytes(1 << 16)); ++offset) {
+            verifier.add(Offset(offset), *batch);
+            chain.confirmBatch();
+        }
+        return verifier.verify();
+    }
+
     const IncarnationId incarnation {"incarnation-1"};
     boost::asio::io_context io;
     RpcContext rpc;
--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -173,3 +173,40 @@
     CHECK((*second)->kind == OutcomeKind::NotRun);
     CHECK(agent.runs == std::map<std::string, int> {{"c1", 1}});
 }
+
+// Guards against records from which the order of service cannot be recomputed.
+TEST_CASE("The recorded decisions replay without findings", "[agent]")
+{
+    GatedAgent agent(2);
+    agent.closed = true;
+    std::vector<std::shared_ptr<std::optional<RequestOutcome>>> outcomes;
+    for (int i = 0; i < 8; ++i) {
+        outcomes.push_back(agent.submit(agent.request("r" + std::to_string(i))));
+    }
+    auto expiring = agent.request("expiring");
+    expiring->startDeadline = expiring->receivedAt + Duration(1500);
+    outcomes.push_back(agent.submit(expiring));
+    agent.runUntil([&] {
+        return agent.runs.size() == 2;
+    });
+    agent.service.cancel(RequestId("r7"), agent.incarnation, MilliClock::now());
+    agent.queue.setRemoteService({{CustomerId("parkland"), 1000}}, MilliClock::now());
+    agent.runUntil([&] {
+        agent.queue.advance(MilliClock::now());
+        return outcomes.back()->has_value();
+    });
+    agent.closed = false;
+    agent.runUntil([&] {
+        return agent.queue.isEmpty();
+    });
+    auto unknown = agent.request("unknown");
+    unknown->customer = CustomerId("nobody");
+    agent.runToEnd(unknown);
+    const AuditReport report = agent.audit();
+    for (const Finding &finding : report.findings) {
+        UNSCOPED_INFO(toString(finding));
+    }
+    CHECK(report.findings.empty());
+    CHECK(report.openEnds.empty());
+    CHECK(report.dispatchesReplayed == 7);
+}
