--- a/include/mimosatally/authority/ordergate.h
+++ b/include/mimosatally/authority/ordergate.h
@@ -92,19 +92,11 @@
     std::optional<OrderRefusal> receive(const Order &order, Time now);
 
     /// \brief A read of stream `authority` that started at \a readStart reached its end.
-    /// \return the refusal, or nothing if the order is to be written to the endpoint at once.
-    /// ReadBackPending if the endpoint restarted in the meantime.
-    std::optional<OrderRefusal> authorize(Time readStart, Time now);
-
-    /// \brief As above, for a caller that may have been overtaken: ReadBackPending unless \a order is the order being decided.
-    ///
-    /// While the stream is read, the endpoint may restart and be read back, and the next order may be received in the same millisecond.
+    /// \return the refusal, or nothing if the order is to be written to the endpoint at once. ReadBackPending if \a order is not the order
+    /// being decided any more: while the stream is read, the endpoint may restart and be read back, and the next order may be received.
     std::optional<OrderRefusal> authorize(const OrderId &order, Time readStart, Time now);
 
     /// \brief The stream could not be read; the received order is refused.
-    OrderRefusal abandon();
-
-    /// \brief As above, for a caller that may have been overtaken.
     OrderRefusal abandon(const OrderId &order);
 
     /// \brief The write ended. \param answered whether the endpoint answered it; without an answer it may still take effect.
--- a/src/agent/orderrunner.cpp
+++ b/src/agent/orderrunner.cpp
@@ -88,11 +88,11 @@
     }
     const Time readStart = MilliClock::now();
     if (!co_await readAuthority()) {
-        const OrderRefusal refusal = gate_.abandon();
+        const OrderRefusal refusal = gate_.abandon(order.id);
         resume();
         co_return refuse(order, std::string(toString(refusal)));
     }
-    if (const auto refusal = gate_.authorize(readStart, MilliClock::now())) {
+    if (const auto refusal = gate_.authorize(order.id, readStart, MilliClock::now())) {
         resume();
         co_return refuse(order, std::string(toString(*refusal)));
     }
--- a/src/authority/ordergate.cpp
+++ b/src/authority/ordergate.cpp
@@ -97,16 +97,15 @@
     return std::nullopt;
 }
 
-std::optional<OrderRefusal> OrderGate::authorize(Time readStart, Time now)
+std::optional<OrderRefusal> OrderGate::authorize(const OrderId &order, Time readStart, Time now)
 {
-    if (state_ != OrderGateState::AuthorityPending || !current_) {
+    if (!isDeciding(order) || !current_) {
         return OrderRefusal::ReadBackPending;
     }
-    const Order &order = *current_;
-    std::optional<OrderRefusal> refusal = checkEpoch(order);
+    std::optional<OrderRefusal> refusal = checkEpoch(*current_);
     if (readStart < received_) {
         refusal = OrderRefusal::AuthorityUnread;
-    } else if (now >= received_ + order.lifetime) {
+    } else if (now >= received_ + current_->lifetime) {
         refusal = OrderRefusal::Expired;
     }
     if (refusal) {
@@ -114,16 +113,11 @@
         state_ = OrderGateState::Ready;
         return refusal;
     }
-    invariant(order.epoch == highestEpoch(order.scope), "an order that is written has the newest epoch of its scope");
+    invariant(current_->epoch == highestEpoch(current_->scope), "an order that is written has the newest epoch of its scope");
     state_ = OrderGateState::Writing;
     return std::nullopt;
 }
 
-std::optional<OrderRefusal> OrderGate::authorize(const OrderId &order, Time readStart, Time now)
-{
-    return isDeciding(order) ? authorize(readStart, now) : OrderRefusal::ReadBackPending;
-}
-
 bool OrderGate::isDeciding(const OrderId &order) const
 {
     return state_ == OrderGateState::AuthorityPending && current_ && current_->id == order;
@@ -141,9 +135,9 @@
     return std::nullopt;
 }
 
-OrderRefusal OrderGate::abandon()
+OrderRefusal OrderGate::abandon(const OrderId &order)
 {
-    if (state_ != OrderGateState::AuthorityPending) {
+    if (!isDeciding(order)) {
         return OrderRefusal::ReadBackPending;
     }
     current_.reset();
@@ -151,11 +145,6 @@
     return OrderRefusal::AuthorityUnread;
 }
 
-OrderRefusal OrderGate::abandon(const OrderId &order)
-{
-    return isDeciding(order) ? abandon() : OrderRefusal::ReadBackPending;
-}
-
 void OrderGate::finishWrite(bool answered, Time now)
 {
     // endpointRestarted() may have ended the write already.
--- a/tests/random/leaseworld.cpp
+++ b/tests/random/leaseworld.cpp
@@ -212,7 +212,7 @@
         return;
     }
     if (log_.isDown) {
-        gate_->abandon();
+        gate_->abandon(gate_->current()->id);
         return;
     }
     const Time start = now(agentClock_);
--- a/tests/unit/authoritytest.cpp
+++ b/tests/unit/authoritytest.cpp
@@ -108,21 +108,21 @@
     CHECK(gate.receive(orderOf("p", Epoch(0)), at(1100)) == OrderRefusal::Busy);
     SECTION("the read started before the order came")
     {
-        CHECK(gate.authorize(at(1099), at(1200)) == OrderRefusal::AuthorityUnread);
+        CHECK(gate.authorize(OrderId("o"), at(1099), at(1200)) == OrderRefusal::AuthorityUnread);
     }
     SECTION("the order is too old by the agent's clock")
     {
-        CHECK(gate.authorize(at(1100), at(2100)) == OrderRefusal::Expired);
+        CHECK(gate.authorize(OrderId("o"), at(1100), at(2100)) == OrderRefusal::Expired);
     }
     SECTION("the lease was lost in the meantime")
     {
         gate.apply(Offset(1), acquire("b", "other"));
-        CHECK(gate.authorize(at(1100), at(1200)) == OrderRefusal::OldEpoch);
+        CHECK(gate.authorize(OrderId("o"), at(1100), at(1200)) == OrderRefusal::OldEpoch);
         CHECK(gate.receive(orderOf("q", Epoch(0)), at(1300)) == OrderRefusal::OldEpoch);
     }
     SECTION("the stream could not be read")
     {
-        CHECK(gate.abandon() == OrderRefusal::AuthorityUnread);
+        CHECK(gate.abandon(OrderId("o")) == OrderRefusal::AuthorityUnread);
     }
     CHECK(gate.state() == OrderGateState::Ready);
     CHECK_FALSE(gate.receive(orderOf("r", gate.highestEpoch(SCOPE)), at(3000)));
@@ -133,7 +133,7 @@
 {
     OrderGate gate = readyGate();
     REQUIRE_FALSE(gate.receive(orderOf("o", Epoch(0)), at(1100)));
-    REQUIRE_FALSE(gate.authorize(at(1100), at(1200)));
+    REQUIRE_FALSE(gate.authorize(OrderId("o"), at(1100), at(1200)));
     CHECK(gate.remainingLifetime(at(1200)) == Duration(900));
     SECTION("an answered write needs a read-back that started after it")
     {
