--- a/src/config/configurationlog.cpp
+++ b/src/config/configurationlog.cpp
@@ -132,12 +132,18 @@
     if (!isSignedByOperator(record)) {
         return voidResult("signature does not match an operator of the current configuration");
     }
+    Configuration next;
     try {
         const bool isWhole = record.kind == toString(DocumentKind::Whole);
-        state_.configuration = isWhole ? parseConfiguration(record.document, "document") : applyChange(state_.configuration, record.document, "document");
+        next = isWhole ? parseConfiguration(record.document, "document") : applyChange(state_.configuration, record.document, "document");
     } catch (const FindingsError &error) {
         return voidResult(std::string("document has findings: ") + error.what());
     }
+    // With another number a key would move to another stream, where its earlier claim is not seen, and a call could run twice.
+    if (state_.documentOffset >= Offset(0) && next.claimPartitions != state_.configuration.claimPartitions) {
+        return voidResult("claims.partitions cannot change: it is " + std::to_string(state_.configuration.claimPartitions));
+    }
+    state_.configuration = std::move(next);
     state_.documentOffset = offset;
     forgetRemovedInstances();
     return acceptedResult();
--- a/src/entry/claimcoordinator.cpp
+++ b/src/entry/claimcoordinator.cpp
@@ -47,12 +47,13 @@
     }
     const int number = claimPartition(record.key, count_);
     ClaimPartition &partition = partitionOf(record.key);
-    if (!partition.isReady()) {
-        co_return ClaimResult {};
-    }
+    // A claim that was read before an outage is known during it: the caller must not be told "not run" about its own earlier call.
     if (const std::optional<ClaimState> known = partition.table().find(record.key)) {
         co_return lostTo(*known, record, number);
     }
+    if (!partition.isReady()) {
+        co_return ClaimResult {};
+    }
     const AppendEnd end = co_await partition.append(toJson(record));
     if (end == AppendEnd::NotAppended) {
         co_return ClaimResult {};
--- a/src/entry/decisionlog.cpp
+++ b/src/entry/decisionlog.cpp
@@ -105,7 +105,7 @@
     logEvent(LogEvent::RequestAnswered,
              {{"request", call.id},
               {"customer", call.customer},
-              {"endpoint", answer.endpoint},
+              {"endpoint", answer.endpoint.empty() ? std::string("recorded-outcome") : answer.endpoint.value()},
               {"status", answer.status},
               {"output_tokens", answer.usage.output},
               {"configuration", basis_.version}});
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -66,24 +66,30 @@
     /// \brief Appends a signed `publish` record. \return its offset.
     Offset publish()
     {
-        const std::string record = makePublishRecord(RecordId(newUniqueId()), documentOffset_, OperatorId("operator-1"), document(), keys_.privateKey);
-        documentOffset_ = append("configuration", record);
+        documentOffset_ = publishOn(documentOffset_);
         return documentOffset_;
     }
 
-    /// \brief Appends a record about the instance of \a endpoint.
-    void order(InstanceAction action, const std::string &endpoint)
+    /// \brief As publish(), on a base that need not be current. \return its offset.
+    Offset publishOn(Offset base)
     {
-        append("configuration",
-               makeInstanceRecord(RecordId(newUniqueId()), action, InstanceId("instance-" + endpoint), OperatorId("operator-1"), keys_.privateKey));
+        return append("configuration", makePublishRecord(RecordId(newUniqueId()), base, OperatorId("operator-1"), document(), keys_.privateKey));
     }
 
-    /// \brief Starts the agent of an endpoint and waits until it listens.
-    TestProgram &startAgent(const std::string &endpoint)
+    /// \brief Appends a record about the instance of \a endpoint. \return its offset.
+    Offset order(InstanceAction action, const std::string &endpoint)
     {
-        const std::string file = writeFile("agent-" + endpoint + ".toml",
-                                           commonSettings("agent-" + endpoint, "instance-" + endpoint) + "listen = \"" + agentAddresses_.at(endpoint)
-                                               + "\"\nendpoint = \"" + endpoint + "\"\nendpoint_address = \"" + standinAddresses_.at(endpoint) + "\"\n");
+        return append("configuration",
+                      makeInstanceRecord(RecordId(newUniqueId()), action, InstanceId("instance-" + endpoint), OperatorId("operator-1"), keys_.privateKey));
+    }
+
+    /// \brief Starts the agent of an endpoint and waits until it listens. \param settings further lines of its settings.
+    TestProgram &startAgent(const std::string &endpoint, const std::string &settings = {})
+    {
+        const std::string file =
+            writeFile("agent-" + endpoint + ".toml",
+                      commonSettings("agent-" + endpoint, "instance-" + endpoint) + "listen = \"" + agentAddresses_.at(endpoint) + "\"\nendpoint = \""
+                          + endpoint + "\"\nendpoint_address = \"" + standinAddresses_.at(endpoint) + "\"\n" + settings);
         agents_[endpoint] = program("mimosatally", "agent-" + endpoint, {"agent", file});
         agents_[endpoint]->waitForOutput("ProcessStarted");
         return *agents_[endpoint];
@@ -158,6 +164,15 @@
         return *standins_.at(endpoint);
     }
 
+    /// \brief Appends a record to the log. \return its offset.
+    Offset append(const std::string &stream, const std::string &record)
+    {
+        const nlohmann::json body = {{"records", {{{"value", nlohmann::json::parse(record)}}}}};
+        const HttpResponse response =
+            call(logAddress_, makeHttpRequest(http::verb::post, "/topics/" + stream, "application/vnd.kafka.json.v1+json", body.dump()));
+        return Offset(jsonOf(response).at("offsets").at(0).at("offset").get<std::int64_t>());
+    }
+
     /// \brief Sets faults of the log stand-in; its usage text describes them.
     void controlLog(const nlohmann::json &faults)
     {
@@ -239,14 +254,6 @@
         return path;
     }
 
-    Offset append(const std::string &stream, const std::string &record)
-    {
-        const nlohmann::json body = {{"records", {{{"value", nlohmann::json::parse(record)}}}}};
-        const HttpResponse response =
-            call(logAddress_, makeHttpRequest(http::verb::post, "/topics/" + stream, "application/vnd.kafka.json.v1+json", body.dump()));
-        return Offset(jsonOf(response).at("offsets").at(0).at("offset").get<std::int64_t>());
-    }
-
     std::filesystem::path directory_;
     SigningKeyPair keys_;
     std::unique_ptr<TestProgram> log_;
--- a/tests/unit/configurationlogtest.cpp
+++ b/tests/unit/configurationlogtest.cpp
@@ -37,6 +37,19 @@
     CHECK(log.state().configuration.contracts.front().priority == 2);
 }
 
+// Guards against a call that runs twice because its idempotency key moved to a stream without its earlier claim.
+TEST_CASE("A record that changes the number of claim partitions is void", "[config]")
+{
+    const SampleOperator signer;
+    ConfigurationLog log = startedLog(signer);
+    Configuration configuration = samples::sampleConfiguration(signer.description(), 2, 3);
+    configuration.claimPartitions += 1;
+    const ApplyResult result = log.apply(Offset(1), signer.publish("a", 0, formatConfiguration(configuration)));
+    CHECK(result.verdict == ApplyResult::Verdict::Void);
+    CHECK(result.reason.starts_with("claims.partitions cannot change"));
+    CHECK(log.state().configuration.claimPartitions == configuration.claimPartitions - 1);
+}
+
 // Guards against records of strangers, altered records and documents with findings.
 TEST_CASE("Records without a valid signature or document are void", "[config]")
 {
--- a/tests/unit/schedulertest.cpp
+++ b/tests/unit/schedulertest.cpp
@@ -164,7 +164,7 @@
 }
 
 // Guards against a fleet in which a customer that reaches one endpoint alone never gets its share of the fleet.
-TEST_CASE("A customer of one endpoint approaches its share of the fleet", "[scheduler]")
+TEST_CASE("A customer of one endpoint gets its share of the fleet", "[scheduler]")
 {
     const std::vector<Contract> contracts = {contract("a", 500'000), contract("b", 500'000)};
     Scheduler both = makeScheduler(contracts);
@@ -181,7 +181,7 @@
         both.setRemoteService(onlyA.service(), at(0));
         onlyA.setRemoteService(here, at(0));
     }
-    // Half of the fleet is all 500 requests of one endpoint. The tags move by a bounded part per report, so it is approached: by
-    // the rule more than four fifths, against 250 without reports.
-    CHECK(servedB >= 400);
+    // Half of the fleet is all 500 requests of one endpoint; the target is a served share within 2 points of the contract, and
+    // 2 points of the fleet's 1000 requests are 20.
+    CHECK(servedB >= 480);
 }
