Await outside of loop conditions in the entry

Cause: g++ 12.2 was seen to generate a trap for a coroutine that awaits in its loop condition. Change: three loops keep the result in a variable.

--- a/src/entry/claimpartition.cpp
+++ b/src/entry/claimpartition.cpp
@@ -39,7 +39,9 @@
 awaitable<void> ClaimPartition::run(TaskContext &context)
 {
     context_ = &context;
-    do {
+    // g++ 12 miscompiles some coroutines that await in a loop condition.
+    bool goesOn = true;
+    while (goesOn) {
         bool more = false;
         bool reachable = true;
         try {
@@ -58,7 +60,8 @@
             context.wake();
         }
         changed_.notify();
-    } while (co_await context.sleep(pause()));
+        goesOn = co_await context.sleep(pause());
+    }
     context_ = nullptr;
 }
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -59,7 +59,9 @@
 awaitable<void> followInstanceList(EntryState &entry, TaskContext &context)
 {
     InstanceListClient client(entry.io, parseAddress(entry.settings.instanceList));
-    do {
+    // g++ 12 miscompiles some coroutines that await in a loop condition.
+    bool goesOn = true;
+    while (goesOn) {
         try {
             std::vector<ListedEndpoint> listed;
             for (const ListedInstance &instance : co_await client.fetch(LIST_TIMEOUT)) {
@@ -73,7 +75,8 @@
             // Direct observation goes on without the list.
             entry.metrics.set("mimosatally_instance_list_reachable", {}, 0);
         }
-    } while (co_await context.sleep(LIST_INTERVAL));
+        goesOn = co_await context.sleep(LIST_INTERVAL);
+    }
 }
 
 /// \brief One entry process from its start to its graceful shutdown.
--- a/src/entry/rolecontroller.cpp
+++ b/src/entry/rolecontroller.cpp
@@ -71,18 +71,25 @@
 
 awaitable<void> RoleController::run(TaskContext &context)
 {
-    while (co_await context.sleep(TICK_INTERVAL)) {
+    // g++ 12 miscompiles some coroutines that await in a loop condition.
+    bool goesOn = co_await context.sleep(TICK_INTERVAL);
+    while (goesOn) {
         updateScopes();
-        if (scopes_.empty()) {
-            continue;
+        if (!scopes_.empty()) {
+            co_await lead();
         }
-        const bool current = co_await readAuthority();
-        tick(MilliClock::now());
-        for (const auto &[id, scope] : std::map(scopes_)) {
-            co_await perform(*scope, std::exchange(actions_[id], {}));
-            if (current) {
-                plan(*scope, MilliClock::now());
-            }
+        goesOn = co_await context.sleep(TICK_INTERVAL);
+    }
+}
+
+awaitable<void> RoleController::lead()
+{
+    const bool current = co_await readAuthority();
+    tick(MilliClock::now());
+    for (const auto &[id, scope] : std::map(scopes_)) {
+        co_await perform(*scope, std::exchange(actions_[id], {}));
+        if (current) {
+            plan(*scope, MilliClock::now());
         }
     }
 }
--- a/src/entry/rolecontroller.h
+++ b/src/entry/rolecontroller.h
@@ -23,6 +23,8 @@
 
 private:
     void updateScopes();
+    /// \brief One round: reads stream `authority`, keeps the leases and plans in the scopes that are held.
+    boost::asio::awaitable<void> lead();
     void tick(Time now);
     boost::asio::awaitable<bool> readAuthority();
     boost::asio::awaitable<void> perform(RoleScope &scope, std::vector<LeaseAction> actions);
