Send the first chunk of an answer without waiting for its beginning

Cause: the first byte of a stream came a round trip later than needed; the agent waited for the answer of begin() before it read the engine's first token. Ruled out: the wait for each chunk, since streaming calls of Cap'n Proto return while the window is open. Change: AnswerWriter waits for begin() together with the first chunk.

--- a/src/agent/answerwriter.cpp
+++ b/src/agent/answerwriter.cpp
@@ -16,7 +16,9 @@
     auto call = sink_.beginRequest();
     call.setStatus(static_cast<std::uint16_t>(status));
     call.setContentType(contentType.c_str());
-    co_await awaitPromise(io_, call.send().ignoreResult());
+    // The first chunk follows without waiting, which saves a round trip; RPC messages keep their order.
+    beginning_ = call.send().ignoreResult().eagerlyEvaluate(nullptr);
+    co_return;
 }
 
 awaitable<void> AnswerWriter::write(std::string_view data)
@@ -25,7 +27,13 @@
     call.setPosition(position_);
     call.setData(kj::arrayPtr(reinterpret_cast<const kj::byte *>(data.data()), data.size()));
     position_ += static_cast<std::int64_t>(data.size());
-    co_await awaitPromise(io_, call.send());
+    kj::Promise<void> sent = call.send();
+    if (beginning_) {
+        kj::Promise<void> beginning = kj::mv(*beginning_);
+        beginning_.reset();
+        co_await awaitPromise(io_, kj::mv(beginning));
+    }
+    co_await awaitPromise(io_, kj::mv(sent));
 }
 
 } // namespace mimosatally::internal
--- a/src/agent/answerwriter.h
+++ b/src/agent/answerwriter.h
@@ -6,6 +6,7 @@
 #include <mimosatally/Rpc>
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,15 +19,17 @@
 public:
     AnswerWriter(boost::asio::io_context &io, schema::AnswerSink::Client sink);
 
-    /// \throws DisconnectedError, Error if the entry no longer takes the answer.
+    /// \brief Sends status and content type. An entry that no longer takes the answer is found by the next write().
     boost::asio::awaitable<void> begin(unsigned status, std::string contentType);
 
-    /// \throws DisconnectedError, Error as begin().
+    /// \throws DisconnectedError, Error if the entry no longer takes the answer.
     boost::asio::awaitable<void> write(std::string_view data);
 
 private:
     boost::asio::io_context &io_;
     schema::AnswerSink::Client sink_;
+    /// \brief The call of begin() until the first write() has waited for it.
+    std::optional<kj::Promise<void>> beginning_;
     std::int64_t position_ = 0;
 };
 
