--- a/include/mimosatally/config/configuration.h
+++ b/include/mimosatally/config/configuration.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosatally
@@ -23,6 +24,12 @@
     Mixed,
 };
 
+/// \brief Name of the role in configurations, records and orders, for example `prefill`.
+std::string_view toString(EngineRole role);
+
+/// \brief Role of that name; nothing if there is none.
+std::optional<EngineRole> parseEngineRole(std::string_view name);
+
 /// \brief What an operator asked of an instance.
 enum class InstanceState {
     Active,
--- a/include/mimosatally/placement/roleplanner.h
+++ b/include/mimosatally/placement/roleplanner.h
@@ -75,9 +75,6 @@
     RoleFigures figures;
 };
 
-/// \brief Name of the role in records and orders, for example `prefill`.
-std::string_view toString(EngineRole role);
-
 /// \brief Plans the roles of the engines of one scope (model and region).
 ///
 /// A change is planned only if the work that it gains over the horizon exceeds the engine time that it costs times
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -15,6 +15,29 @@
 }
 } // namespace
 
+std::string_view toString(EngineRole role)
+{
+    switch (role) {
+    case EngineRole::Prefill:
+        return "prefill";
+    case EngineRole::Decode:
+        return "decode";
+    case EngineRole::Mixed:
+        return "mixed";
+    }
+    return "unknown";
+}
+
+std::optional<EngineRole> parseEngineRole(std::string_view name)
+{
+    for (const EngineRole role : {EngineRole::Prefill, EngineRole::Decode, EngineRole::Mixed}) {
+        if (toString(role) == name) {
+            return role;
+        }
+    }
+    return std::nullopt;
+}
+
 const Contract *ConfigurationState::findContract(const CustomerId &customer) const
 {
     return findBy(configuration.contracts, &Contract::customer, customer);
--- a/src/config/configurationformat.cpp
+++ b/src/config/configurationformat.cpp
@@ -41,19 +41,6 @@
     return quoted(std::to_string(duration.count()) + "ms");
 }
 
-std::string_view roleName(EngineRole role)
-{
-    switch (role) {
-    case EngineRole::Prefill:
-        return "prefill";
-    case EngineRole::Decode:
-        return "decode";
-    case EngineRole::Mixed:
-        return "mixed";
-    }
-    return "";
-}
-
 std::string number(double value)
 {
     std::ostringstream out;
@@ -94,7 +81,7 @@
 
 void writeEngine(std::ostream &out, const Endpoint &item)
 {
-    out << "kind = \"engine\"\nmodels = " << quotedList(item.models) << "\nrole = \"" << roleName(item.role)
+    out << "kind = \"engine\"\nmodels = " << quotedList(item.models) << "\nrole = \"" << toString(item.role)
         << "\"\nchecks_fencing = " << (item.checksFencing ? "true" : "false") << "\nprefill_tokens_per_second = " << item.prefillTokensPerSecond
         << "\ndecode_tokens_per_second = " << item.decodeTokensPerSecond << "\ncache_blocks = " << item.cacheBlocks << '\n';
 }
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -15,14 +15,6 @@
 /// \brief A returned agent gets work again within this time, and a lost one costs few connection attempts.
 constexpr Duration LONGEST_RECONNECT_PAUSE = Duration(2000);
 
-EngineRole parseRole(std::string_view role)
-{
-    if (role == "prefill") {
-        return EngineRole::Prefill;
-    }
-    return role == "decode" ? EngineRole::Decode : EngineRole::Mixed;
-}
-
 PhaseWork readWork(schema::PhaseWork::Reader message)
 {
     return {Tokens(message.getPromptTokens()), Tokens(message.getOutputTokens())};
@@ -159,7 +151,7 @@
     report.runningTokens = Tokens(load.getRunningTokens());
     report.prefillTokensPerSecond = load.getPrefillTokensPerSecond();
     report.decodeTokensPerSecond = load.getDecodeTokensPerSecond();
-    report.role = parseRole(load.getRole().cStr());
+    report.role = parseEngineRole(load.getRole().cStr()).value_or(EngineRole::Mixed);
     report.healthy = load.getHealthy();
     report.reportAge = Duration(load.getReportAgeMs());
     entry_.router.reportLoad(endpoint_.id, report, MilliClock::now());
--- a/src/entry/rolescope.cpp
+++ b/src/entry/rolescope.cpp
@@ -16,17 +16,6 @@
     return LeaseScope(model.value() + '/' + region.value());
 }
 
-EngineRole parseRole(const std::string &role, EngineRole fallback)
-{
-    if (role == "prefill") {
-        return EngineRole::Prefill;
-    }
-    if (role == "decode") {
-        return EngineRole::Decode;
-    }
-    return role == "mixed" ? EngineRole::Mixed : fallback;
-}
-
 PhaseWork difference(const PhaseWork &now, const PhaseWork &before)
 {
     return {now.uncachedPrompt - before.uncachedPrompt, now.output - before.output};
@@ -82,7 +71,7 @@
     for (const ScopeEngine &engine : engines) {
         EngineStatus status;
         status.engine = engine.endpoint.id;
-        status.role = parseRole(engine.link->role(), engine.endpoint.role);
+        status.role = parseEngineRole(engine.link->role()).value_or(engine.endpoint.role);
         status.available = engine.available;
         status.prefillTokensPerSecond = engine.endpoint.prefillTokensPerSecond;
         status.decodeTokensPerSecond = engine.endpoint.decodeTokensPerSecond;
--- a/src/entry/statuspage.cpp
+++ b/src/entry/statuspage.cpp
@@ -9,19 +9,6 @@
 {
 using Json = nlohmann::ordered_json;
 
-std::string_view roleName(EngineRole role)
-{
-    switch (role) {
-    case EngineRole::Prefill:
-        return "prefill";
-    case EngineRole::Decode:
-        return "decode";
-    case EngineRole::Mixed:
-        return "mixed";
-    }
-    return "mixed";
-}
-
 Json endpointStatus(const EntryState &entry, const Endpoint &endpoint, Time now)
 {
     Json status;
@@ -38,7 +25,7 @@
         return status;
     }
     status["incarnation"] = link->incarnation().value();
-    status["role"] = link->role().empty() ? std::string(roleName(endpoint.role)) : link->role();
+    status["role"] = link->role().empty() ? std::string(toString(endpoint.role)) : link->role();
     if (const std::optional<QueueLoad> load = link->load()) {
         status["waiting_requests"] = load->waitingRequests;
         status["running_requests"] = load->runningRequests;
--- a/src/placement/roleplanner.cpp
+++ b/src/placement/roleplanner.cpp
@@ -39,19 +39,6 @@
 }
 } // namespace
 
-std::string_view toString(EngineRole role)
-{
-    switch (role) {
-    case EngineRole::Prefill:
-        return "prefill";
-    case EngineRole::Decode:
-        return "decode";
-    case EngineRole::Mixed:
-        return "mixed";
-    }
-    return "unknown";
-}
-
 double &RolePlanner::Counts::of(EngineRole role)
 {
     switch (role) {
--- a/tests/unit/httptest.cpp
+++ b/tests/unit/httptest.cpp
@@ -1,3 +1,5 @@
+#include "coroutinerunner.h"
+
 #include <catch2/catch.hpp>
 
 #include <mimosatally/Core>
@@ -12,6 +14,7 @@
 using namespace mimosatally;
 using boost::asio::awaitable;
 using boost::asio::ip::tcp;
+using mimosatally::test::runCoroutine;
 
 namespace
 {
@@ -41,20 +44,6 @@
     co_await exchange.respond(makeHttpResponse(200, "text/plain", exchange.request().body()));
 }
 
-template<class Body>
-void runCoroutine(boost::asio::io_context &io, Body body)
-{
-    std::exception_ptr failure;
-    boost::asio::co_spawn(io, std::move(body), [&](std::exception_ptr error) {
-        failure = error;
-        io.stop();
-    });
-    io.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
-}
-
 /// \brief Sends raw bytes and returns everything that the server answers until it closes.
 awaitable<std::string> sendRaw(boost::asio::io_context &io, tcp::endpoint server, std::string bytes)
 {
--- a/tests/unit/rpctest.cpp
+++ b/tests/unit/rpctest.cpp
@@ -1,3 +1,5 @@
+#include "coroutinerunner.h"
+
 #include <catch2/catch.hpp>
 
 #include "mimosatally.capnp.h"
@@ -10,6 +12,7 @@
 
 using namespace mimosatally;
 using boost::asio::ip::tcp;
+using mimosatally::test::runCoroutine;
 
 namespace
 {
@@ -62,20 +65,6 @@
 private:
     std::string &text_;
 };
-
-template<class Body>
-void runCoroutine(boost::asio::io_context &io, Body body)
-{
-    std::exception_ptr failure;
-    boost::asio::co_spawn(io, std::move(body), [&](std::exception_ptr error) {
-        failure = error;
-        io.stop();
-    });
-    io.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
-}
 } // namespace
 
 TEST_CASE("An RPC over the Asio loop returns its results and its streamed chunks", "[rpc]")
