--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -6,7 +6,7 @@
     g++ cmake ninja-build ccache pkg-config git curl
     libboost-all-dev libcapnp-dev capnproto libtoml11-dev libdocopt-dev nlohmann-json3-dev libssl-dev
     catch2 libtrompeloeil-cpp-dev librapidcheck-dev libbenchmark-dev
-    spin clang-format-19 clang-tidy-19 clang-tools-19 gnuplot-nox valgrind
+    spin clang-format-19 clang-tidy-19 clang-tools-19 gnuplot-nox valgrind iproute2
 )
 
 SUDO=
