Refuse oversized requests in the documented form and let the peer read it

Cause: the HTTP server answered 413, 408 and 431 without the part `mimosatally` and with code malformed; a new check of a 9 MB body over a real connection then failed with a broken pipe, since the server closed while the peer was still writing. Ruled out: reading the whole body first, which would not bound memory. Change: each rejection has its own code and the outcome not_run; after the response the server shuts its sending side down and drops input for at most 2 s and 64 MiB. Conclusion: rejected requests leave no doubt whether they were run.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <list>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace mimosatally
@@ -22,6 +23,10 @@
 
 namespace
 {
+constexpr std::size_t DISCARD_BUFFER_BYTES = std::size_t(64) * 1024;
+/// \brief Bounds on what is read after a request was rejected.
+constexpr std::size_t MAX_DISCARDED_BYTES = std::size_t(64) * 1024 * 1024;
+constexpr Duration LONGEST_DISCARD = Duration(2000);
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_REQUEST_TIMEOUT = 408;
 constexpr unsigned STATUS_PAYLOAD_TOO_LARGE = 413;
@@ -30,6 +35,7 @@
 
 struct ParseFailure {
     unsigned status;
+    const char *code;
     const char *message;
 };
 
@@ -40,23 +46,32 @@
         return std::nullopt;
     }
     if (error == boost::beast::error::timeout) {
-        return ParseFailure {STATUS_REQUEST_TIMEOUT, "the request was not received in time"};
+        return ParseFailure {STATUS_REQUEST_TIMEOUT, "request-timeout", "the request was not received in time"};
     }
     if (error == http::error::body_limit) {
-        return ParseFailure {STATUS_PAYLOAD_TOO_LARGE, "the request body is too large"};
+        return ParseFailure {STATUS_PAYLOAD_TOO_LARGE, "body-too-large", "the request body is too large"};
     }
     if (error == http::error::header_limit) {
-        return ParseFailure {STATUS_HEADER_TOO_LARGE, "the request header is too large"};
+        return ParseFailure {STATUS_HEADER_TOO_LARGE, "header-too-large", "the request header is too large"};
     }
     if (error.category() == make_error_code(http::error::bad_method).category()) {
-        return ParseFailure {STATUS_BAD_REQUEST, "the request is not well-formed HTTP"};
+        return ParseFailure {STATUS_BAD_REQUEST, "malformed", "the request is not well-formed HTTP"};
     }
     return std::nullopt;
 }
 
-std::string errorBody(const char *message, const char *code)
+/// \brief Body in the form of the refusals of docs/api.md; such a request has no id, customer or decision record.
+std::string errorBody(const char *message, const char *code, const char *type, const char *outcome)
 {
-    return std::string(R"({"error":{"message":")") + message + R"(","type":"invalid_request_error","code":")" + code + R"(","param":null}})";
+    const nlohmann::ordered_json body = {{"error", {{"message", message}, {"type", type}, {"code", code}, {"param", nullptr}}},
+                                         {"mimosatally",
+                                          {{"outcome", outcome},
+                                           {"reason", code},
+                                           {"request", nullptr},
+                                           {"contract", nullptr},
+                                           {"configuration_version", nullptr},
+                                           {"retry_after_ms", nullptr}}}};
+    return body.dump();
 }
 } // namespace
 
@@ -221,7 +236,23 @@
         request.version(11);
         request.keep_alive(false);
         HttpExchange exchange(connection.stream, std::move(request), limits_);
-        co_await exchange.respond(makeHttpResponse(failure->status, "application/json", errorBody(failure->message, "malformed")));
+        co_await exchange.respond(
+            makeHttpResponse(failure->status, "application/json", errorBody(failure->message, failure->code, "invalid_request_error", "not_run")));
+        co_await discardInput(connection);
+    }
+
+    /// \brief Reads and drops what the peer still sends. Closing at once would reset the connection, and a peer that is still
+    /// writing would not read the response.
+    awaitable<void> discardInput(Connection &connection)
+    {
+        boost::system::error_code error;
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        connection.buffer.clear();
+        connection.stream.expires_after(LONGEST_DISCARD);
+        std::size_t discarded = 0;
+        while (!error && discarded < MAX_DISCARDED_BYTES) {
+            discarded += co_await connection.stream.async_read_some(connection.buffer.prepare(DISCARD_BUFFER_BYTES), redirect_error(use_awaitable, error));
+        }
     }
 
     awaitable<void> runHandler(HttpExchange &exchange)
@@ -237,7 +268,8 @@
         if (!failure.empty() && exchange.hasResponded()) {
             exchange.abort();
         } else if (!exchange.hasResponded()) {
-            co_await exchange.respond(makeHttpResponse(STATUS_INTERNAL_ERROR, "application/json", errorBody("internal error", "internal_error")));
+            co_await exchange.respond(
+                makeHttpResponse(STATUS_INTERNAL_ERROR, "application/json", errorBody("internal error", "internal-error", "server_error", "outcome_unknown")));
         }
     }
 
--- a/tests/process/answerstest.cpp
+++ b/tests/process/answerstest.cpp
@@ -68,6 +68,13 @@
     refuse(jsonPost("/services/nothing/x", json::object()), key, 404, "unknown-service");
     refuse(jsonPost("/services/tickets/settlements", json::object()), key, 422, "idempotency-key-missing");
     refuse(makeHttpRequest(http::verb::get, "/v2/x"), key, 404, "unknown-path");
+    // A body beyond the limit of the entry's settings is refused before it is read.
+    HttpRequest large = makeHttpRequest(http::verb::post, "/v1/completions", "application/json");
+    large.body() = std::string(std::size_t(9) * 1024 * 1024, 'x');
+    const HttpResponse tooLarge = call(entry, authorized(std::move(large), key));
+    CHECK(tooLarge.result_int() == 413);
+    CHECK(jsonOf(tooLarge).at("error").at("code") == "body-too-large");
+    CHECK(jsonOf(tooLarge).at("mimosatally").at("outcome") == "not_run");
     // The route to a service that no agent serves is refused at once, with the time to come back as a header too.
     const HttpResponse response = call(entry, authorized(makeHttpRequest(http::verb::get, "/services/tickets/x"), key));
     CHECK(response.result_int() == 503);
