--- a/include/mimosatally/core/logger.h
+++ b/include/mimosatally/core/logger.h
@@ -6,6 +6,7 @@
 #include "strongid.h"
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -63,6 +64,15 @@
 /// \param process name of the process, written in each line.
 void startLogging(std::string process, LogLevel minimum);
 
+/// \brief Sends log lines of at least \a minimum to standard output without ever waiting for its reader; see BoundedOutput.
+void startBoundedLogging(std::string process, LogLevel minimum);
+
+/// \brief Writes held lines as far as the reader takes them; to be called several times a second after startBoundedLogging().
+void flushLog();
+
+/// \brief Number of lines that were dropped because the reader did not take them.
+std::uint64_t droppedLogLines();
+
 /// \brief Writes one line: `MT<number> <name> key=value ...`. Values with spaces are quoted.
 /// \sa docs/log-events.md
 void logEvent(LogEvent event, std::initializer_list<LogField> fields);
--- a/include/mimosatally/core/milliclock.h
+++ b/include/mimosatally/core/milliclock.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace mimosatally
 {
 
 /// \brief Monotonic clock of the process with a resolution of one millisecond.
 ///
+/// It also counts the time in which the machine is suspended: a lease or a report that expired meanwhile must not look fresh.
 /// The cores never call now(); they receive the time as an argument.
 struct MilliClock {
     using rep = std::chrono::milliseconds::rep;
@@ -17,7 +19,10 @@
 
     static time_point now() noexcept
     {
-        return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+        timespec now = {};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        const auto sinceBoot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+        return time_point(std::chrono::duration_cast<duration>(sinceBoot));
     }
 };
 
--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -27,6 +27,12 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// \brief Replaces the limits; they hold for the next request of each connection.
+    void setLimits(const HttpLimits &limits);
+
+    /// \brief Tells each caller with its next response that the connection ends; new connections are still accepted.
+    void announceClosing();
+
     /// \brief Bound address; gives the chosen port if port 0 was asked for.
     [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
--- /dev/null
+++ b/include/mimosatally/routing/phaserouter.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <mimosatally/Serving>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace mimosatally
+{
+
+/// \brief Where a process stands, and the region of each data centre.
+struct NetworkLocation {
+    DataCentreId dataCentre;
+    std::map<DataCentreId, RegionId> regions;
+
+    /// \brief Region of \a other; empty if it is not known.
+    [[nodiscard]] RegionId regionOf(const DataCentreId &other) const;
+};
+
+/// \brief What a call needs from the endpoints of its service.
+struct PlacementRequest {
+    ServiceId service;
+    Tokens promptTokens;
+    std::vector<PromptPart> promptParts;
+    /// \brief Endpoints that this call must not be sent to again.
+    std::vector<EndpointId> excluded;
+};
+
+/// \brief The endpoints for one call, with the figures that led to the choice.
+struct Placement {
+    /// \brief Engine that reads the prompt; nothing if the running endpoint reads it itself.
+    std::optional<EndpointId> prefill;
+    /// \brief Nothing if no endpoint of the service may get the call.
+    std::optional<EndpointId> run;
+    /// \brief Predicted time from now to the first byte of the answer.
+    double firstByteMs = 0;
+    /// \brief Part of that time that the call waits behind other work.
+    double queueMs = 0;
+    /// \brief Prompt tokens that the reading engine is expected to have in its cache.
+    Tokens cachedTokens;
+    std::string_view reason = "no-endpoint";
+};
+
+/// \brief Work of one attempt at one endpoint.
+enum class AttemptWork {
+    /// \brief Reads the prompt for another engine.
+    Prefill,
+    /// \brief Generates from a prompt that another engine has read, or runs a plain call.
+    Run,
+    /// \brief Reads the prompt and generates.
+    PrefillAndRun,
+};
+
+/// \brief How an attempt ended, as far as the endpoint's health is concerned.
+enum class AttemptEnd {
+    Answered,
+    /// \brief The endpoint ran the call and answered with a failure of its own.
+    AnsweredFailure,
+    /// \brief Rejected by the endpoint before it ran.
+    Rejected,
+    /// \brief Failed by the endpoint itself, or cut off.
+    Failed,
+    /// \brief No byte came in time.
+    Silent,
+    /// \brief Ended by the caller or by its deadline; says nothing of the endpoint.
+    Abandoned,
+};
+
+/// \brief Places calls on endpoints that are called directly, with prefill and decode on different engines where that is faster.
+///
+/// A core without I/O. Several processes place calls on the same endpoints; each knows its own attempts exactly, and the others'
+/// work from the loads that endpoints report with their answers.
+class PhaseRouter
+{
+public:
+    /// \brief Identifies an attempt between its begin and its end.
+    using Ticket = std::uint64_t;
+
+    PhaseRouter(NetworkLocation location, std::uint64_t seed);
+    ~PhaseRouter();
+    PhaseRouter(PhaseRouter &&) noexcept;
+    PhaseRouter &operator=(PhaseRouter &&) noexcept;
+
+    /// \brief Replaces the fleet; what is known about endpoints that stay is kept.
+    void setEndpoints(const std::map<EndpointId, EndpointRecord> &endpoints, const ServingConfiguration &configuration, Time now);
+
+    [[nodiscard]] Placement place(const PlacementRequest &request, Time now) const;
+
+    /// \brief Counts an attempt that is being sent.
+    Ticket begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now);
+
+    /// \brief The first byte of the answer arrived; reading the prompt is over.
+    void firstByte(Ticket ticket, Time now);
+
+    void end(Ticket ticket, AttemptEnd result, Time now);
+
+    /// \brief Load that came with an answer.
+    void reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now);
+
+    /// \brief Address of an endpoint; nothing if it is gone.
+    [[nodiscard]] const EndpointRecord *record(const EndpointId &endpoint) const;
+
+    /// \brief Work for prefill and decode that this process has placed since the last call, in engine milliseconds by service.
+    struct PhaseDemand {
+        double prefillMs = 0;
+        double decodeMs = 0;
+    };
+    [[nodiscard]] std::map<ServiceId, PhaseDemand> takeDemand();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace mimosatally
--- a/src/agent/agentnode.h
+++ b/src/agent/agentnode.h
@@ -7,7 +7,7 @@
 #include <mimosatally/Audit>
 #include <mimosatally/Config>
 #include <mimosatally/Http>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Rpc>
 #include <mimosatally/Supervision>
 
--- a/src/agent/orderrunner.h
+++ b/src/agent/orderrunner.h
@@ -4,7 +4,7 @@
 #include "requestqueue.h"
 
 #include <mimosatally/Authority>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Supervision>
 
 #include <set>
--- a/src/agent/outcomeappender.h
+++ b/src/agent/outcomeappender.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <mimosatally/Claims>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Supervision>
 
 #include <deque>
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -40,6 +40,7 @@
 
 extern const Command ENTRY_COMMAND;
 extern const Command AGENT_COMMAND;
+extern const Command GATEWAY_COMMAND;
 extern const Command CHECK_COMMAND;
 extern const Command PUBLISH_COMMAND;
 extern const Command DRAIN_COMMAND;
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -25,6 +25,7 @@
 Processes:
   entry      the instance behind the load balancer
   agent      the process beside one endpoint
+  gateway    serves callers and calls endpoints directly, without agents
 
 Commands for operators:
   check      check configuration and settings files
@@ -41,8 +42,9 @@
 Exit codes: 0 success, 1 findings or a negative verdict, 2 usage, 3 platform or peer unreachable, 4 verdict unknown.
 )";
 
-const std::array<const Command *, 10> COMMANDS = {&ENTRY_COMMAND,
+const std::array<const Command *, 11> COMMANDS = {&ENTRY_COMMAND,
                                                   &AGENT_COMMAND,
+                                                  &GATEWAY_COMMAND,
                                                   &CHECK_COMMAND,
                                                   &PUBLISH_COMMAND,
                                                   &DRAIN_COMMAND,
--- a/src/cli/logsession.h
+++ b/src/cli/logsession.h
@@ -3,7 +3,7 @@
 #include "command.h"
 
 #include <mimosatally/Config>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/cli/processcommands.cpp
+++ b/src/cli/processcommands.cpp
@@ -2,7 +2,9 @@
 
 #include <mimosatally/Config>
 #include <mimosatally/agent/agentprocess.h>
+#include <mimosatally/Gateway>
 #include <mimosatally/entry/entryprocess.h>
+#include <platform/processenvironment.h>
 
 #include <iostream>
 
@@ -27,6 +29,18 @@
     return runAgent(settings);
 }
 
+int gateway(const Arguments &arguments)
+{
+    const std::string named = textOf(arguments, "SETTINGS");
+    const std::string file = named.empty() ? platform::settingsPath() : named;
+    if (file.empty()) {
+        throw UsageError("no settings file is named, and the platform has not laid out one");
+    }
+    const GatewaySettings settings = parseGatewaySettings(readFile(file), file);
+    startBoundedLogging(settings.process.value(), settings.logLevel);
+    return runGateway(settings);
+}
+
 int check(const Arguments &arguments)
 {
     std::size_t findings = 0;
@@ -65,6 +79,16 @@
 )",
                                agent};
 
+const Command GATEWAY_COMMAND = {"gateway",
+                                 R"(Runs a gateway until SIGTERM: serves callers and calls endpoints directly.
+
+Usage: mimosatally gateway [SETTINGS]
+       mimosatally gateway --help
+
+Without SETTINGS the file that the platform lays out for the process is read. docs/configuration.md describes it.
+)",
+                                 gateway};
+
 const Command CHECK_COMMAND = {"check",
                                R"(Checks configuration and settings files and prints every finding with its line.
 
--- /dev/null
+++ b/src/core/boundedoutput.cpp
@@ -0,0 +1,57 @@
+#include <mimosatally/core/boundedoutput.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace mimosatally
+{
+
+BoundedOutput::BoundedOutput(int descriptor)
+    : descriptor_(descriptor)
+{
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+void BoundedOutput::write(std::string_view line)
+{
+    if (held_.size() + line.size() > MAX_HELD_BYTES) {
+        flush();
+    }
+    if (held_.size() + line.size() > MAX_HELD_BYTES) {
+        ++dropped_;
+        ++unreportedDrops_;
+        return;
+    }
+    if (unreportedDrops_ > 0) {
+        held_ += "log lines dropped: " + std::to_string(unreportedDrops_) + '\n';
+        unreportedDrops_ = 0;
+    }
+    held_.append(line);
+    held_ += '\n';
+    if (held_.size() >= WRITE_BYTES) {
+        flush();
+    }
+}
+
+void BoundedOutput::flush()
+{
+    std::size_t written = 0;
+    while (written < held_.size()) {
+        const ssize_t count = ::write(descriptor_, held_.data() + written, held_.size() - written);
+        if (count <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+    held_.erase(0, written);
+}
+
+std::uint64_t BoundedOutput::droppedLines() const
+{
+    return dropped_;
+}
+
+} // namespace mimosatally
--- a/src/core/logger.cpp
+++ b/src/core/logger.cpp
@@ -3,13 +3,17 @@
 #include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace mimosatally
 {
@@ -40,6 +44,22 @@
     return "error";
 }
 
+/// \brief Boost.Log backend that writes to the bounded output.
+class BoundedBackend : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    void consume(const boost::log::record_view &, const string_type &line)
+    {
+        output().write(line);
+    }
+
+    static BoundedOutput &output()
+    {
+        static BoundedOutput bounded(STDOUT_FILENO);
+        return bounded;
+    }
+};
+
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || std::ranges::any_of(value, [](unsigned char c) {
@@ -56,6 +76,29 @@
 }
 } // namespace
 
+void startBoundedLogging(std::string process, LogLevel minimum)
+{
+    processName = std::move(process);
+    minimumLevel = minimum;
+    boost::log::add_common_attributes();
+    namespace expressions = boost::log::expressions;
+    using Sink = boost::log::sinks::synchronous_sink<BoundedBackend>;
+    auto sink = boost::make_shared<Sink>(boost::make_shared<BoundedBackend>());
+    sink->set_formatter(expressions::stream << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f") << ' '
+                                            << expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+}
+
+void flushLog()
+{
+    BoundedBackend::output().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return BoundedBackend::output().droppedLines();
+}
+
 void startLogging(std::string process, LogLevel minimum)
 {
     processName = std::move(process);
--- a/src/entry/claimpartition.h
+++ b/src/entry/claimpartition.h
@@ -3,7 +3,7 @@
 #include "signal.h"
 
 #include <mimosatally/Claims>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Supervision>
 
 #include <memory>
--- a/src/entry/decisionlog.h
+++ b/src/entry/decisionlog.h
@@ -4,7 +4,7 @@
 #include "callrefusal.h"
 
 #include <mimosatally/Audit>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Routing>
 
 #include <map>
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -9,7 +9,7 @@
 #include <mimosatally/Audit>
 #include <mimosatally/Config>
 #include <mimosatally/Membership>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Routing>
 #include <mimosatally/Rpc>
 #include <mimosatally/Supervision>
--- /dev/null
+++ b/src/gateway/admission.cpp
@@ -0,0 +1,38 @@
+#include "admission.h"
+
+#include <algorithm>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief A prediction may exceed the latency target by this factor: it is not more exact than that.
+constexpr double TARGET_TOLERANCE = 1.1;
+/// \brief Part of the time left that a call may use until its first byte; the rest of the answer needs time as well.
+constexpr double LATEST_FIRST_BYTE = 0.8;
+constexpr double LEAST_RETRY_AFTER_MS = 150;
+constexpr double MOST_RETRY_AFTER_MS = 2000;
+/// \brief Refused calls return spread over this part of the pause.
+constexpr double RETURN_SPREAD = 0.6;
+} // namespace
+
+AdmissionDecision Admission::decide(const AdmissionInput &input, double jitter)
+{
+    const auto elapsed = static_cast<double>(input.elapsed.count());
+    const auto target = static_cast<double>(input.latencyTarget.count());
+    const auto left = static_cast<double>(input.timeLeft.count());
+    const bool onTime = target <= 0 || elapsed + input.firstByteMs <= target * TARGET_TOLERANCE;
+    const bool answerable = input.firstByteMs <= left * LATEST_FIRST_BYTE;
+    // Without a queue there is nothing to wait for: the call is as fast now as it will ever be.
+    const bool queued = input.queueMs > 0;
+    AdmissionDecision decision;
+    decision.admitted = answerable && (onTime || !queued);
+    if (!decision.admitted) {
+        const double pause = std::clamp(input.queueMs, LEAST_RETRY_AFTER_MS, MOST_RETRY_AFTER_MS);
+        decision.retryAfter = Duration(static_cast<Duration::rep>(pause * (1 + RETURN_SPREAD * jitter)));
+    }
+    return decision;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/callflow.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "callguard.h"
+#include "endpointcall.h"
+#include "eventframer.h"
+#include "gatewaystate.h"
+
+#include <mimosatally/Http>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace mimosatally::internal
+{
+
+/// \brief Final answer of the gateway itself. \param retryAfter when a call that has not run may come back.
+HttpResponse makeErrorResponse(unsigned status, const char *reason, std::optional<Duration> retryAfter);
+
+/// \brief The way of one call from its placement to its final answer.
+class CallFlow
+{
+public:
+    /// \param route belongs to \a configuration.
+    CallFlow(GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    /// \brief What follows from an attempt.
+    enum class Next {
+        /// \brief The caller has its final answer, or is gone.
+        Finished,
+        /// \brief No endpoint has seen the call in this attempt.
+        TryAgainUnseen,
+        /// \brief Not run there: another endpoint may be tried.
+        TryAgainNotRun,
+        /// \brief May have run there: another attempt only if the call is idempotent.
+        TryAgainUnknown,
+    };
+
+    boost::asio::awaitable<bool> placeAndAttempt();
+    /// \return whether another placement follows.
+    boost::asio::awaitable<bool> continueAfter(Next next);
+    boost::asio::awaitable<Next> attempt(Placement placement);
+    boost::asio::awaitable<std::optional<PrefilledPrompt>> prefill(EndpointId endpoint, Duration patience);
+    boost::asio::awaitable<Next> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, AttemptWork work, Duration patience);
+    boost::asio::awaitable<Next> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
+    /// \return whether the caller has the complete answer.
+    boost::asio::awaitable<bool> deliverWhole(EndpointCall &call);
+    boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket);
+    boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
+
+    /// \brief Whether an attempt may follow; takes it from the retry budget.
+    [[nodiscard]] bool mayTryAgain(Next next);
+    void noteRun();
+    [[nodiscard]] AttemptEnd endOfBrokenAttempt() const;
+    [[nodiscard]] EndpointAttempt attemptFor(const EndpointId &endpoint) const;
+    /// \brief How long an answer with the predicted time is waited for if another attempt can follow.
+    [[nodiscard]] Duration patienceFor(double predictedMs) const;
+    [[nodiscard]] ServiceId chooseService();
+    void logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call);
+    void logAnswered(const EndpointId &endpoint, unsigned status);
+    void logFailed(unsigned status, const char *reason);
+
+    boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
+    /// \brief Final answer when attempts or time are used up.
+    boost::asio::awaitable<void> giveUp();
+    boost::asio::awaitable<void> respondError(unsigned status, const char *reason, std::optional<Duration> retryAfter);
+
+    GatewayState &gateway_;
+    HttpExchange &exchange_;
+    CallRequest call_;
+    std::shared_ptr<const ServingConfiguration> configuration_;
+    const Route &route_;
+    PlacementRequest placementRequest_;
+    Time arrived_;
+    std::shared_ptr<CallGuard> guard_;
+    EventFramer framer_;
+    /// \brief Attempts that may have run the call.
+    int runs_ = 0;
+    int attempts_ = 0;
+    /// \brief An endpoint may have run the call, so no answer may say that it has not run.
+    bool mayHaveRun_ = false;
+    /// \brief The head of a stream was sent to the caller.
+    bool streaming_ = false;
+    /// \brief The retry budget has granted the next attempt already.
+    bool retryGranted_ = false;
+    std::optional<Duration> firstByte_;
+    std::string lastFailure_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/callhandler.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gatewaystate.h"
+
+#include <mimosatally/Http>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace mimosatally::internal
+{
+
+/// \brief Serves the calls of callers: finds the route, admits, places, sends, repeats where that is allowed, and relays the answer.
+class CallHandler
+{
+public:
+    explicit CallHandler(GatewayState &gateway);
+
+    boost::asio::awaitable<void> handle(HttpExchange &exchange);
+
+private:
+    GatewayState &gateway_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/connectionpool.cpp
@@ -0,0 +1,92 @@
+#include "connectionpool.h"
+
+#include <algorithm>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::ip::tcp;
+
+namespace
+{
+/// \brief Longest idle time where the endpoint states none.
+constexpr Duration DEFAULT_IDLE_TIME = Duration(4000);
+/// \brief A connection is given up this long before the endpoint closes it, so that no call crosses its closing.
+constexpr Duration CLOSING_MARGIN = Duration(1000);
+constexpr std::size_t MAX_IDLE_PER_ENDPOINT = 48;
+
+/// \brief Whether the peer has neither closed the connection nor sent data that belongs to no call.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+} // namespace
+
+EndpointConnection::EndpointConnection(boost::asio::io_context &io, tcp::endpoint peer)
+    : socket(io)
+    , address(std::move(peer))
+{
+}
+
+ConnectionPool::ConnectionPool(boost::asio::io_context &io)
+    : io_(io)
+{
+}
+
+std::unique_ptr<EndpointConnection> ConnectionPool::take(const tcp::endpoint &address, Time now)
+{
+    const auto found = idle_.find(address);
+    while (found != idle_.end() && !found->second.empty()) {
+        std::unique_ptr<EndpointConnection> connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (now < connection->idleUntil && isQuiet(connection->socket)) {
+            connection->reused = true;
+            return connection;
+        }
+    }
+    return std::make_unique<EndpointConnection>(io_, address);
+}
+
+void ConnectionPool::put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now)
+{
+    const Duration idleTime = keepAlive.value_or(DEFAULT_IDLE_TIME) - CLOSING_MARGIN;
+    auto &idle = idle_[connection->address];
+    if (idleTime <= Duration(0) || idle.size() >= MAX_IDLE_PER_ENDPOINT) {
+        return;
+    }
+    connection->idleUntil = now + idleTime;
+    connection->buffer.clear();
+    idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::closeExpired(Time now)
+{
+    for (auto &[address, idle] : idle_) {
+        std::erase_if(idle, [now](const auto &connection) {
+            return now >= connection->idleUntil;
+        });
+    }
+    std::erase_if(idle_, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+void ConnectionPool::closeAll(const tcp::endpoint &address)
+{
+    idle_.erase(address);
+}
+
+std::size_t ConnectionPool::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, idle] : idle_) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/connectionpool.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <mimosatally/Core>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace mimosatally::internal
+{
+
+/// \brief One connection to an endpoint; serves one call at a time.
+struct EndpointConnection {
+    EndpointConnection(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint peer);
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::ip::tcp::endpoint address;
+    boost::beast::flat_buffer buffer;
+    /// \brief When an idle connection is not used any more.
+    Time idleUntil;
+    bool reused = false;
+};
+
+/// \brief Idle connections to endpoints, by address.
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(boost::asio::io_context &io);
+
+    /// \brief An idle connection without unread data, or one that is not connected yet.
+    std::unique_ptr<EndpointConnection> take(const boost::asio::ip::tcp::endpoint &address, Time now);
+
+    /// \brief Keeps a connection whose last answer is complete. \param keepAlive how long the endpoint keeps it, if it said so.
+    void put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now);
+
+    /// \brief Closes connections that were idle for too long.
+    void closeExpired(Time now);
+
+    /// \brief Closes the idle connections to an address whose endpoint is gone.
+    void closeAll(const boost::asio::ip::tcp::endpoint &address);
+
+    [[nodiscard]] std::size_t idleConnections() const;
+
+private:
+    boost::asio::io_context &io_;
+    std::map<boost::asio::ip::tcp::endpoint, std::deque<std::unique_ptr<EndpointConnection>>> idle_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/endpointcall.cpp
@@ -0,0 +1,188 @@
+#include "endpointcall.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+
+namespace mimosatally::internal
+{
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+
+namespace
+{
+/// \brief An endpoint without power never answers a connection; one lost packet is sent again after a second.
+constexpr Duration CONNECT_TIMEOUT = Duration(500);
+/// \brief Answers to other requests that are skipped before the connection is given up.
+constexpr int MAX_SKIPPED_ANSWERS = 3;
+constexpr std::size_t MAX_HEADER_BYTES = std::size_t(64) * 1024;
+constexpr unsigned FIRST_SUCCESS_STATUS = 200;
+constexpr unsigned FIRST_REDIRECT_STATUS = 300;
+} // namespace
+
+EndpointCall::EndpointCall(boost::asio::io_context &io, ConnectionPool &pool, CallGuard &guard)
+    : io_(io)
+    , pool_(pool)
+    , guard_(guard)
+{
+}
+
+EndpointCall::~EndpointCall()
+{
+    release();
+}
+
+awaitable<CallProgress> EndpointCall::open(tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time limit)
+{
+    const bool connected = co_await connect(address, limit);
+    if (!connected) {
+        co_return CallProgress::NotConnected;
+    }
+    boost::system::error_code error;
+    co_await http::async_write(connection_->socket, request, redirect_error(use_awaitable, error));
+    if (error) {
+        // An endpoint may answer and close before it has read a long body; its answer can still be read.
+        failure_ = "write: " + error.message();
+    }
+    const bool received = co_await readHead(id);
+    co_return received ? CallProgress::HeadReceived : CallProgress::OutcomeUnknown;
+}
+
+awaitable<bool> EndpointCall::connect(tcp::endpoint address, Time limit)
+{
+    const Time now = MilliClock::now();
+    connection_ = pool_.take(address, now);
+    if (connection_->reused) {
+        guard_.beginAttempt(connection_->socket, limit);
+        co_return guard_.stop() == CallStop::None;
+    }
+    boost::system::error_code error;
+    connection_->socket.open(address.protocol(), error);
+    connection_->socket.set_option(tcp::no_delay(true), error);
+    guard_.beginAttempt(connection_->socket, std::min(limit, now + CONNECT_TIMEOUT));
+    co_await connection_->socket.async_connect(address, redirect_error(use_awaitable, error));
+    if (error) {
+        fail("connect", error);
+        co_return false;
+    }
+    guard_.extendAttempt(limit);
+    co_return true;
+}
+
+awaitable<bool> EndpointCall::readHead(const RequestId &id)
+{
+    for (int skipped = 0; skipped <= MAX_SKIPPED_ANSWERS; ++skipped) {
+        const bool received = co_await readOneHead();
+        if (!received) {
+            co_return false;
+        }
+        answer_ = platform::decodeAnswer(parser_->get().base());
+        const bool success = answer_.status >= FIRST_SUCCESS_STATUS && answer_.status < FIRST_REDIRECT_STATUS;
+        // An answer without an id cannot be told from one to an earlier request, unless the connection has had none.
+        const bool unnamed = answer_.request.empty() && !success && !connection_->reused;
+        if (answer_.request == id || unnamed) {
+            co_return true;
+        }
+        failure_ = "answer to another request";
+        const bool skippedBody = co_await skipBody();
+        if (!skippedBody) {
+            break;
+        }
+    }
+    broken_ = true;
+    co_return false;
+}
+
+awaitable<bool> EndpointCall::readOneHead()
+{
+    parser_.emplace();
+    parser_->header_limit(MAX_HEADER_BYTES);
+    // Beast 1.74 takes every stated length as too long if there is no limit at all.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    boost::system::error_code error;
+    co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
+    if (error) {
+        fail("read", error);
+        co_return false;
+    }
+    complete_ = parser_->is_done();
+    co_return true;
+}
+
+awaitable<bool> EndpointCall::skipBody()
+{
+    const bool endsWithConnection = parser_->need_eof();
+    while (!endsWithConnection && !complete_ && !broken_) {
+        co_await read();
+    }
+    co_return complete_ && !endsWithConnection && connection_ != nullptr;
+}
+
+awaitable<std::string_view> EndpointCall::read()
+{
+    parser_->get().body().data = data_.data();
+    parser_->get().body().size = data_.size();
+    parser_->get().body().more = true;
+    boost::system::error_code error;
+    co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
+    const std::size_t count = data_.size() - parser_->get().body().size;
+    if (error && error != http::error::need_buffer) {
+        fail("read", error);
+    } else if (parser_->is_done()) {
+        complete_ = true;
+    }
+    co_return std::string_view(data_.data(), count);
+}
+
+bool EndpointCall::isComplete() const
+{
+    return complete_;
+}
+
+bool EndpointCall::isBroken() const
+{
+    return broken_;
+}
+
+const EndpointAnswer &EndpointCall::answer() const
+{
+    return answer_;
+}
+
+const http::response_header<> &EndpointCall::header() const
+{
+    return parser_->get().base();
+}
+
+const std::string &EndpointCall::failure() const
+{
+    return failure_;
+}
+
+void EndpointCall::fail(const char *step, const boost::system::error_code &error)
+{
+    failure_ = std::string(step) + ": " + error.message();
+    broken_ = true;
+}
+
+void EndpointCall::release()
+{
+    if (!connection_) {
+        return;
+    }
+    guard_.endAttempt();
+    // Bytes after a complete answer belong to no request, so such a connection is not used again.
+    const bool reusable = complete_ && !broken_ && parser_->get().keep_alive() && !parser_->need_eof() && connection_->buffer.size() == 0;
+    if (reusable) {
+        pool_.put(std::move(connection_), answer_.keepAlive, MilliClock::now());
+    }
+    connection_.reset();
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/endpointcall.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "callguard.h"
+#include "connectionpool.h"
+
+#include <platform/callcodec.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace mimosatally::internal
+{
+
+/// \brief How far one attempt at an endpoint came.
+enum class CallProgress {
+    /// \brief No connection was made, so the endpoint has seen nothing.
+    NotConnected,
+    /// \brief Bytes were sent and no usable answer came: it may have run.
+    OutcomeUnknown,
+    /// \brief The head of the answer is there.
+    HeadReceived,
+};
+
+/// \brief One call over one connection to an endpoint.
+///
+/// Sequence: open(); then read() until the body is complete or broken. The guard closes the connection when the call is to end.
+class EndpointCall
+{
+public:
+    EndpointCall(boost::asio::io_context &io, ConnectionPool &pool, CallGuard &guard);
+    ~EndpointCall();
+    EndpointCall(const EndpointCall &) = delete;
+    EndpointCall &operator=(const EndpointCall &) = delete;
+
+    /// \brief Sends \a request and reads the head of its answer. Answers to other requests are skipped.
+    /// \param limit end of the attempt.
+    boost::asio::awaitable<CallProgress> open(boost::asio::ip::tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time limit);
+
+    /// \brief Reads the next piece of the body; the view is valid until the next call. Empty data without isComplete() and
+    /// isBroken() is possible.
+    boost::asio::awaitable<std::string_view> read();
+
+    /// \brief Ends the attempt; keeps the connection if the answer is complete.
+    void release();
+
+    /// \brief The whole body has been read.
+    [[nodiscard]] bool isComplete() const;
+    /// \brief The connection ended before the body did.
+    [[nodiscard]] bool isBroken() const;
+
+    [[nodiscard]] const EndpointAnswer &answer() const;
+    [[nodiscard]] const boost::beast::http::response_header<> &header() const;
+
+    /// \brief Why the attempt failed, for the log.
+    [[nodiscard]] const std::string &failure() const;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint address, Time limit);
+    boost::asio::awaitable<bool> readHead(const RequestId &id);
+    boost::asio::awaitable<bool> readOneHead();
+    boost::asio::awaitable<bool> skipBody();
+    void fail(const char *step, const boost::system::error_code &error);
+
+
+    boost::asio::io_context &io_;
+    ConnectionPool &pool_;
+    CallGuard &guard_;
+    std::unique_ptr<EndpointConnection> connection_;
+    std::optional<Parser> parser_;
+    EndpointAnswer answer_;
+    std::string failure_;
+    bool complete_ = false;
+    bool broken_ = false;
+    static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
+    std::array<char, READ_BYTES> data_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/eventframer.cpp
@@ -0,0 +1,84 @@
+#include "eventframer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+constexpr std::string_view END_OF_EVENT = "\n\n";
+constexpr std::string_view END_OF_EVENT_CRLF = "\r\n\r\n";
+constexpr std::string_view ID_FIELD = "id:";
+
+/// \brief Position after the last whole event of \a data; 0 if there is none.
+std::size_t endOfLastEvent(std::string_view data)
+{
+    const std::size_t plain = data.rfind(END_OF_EVENT);
+    const std::size_t crlf = data.rfind(END_OF_EVENT_CRLF);
+    std::size_t end = plain == std::string_view::npos ? 0 : plain + END_OF_EVENT.size();
+    if (crlf != std::string_view::npos) {
+        end = std::max(end, crlf + END_OF_EVENT_CRLF.size());
+    }
+    return end;
+}
+} // namespace
+
+void EventFramer::append(std::string_view data)
+{
+    pending_.append(data);
+}
+
+std::string EventFramer::takeWholeEvents()
+{
+    // The end of an event may begin in the bytes that were searched before.
+    const std::size_t overlap = END_OF_EVENT_CRLF.size() - 1;
+    const std::size_t from = scanned_ > overlap ? scanned_ - overlap : 0;
+    const std::size_t end = endOfLastEvent(std::string_view(pending_).substr(from));
+    if (end == 0) {
+        scanned_ = pending_.size();
+        return {};
+    }
+    std::string events = pending_.substr(0, from + end);
+    pending_.erase(0, from + end);
+    scanned_ = pending_.size();
+    noteEventIds(events);
+    return events;
+}
+
+std::string EventFramer::takeRest()
+{
+    scanned_ = 0;
+    return std::exchange(pending_, {});
+}
+
+void EventFramer::dropPartialEvent()
+{
+    pending_.clear();
+    scanned_ = 0;
+}
+
+const std::string &EventFramer::lastEventId() const
+{
+    return lastEventId_;
+}
+
+void EventFramer::noteEventIds(std::string_view events)
+{
+    std::size_t line = events.rfind(ID_FIELD);
+    while (line != std::string_view::npos && line != 0 && events[line - 1] != '\n') {
+        line = events.rfind(ID_FIELD, line - 1);
+    }
+    if (line == std::string_view::npos) {
+        return;
+    }
+    std::string_view value = events.substr(line + ID_FIELD.size());
+    value = value.substr(0, value.find_first_of("\r\n"));
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    lastEventId_ = std::string(value);
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/gatewayprocess.cpp
@@ -0,0 +1,201 @@
+#include "callhandler.h"
+#include "storefollower.h"
+
+#include <mimosatally/Gateway>
+#include <mimosatally/Http>
+#include <mimosatally/Supervision>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <cstdlib>
+
+namespace mimosatally
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+using namespace internal;
+
+constexpr int EXIT_INVARIANT_VIOLATED = 1;
+constexpr unsigned STATUS_OK = 200;
+constexpr unsigned STATUS_UNAVAILABLE = 503;
+constexpr Duration HOUSEKEEPING_INTERVAL = Duration(200);
+/// \brief After SIGTERM new connections are still accepted for this time: the load balancer needs two questions to notice.
+constexpr Duration ACCEPTING_AFTER_SIGTERM = Duration(3000);
+/// \brief The process exits so long before the platform would kill it.
+constexpr Duration GRACE_MARGIN = Duration(500);
+constexpr Duration SHUTDOWN_POLL = Duration(50);
+
+HttpLimits limitsOf(const GatewaySettings &settings, const CallerLimits &limits)
+{
+    HttpLimits result;
+    result.maxHeaderBytes = limits.maxHeaderBytes;
+    result.maxBodyBytes = limits.maxBodyBytes;
+    result.maxConnections = settings.maxConnections;
+    result.idleTimeout = limits.idleTimeout;
+    return result;
+}
+
+/// \brief One gateway process from its start to its graceful shutdown.
+class GatewayProcess
+{
+public:
+    explicit GatewayProcess(const GatewaySettings &settings)
+        : gateway_(io_, settings)
+        , handler_(gateway_)
+        , follower_(gateway_)
+        , supervisor_(io_,
+                      static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count()),
+                      Supervisor::Options(),
+                      [] {
+                          flushLog();
+                          std::_Exit(EXIT_INVARIANT_VIOLATED);
+                      })
+        , callers_(io_,
+                   parseAddress(settings.listen),
+                   limitsOf(settings, CallerLimits()),
+                   [this](HttpExchange &exchange) {
+                       return handler_.handle(exchange);
+                   })
+        , readiness_(io_,
+                     parseAddress(settings.readiness),
+                     HttpLimits(),
+                     [this](HttpExchange &exchange) {
+                         return answerReadiness(exchange);
+                     })
+        , signals_(io_, SIGTERM, SIGINT)
+    {
+        if (!settings.metrics.empty()) {
+            metrics_.emplace(io_, parseAddress(settings.metrics), HttpLimits(), [this](HttpExchange &exchange) {
+                return answerMetrics(exchange);
+            });
+        }
+    }
+
+    int run()
+    {
+        logEvent(LogEvent::ProcessStarted, {{"version", MIMOSATALLY_VERSION}, {"settings", gateway_.settings.file}, {"listen", gateway_.settings.listen}});
+        startTasks();
+        signals_.async_wait([this](const boost::system::error_code &error, int) {
+            if (!error) {
+                boost::asio::co_spawn(io_, shutDown(), boost::asio::detached);
+            }
+        });
+        while (!stopped_) {
+            runOneHandler();
+        }
+        logEvent(LogEvent::ProcessStopped, {{"active", callers_.activeExchanges()}});
+        flushLog();
+        // Calls that are still running at the end of the grace time end with their connections.
+        std::_Exit(EXIT_SUCCESS);
+    }
+
+private:
+    void runOneHandler()
+    {
+        try {
+            io_.run_one();
+        } catch (const InvariantViolation &violation) {
+            supervisor_.escalate(violation);
+        }
+    }
+
+    void startTasks()
+    {
+        supervisor_.start("configuration", [this](TaskContext &context) {
+            return follower_.followConfiguration(context);
+        });
+        supervisor_.start("endpoints", [this](TaskContext &context) {
+            return follower_.followEndpoints(context);
+        });
+        supervisor_.start("housekeeping", [this](TaskContext &context) {
+            return keepHouse(context);
+        });
+    }
+
+    awaitable<void> keepHouse(TaskContext &context)
+    {
+        std::int64_t limitsVersion = -1;
+        bool goesOn = true;
+        while (goesOn) {
+            const Time now = MilliClock::now();
+            gateway_.connections.closeExpired(now);
+            gateway_.applyEndpoints(now);
+            if (gateway_.configuration && gateway_.configuration->version != limitsVersion) {
+                limitsVersion = gateway_.configuration->version;
+                callers_.setLimits(limitsOf(gateway_.settings, gateway_.configuration->limits));
+            }
+            flushLog();
+            goesOn = co_await context.sleep(HOUSEKEEPING_INTERVAL);
+        }
+    }
+
+    awaitable<void> answerReadiness(HttpExchange &exchange)
+    {
+        const bool ready = gateway_.canServe() && !gateway_.leaving;
+        HttpResponse response = makeHttpResponse(ready ? STATUS_OK : STATUS_UNAVAILABLE, "text/plain", ready ? "ready\n" : "not ready\n");
+        co_await exchange.respond(std::move(response));
+    }
+
+    awaitable<void> answerMetrics(HttpExchange &exchange)
+    {
+        Metrics &metrics = gateway_.metrics;
+        metrics.set("mimosatally_active_calls", {}, static_cast<double>(callers_.activeExchanges()));
+        metrics.set("mimosatally_caller_connections", {}, static_cast<double>(callers_.connections()));
+        metrics.set("mimosatally_idle_endpoint_connections", {}, static_cast<double>(gateway_.connections.idleConnections()));
+        metrics.set("mimosatally_endpoints", {}, static_cast<double>(gateway_.registry.endpoints().size()));
+        metrics.set("mimosatally_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
+        HttpResponse response = makeHttpResponse(STATUS_OK, "text/plain; version=0.0.4", metrics.exposition());
+        co_await exchange.respond(std::move(response));
+    }
+
+    awaitable<void> pause(Duration length)
+    {
+        boost::asio::steady_timer timer(io_, length);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+
+    awaitable<void> shutDown()
+    {
+        logEvent(LogEvent::ProcessStopping, {{"reason", "signal"}, {"active", callers_.activeExchanges()}});
+        const Time end = MilliClock::now() + gateway_.settings.graceTime - GRACE_MARGIN;
+        gateway_.leaving = true;
+        callers_.announceClosing();
+        co_await pause(ACCEPTING_AFTER_SIGTERM);
+        callers_.shutDownGracefully();
+        bool waits = true;
+        while (waits) {
+            co_await pause(SHUTDOWN_POLL);
+            waits = callers_.activeExchanges() > 0 && MilliClock::now() < end;
+        }
+        stopped_ = true;
+    }
+
+    boost::asio::io_context io_ {1};
+    GatewayState gateway_;
+    CallHandler handler_;
+    StoreFollower follower_;
+    Supervisor supervisor_;
+    HttpServer callers_;
+    HttpServer readiness_;
+    std::optional<HttpServer> metrics_;
+    boost::asio::signal_set signals_;
+    bool stopped_ = false;
+};
+} // namespace
+
+int runGateway(const GatewaySettings &settings)
+{
+    GatewayProcess process(settings);
+    return process.run();
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/gateway/gatewaystate.cpp
@@ -0,0 +1,78 @@
+#include "gatewaystate.h"
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+constexpr double MILLI_RETRIES = 1000;
+/// \brief Gateways that may share the slack of the retry budget, with those that are added in the day.
+constexpr std::int64_t GATEWAYS_SHARING_SLACK = 16;
+/// \brief Each gateway stays below its part of the ratio, since a gateway that was lost has used some of the window's budget.
+constexpr double RATIO_MARGIN = 0.75;
+
+RetryAllowance allowanceOf(const GatewaySettings &settings)
+{
+    RetryAllowance allowance;
+    allowance.earnedPerRequest = static_cast<std::int64_t>(settings.retryRatio * RATIO_MARGIN * MILLI_RETRIES);
+    allowance.most = settings.retrySlack * static_cast<std::int64_t>(MILLI_RETRIES) / GATEWAYS_SHARING_SLACK;
+    allowance.initial = allowance.most;
+    return allowance;
+}
+
+NetworkLocation locationOf(const GatewaySettings &settings)
+{
+    return {settings.dataCentre, settings.regions};
+}
+
+std::uint64_t seedOf(const GatewaySettings &settings)
+{
+    return std::hash<std::string>()(settings.process.value()) ^ static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count());
+}
+} // namespace
+
+GatewayState::GatewayState(boost::asio::io_context &context, const GatewaySettings &processSettings)
+    : io(context)
+    , settings(processSettings)
+    , router(locationOf(processSettings), seedOf(processSettings))
+    , retries(allowanceOf(processSettings))
+    , connections(context)
+    , random_(seedOf(processSettings))
+{
+}
+
+bool GatewayState::applyConfiguration(ServingConfiguration next)
+{
+    if (configuration && next.version <= configuration->version) {
+        return false;
+    }
+    configuration = std::make_shared<const ServingConfiguration>(std::move(next));
+    routes = RouteTable(configuration);
+    router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
+    logEvent(LogEvent::ServingConfigurationInForce,
+             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"services", configuration->services.size()}});
+    metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
+    return true;
+}
+
+void GatewayState::applyEndpoints(Time now)
+{
+    registry.expire(now);
+    if (!configuration || registry.changes() == appliedChanges_) {
+        return;
+    }
+    appliedChanges_ = registry.changes();
+    router.setEndpoints(registry.endpoints(), *configuration, now);
+}
+
+bool GatewayState::canServe() const
+{
+    return configuration != nullptr && !registry.endpoints().empty();
+}
+
+double GatewayState::jitter()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+} // namespace mimosatally::internal
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -111,6 +111,16 @@
         }
     }
 
+    void setLimits(const HttpLimits &limits)
+    {
+        limits_ = limits;
+    }
+
+    void announceClosing()
+    {
+        closingAnnounced_ = true;
+    }
+
     [[nodiscard]] tcp::endpoint address() const
     {
         return acceptor_.local_endpoint();
@@ -203,7 +213,7 @@
         }
         connection.stream.expires_never();
         HttpExchange exchange(connection.stream, parser.release(), limits_);
-        if (stopping_) {
+        if (stopping_ || closingAnnounced_) {
             exchange.closeAfterResponse();
         }
         ++active_;
@@ -280,6 +290,7 @@
     std::list<Connection *> connections_;
     std::size_t active_ = 0;
     bool stopping_ = false;
+    bool closingAnnounced_ = false;
 };
 
 HttpServer::HttpServer(boost::asio::io_context &io, const tcp::endpoint &address, HttpLimits limits, Handler handler)
@@ -303,6 +314,16 @@
     impl_->shutDownGracefully();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    impl_->setLimits(limits);
+}
+
+void HttpServer::announceClosing()
+{
+    impl_->announceClosing();
+}
+
 std::size_t HttpServer::activeExchanges() const
 {
     return impl_->activeExchanges();
--- a/src/platform/auditshipper.cpp
+++ b/src/logservice/auditshipper.cpp
@@ -1,4 +1,4 @@
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/platform/configurationfollower.cpp
+++ b/src/logservice/configurationfollower.cpp
@@ -1,6 +1,6 @@
 #include "snapshotplan.h"
 
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/src/platform/instancelistclient.cpp
+++ b/src/logservice/instancelistclient.cpp
@@ -1,4 +1,4 @@
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/routing/phaserouter.cpp
@@ -0,0 +1,489 @@
+#include "phaserouterimpl.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosatally
+{
+
+using internal::Distance;
+
+namespace
+{
+/// \brief Round trips (docs/design.md, section 1.2).
+constexpr double SAME_DATA_CENTRE_MS = 1;
+constexpr double SAME_REGION_MS = 3;
+constexpr double OTHER_REGION_MS = 25;
+/// \brief Engine time of one prompt token before it was measured.
+constexpr double INITIAL_MS_PER_TOKEN = 0.0025;
+/// \brief A decode engine reads prompts at half the speed, in small pieces between the steps of its batch.
+constexpr double DECODE_READING_FACTOR = 2.8;
+/// \brief Time of one reading besides its tokens.
+constexpr double READING_OVERHEAD_MS = 1.5;
+/// \brief From the end of the reading to the first event.
+constexpr double FIRST_EVENT_MS = 15;
+/// \brief Fetching a prompt from an engine of another region, where links are slower.
+constexpr double REMOTE_FETCH_MS = 20;
+constexpr double LOCAL_FETCH_MS = 3;
+/// \brief Engine time that one call uses delays every later call, not this one alone.
+constexpr double ENGINE_TIME_WEIGHT = 2.5;
+/// \brief Bytes to another region are paid by volume; this much time makes up for them.
+constexpr double OTHER_REGION_PENALTY_MS = 10;
+/// \brief Spreads prompts that no engine has read yet in the same way in every process.
+constexpr double COLD_SPREAD_MS = 5;
+/// \brief Each running request slows the batch for all others.
+constexpr double FULL_BATCH_PENALTY_MS = 40;
+/// \brief A reported load says little about the time after this.
+constexpr Duration REPORT_LIFETIME = Duration(400);
+/// \brief An endpoint that answers nothing for so long gets no new calls until it answers again.
+constexpr Duration LONGEST_SILENCE = Duration(600);
+/// \brief After so long a silent endpoint is tried once more.
+constexpr Duration SILENCE_RETRY = Duration(2500);
+constexpr double LEARNING_RATE = 0.1;
+constexpr double LEAST_SLOWNESS = 0.3;
+constexpr double MOST_SLOWNESS = 8;
+constexpr double INITIAL_PLAIN_MS = 20;
+/// \brief Mean tokens of a part, to turn cache memory into a number of parts.
+constexpr std::int64_t MEAN_PART_TOKENS = 3000;
+constexpr double WAIT_FOR_SLOT_MS = 50;
+/// \brief Time that a failed call costs its caller.
+constexpr double FAILURE_PENALTY_MS = 300;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+/// \brief Hash of the prompt up to the end of each part.
+std::vector<std::uint64_t> chainOf(const std::vector<PromptPart> &parts)
+{
+    std::vector<std::uint64_t> chain;
+    std::uint64_t hash = 0;
+    for (const PromptPart &part : parts) {
+        hash = mix(hash ^ mix(part.id + static_cast<std::uint64_t>(part.tokens.count())));
+        chain.push_back(hash);
+    }
+    return chain;
+}
+
+double roundTripMs(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameDataCentre:
+        return SAME_DATA_CENTRE_MS;
+    case Distance::SameRegion:
+        return SAME_REGION_MS;
+    case Distance::OtherRegion:
+        return OTHER_REGION_MS;
+    }
+    return OTHER_REGION_MS;
+}
+
+double distancePenaltyMs(Distance distance)
+{
+    return distance == Distance::OtherRegion ? OTHER_REGION_PENALTY_MS : 0;
+}
+
+double toMs(Duration duration)
+{
+    return static_cast<double>(duration.count());
+}
+
+void learn(double &mean, double sample)
+{
+    mean += LEARNING_RATE * (sample - mean);
+}
+
+/// \brief Number in [0, 1) that all processes compute alike.
+double spread(std::uint64_t prompt, const EndpointId &endpoint)
+{
+    const std::uint64_t hash = mix(prompt ^ std::hash<std::string>()(endpoint.value()));
+    return static_cast<double>(hash >> 11U) / static_cast<double>(1ULL << 53U);
+}
+} // namespace
+
+RegionId NetworkLocation::regionOf(const DataCentreId &other) const
+{
+    const auto found = regions.find(other);
+    return found == regions.end() ? RegionId() : found->second;
+}
+
+PhaseRouter::Impl::Impl(NetworkLocation where, std::uint64_t randomSeed)
+    : location(std::move(where))
+    , region(location.regionOf(location.dataCentre))
+    , seed(randomSeed)
+    , meanReadingMs(10)
+    , msPerToken(INITIAL_MS_PER_TOKEN)
+{
+}
+
+PhaseRouter::PhaseRouter(NetworkLocation location, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(location), seed))
+{
+}
+
+PhaseRouter::~PhaseRouter() = default;
+PhaseRouter::PhaseRouter(PhaseRouter &&) noexcept = default;
+PhaseRouter &PhaseRouter::operator=(PhaseRouter &&) noexcept = default;
+
+Distance PhaseRouter::Impl::distanceTo(const DataCentreId &dataCentre) const
+{
+    return distanceBetween(location.dataCentre, dataCentre);
+}
+
+Distance PhaseRouter::Impl::distanceBetween(const DataCentreId &first, const DataCentreId &second) const
+{
+    if (first == second) {
+        return Distance::SameDataCentre;
+    }
+    const RegionId firstRegion = location.regionOf(first);
+    return !firstRegion.empty() && firstRegion == location.regionOf(second) ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void PhaseRouter::setEndpoints(const std::map<EndpointId, EndpointRecord> &endpoints, const ServingConfiguration &configuration, Time)
+{
+    Impl &impl = *impl_;
+    for (auto &[id, endpoint] : impl.endpoints) {
+        endpoint.listed = false;
+    }
+    impl.services.clear();
+    for (const auto &[id, record] : endpoints) {
+        auto found = impl.endpoints.find(id);
+        if (found != impl.endpoints.end() && found->second.record.startedAt != record.startedAt) {
+            // A new incarnation knows nothing of the one before.
+            impl.cache.clear(found->second.cacheIndex);
+            const auto index = found->second.cacheIndex;
+            found->second = Impl::Endpoint();
+            found->second.cacheIndex = index;
+        }
+        if (found == impl.endpoints.end()) {
+            found = impl.endpoints.emplace(id, Impl::Endpoint()).first;
+            found->second.cacheIndex = impl.nextCacheIndex++;
+        }
+        Impl::Endpoint &endpoint = found->second;
+        endpoint.record = record;
+        endpoint.listed = true;
+        endpoint.distance = impl.distanceTo(record.dataCentre);
+        const auto service = configuration.services.find(record.service);
+        const bool isEngine = service != configuration.services.end() && service->second.engine;
+        const std::int64_t parts = isEngine ? service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS : 0;
+        impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
+        impl.engines[record.service] = isEngine;
+        impl.services[record.service].push_back(id);
+    }
+    std::erase_if(impl.endpoints, [&impl](const auto &entry) {
+        const bool gone = !entry.second.listed && entry.second.ownAttempts == 0;
+        if (gone) {
+            impl.cache.clear(entry.second.cacheIndex);
+        }
+        return gone;
+    });
+}
+
+const EndpointRecord *PhaseRouter::record(const EndpointId &endpoint) const
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    return found == impl_->endpoints.end() ? nullptr : &found->second.record;
+}
+
+bool PhaseRouter::Impl::mayServe(const Endpoint &endpoint, const PlacementRequest &request)
+{
+    const bool excluded = std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
+    return endpoint.listed && !endpoint.record.leaving && !excluded;
+}
+
+bool PhaseRouter::Impl::healthy(const Endpoint &endpoint, Time now)
+{
+    if (endpoint.health.admittedPermille(now) == 0) {
+        return false;
+    }
+    if (!endpoint.unansweredSince) {
+        return true;
+    }
+    const Duration silence = now - *endpoint.unansweredSince;
+    return silence <= LONGEST_SILENCE || silence >= SILENCE_RETRY;
+}
+
+Tokens PhaseRouter::Impl::cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &chain) const
+{
+    const std::size_t parts = cache.cachedBlocks(endpoint.cacheIndex, chain);
+    Tokens tokens;
+    for (std::size_t i = 0; i < parts; ++i) {
+        tokens += request.promptParts[i].tokens;
+    }
+    return std::min(tokens, request.promptTokens);
+}
+
+double PhaseRouter::Impl::foreign(const Endpoint &endpoint, Time now) const
+{
+    const Duration age = now - endpoint.reportedAt;
+    if (endpoint.reportedAt == Time::min() || age >= REPORT_LIFETIME) {
+        return 0;
+    }
+    return endpoint.foreignRequests * (1 - toMs(age) / toMs(REPORT_LIFETIME));
+}
+
+double PhaseRouter::Impl::readingMs(AttemptWork work, Tokens uncached) const
+{
+    if (work == AttemptWork::Run) {
+        return 0;
+    }
+    const double nominal = READING_OVERHEAD_MS + static_cast<double>(uncached.count()) * msPerToken;
+    return work == AttemptWork::PrefillAndRun ? nominal * DECODE_READING_FACTOR : nominal;
+}
+
+double PhaseRouter::Impl::queueMs(const Endpoint &endpoint, Time now) const
+{
+    const double others = endpoint.record.phase == EnginePhase::Prefill ? foreign(endpoint, now) * meanReadingMs : 0;
+    return (endpoint.backlogMs + others) * endpoint.slowness;
+}
+
+double PhaseRouter::Impl::slotWaitMs(const Endpoint &endpoint, Time now) const
+{
+    const double requests = endpoint.ownAttempts + foreign(endpoint, now);
+    const double slots = endpoint.record.slots;
+    return requests < slots ? 0 : WAIT_FOR_SLOT_MS * (requests - slots + 1);
+}
+
+PhaseRouter::Impl::Leg PhaseRouter::Impl::readingLeg(const Endpoint &endpoint,
+                                                     AttemptWork work,
+                                                     const PlacementRequest &request,
+                                                     const std::vector<std::uint64_t> &chain,
+                                                     Time now) const
+{
+    Leg leg;
+    leg.endpoint = &endpoint;
+    leg.cached = cachedTokens(endpoint, request, chain);
+    const double reading = readingMs(work, request.promptTokens - leg.cached) * endpoint.slowness;
+    leg.queueMs = queueMs(endpoint, now);
+    leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + reading;
+    leg.costMs = leg.timeMs + (ENGINE_TIME_WEIGHT - 1) * reading + distancePenaltyMs(endpoint.distance) + endpoint.failureShare * FAILURE_PENALTY_MS;
+    if (chain.size() > 1) {
+        leg.costMs += COLD_SPREAD_MS * spread(chain[chain.size() - 2], endpoint.record.id);
+    }
+    if (work == AttemptWork::PrefillAndRun) {
+        const double wait = slotWaitMs(endpoint, now);
+        const double batch = (endpoint.ownAttempts + foreign(endpoint, now)) / endpoint.record.slots * FULL_BATCH_PENALTY_MS;
+        leg.queueMs += wait;
+        leg.timeMs += wait + FIRST_EVENT_MS;
+        leg.costMs += wait + FIRST_EVENT_MS + batch;
+    }
+    return leg;
+}
+
+PhaseRouter::Impl::Leg PhaseRouter::Impl::generatingLeg(const Endpoint &endpoint, const Endpoint &source, Time now) const
+{
+    Leg leg;
+    leg.endpoint = &endpoint;
+    const bool remote = distanceBetween(endpoint.record.dataCentre, source.record.dataCentre) == Distance::OtherRegion;
+    leg.queueMs = slotWaitMs(endpoint, now);
+    leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + (remote ? REMOTE_FETCH_MS : LOCAL_FETCH_MS) + FIRST_EVENT_MS * endpoint.slowness;
+    const double batch = (endpoint.ownAttempts + foreign(endpoint, now)) / endpoint.record.slots * FULL_BATCH_PENALTY_MS;
+    leg.costMs = leg.timeMs + batch + endpoint.backlogMs + endpoint.failureShare * FAILURE_PENALTY_MS + distancePenaltyMs(endpoint.distance) + (remote ? OTHER_REGION_PENALTY_MS : 0);
+    return leg;
+}
+
+PhaseRouter::Impl::Leg PhaseRouter::Impl::plainLeg(const Endpoint &endpoint, Time now) const
+{
+    Leg leg;
+    leg.endpoint = &endpoint;
+    const auto known = plainMs.find(endpoint.record.service);
+    const double workMs = (known == plainMs.end() ? INITIAL_PLAIN_MS : known->second) * endpoint.slowness;
+    const double requests = endpoint.ownAttempts + foreign(endpoint, now);
+    const double slots = endpoint.record.slots;
+    leg.queueMs = std::max(0.0, requests - slots + 1) * workMs / slots;
+    leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + workMs;
+    leg.costMs = leg.timeMs + requests / slots * workMs / 2 + endpoint.failureShare * FAILURE_PENALTY_MS;
+    return leg;
+}
+
+Placement PhaseRouter::Impl::placePlain(const std::vector<const Endpoint *> &candidates, Time now) const
+{
+    Leg best;
+    for (const Endpoint *candidate : candidates) {
+        const Leg leg = plainLeg(*candidate, now);
+        if (best.endpoint == nullptr || leg.costMs < best.costMs) {
+            best = leg;
+        }
+    }
+    Placement placement;
+    if (best.endpoint != nullptr) {
+        placement.run = best.endpoint->record.id;
+        placement.firstByteMs = best.timeMs;
+        placement.queueMs = best.queueMs;
+        placement.reason = "least-predicted-time";
+    }
+    return placement;
+}
+
+Placement PhaseRouter::Impl::placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const
+{
+    const std::vector<std::uint64_t> chain = chainOf(request.promptParts);
+    Leg prefill;
+    Leg direct;
+    for (const Endpoint *candidate : candidates) {
+        const bool readsOnly = candidate->record.phase == EnginePhase::Prefill;
+        const Leg leg = readingLeg(*candidate, readsOnly ? AttemptWork::Prefill : AttemptWork::PrefillAndRun, request, chain, now);
+        Leg &best = readsOnly ? prefill : direct;
+        if (best.endpoint == nullptr || leg.costMs < best.costMs) {
+            best = leg;
+        }
+    }
+    Leg generating;
+    if (prefill.endpoint != nullptr) {
+        for (const Endpoint *candidate : candidates) {
+            if (candidate->record.phase == EnginePhase::Prefill) {
+                continue;
+            }
+            const Leg leg = generatingLeg(*candidate, *prefill.endpoint, now);
+            if (generating.endpoint == nullptr || leg.costMs < generating.costMs) {
+                generating = leg;
+            }
+        }
+    }
+    Placement placement;
+    if (direct.endpoint == nullptr) {
+        return placement;
+    }
+    if (generating.endpoint != nullptr && prefill.costMs + generating.costMs < direct.costMs) {
+        placement.prefill = prefill.endpoint->record.id;
+        placement.run = generating.endpoint->record.id;
+        placement.firstByteMs = prefill.timeMs + generating.timeMs;
+        placement.queueMs = prefill.queueMs + generating.queueMs;
+        placement.cachedTokens = prefill.cached;
+        placement.reason = "split-phases";
+        return placement;
+    }
+    placement.run = direct.endpoint->record.id;
+    placement.firstByteMs = direct.timeMs;
+    placement.queueMs = direct.queueMs;
+    placement.cachedTokens = direct.cached;
+    placement.reason = "one-engine";
+    return placement;
+}
+
+Placement PhaseRouter::place(const PlacementRequest &request, Time now) const
+{
+    const auto service = impl_->services.find(request.service);
+    if (service == impl_->services.end()) {
+        return {};
+    }
+    std::vector<const Impl::Endpoint *> candidates;
+    std::vector<const Impl::Endpoint *> suspected;
+    for (const EndpointId &id : service->second) {
+        const Impl::Endpoint &endpoint = impl_->endpoints.at(id);
+        if (!impl_->mayServe(endpoint, request)) {
+            continue;
+        }
+        (impl_->healthy(endpoint, now) ? candidates : suspected).push_back(&endpoint);
+    }
+    if (candidates.empty()) {
+        // An endpoint that seems broken is better than none: the fault may be this process's own.
+        candidates = std::move(suspected);
+    }
+    return impl_->engines.at(request.service) ? impl_->placeEngine(candidates, request, now) : impl_->placePlain(candidates, now);
+}
+
+PhaseRouter::Ticket PhaseRouter::begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now)
+{
+    const Ticket ticket = impl_->nextTicket++;
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return ticket;
+    }
+    Impl::Endpoint &target = found->second;
+    Impl::Attempt attempt;
+    attempt.endpoint = endpoint;
+    attempt.work = work;
+    attempt.begun = now;
+    if (impl_->engines[request.service]) {
+        attempt.chain = chainOf(request.promptParts);
+        const Tokens cached = impl_->cachedTokens(target, request, attempt.chain);
+        attempt.workMs = impl_->readingMs(work, request.promptTokens - cached);
+        attempt.predictedMs = roundTripMs(target.distance) + impl_->queueMs(target, now) / target.slowness + attempt.workMs;
+        learn(impl_->meanReadingMs, work == AttemptWork::Run ? impl_->meanReadingMs : attempt.workMs);
+        for (const std::uint64_t block : attempt.chain) {
+            impl_->cache.store(target.cacheIndex, block);
+        }
+    } else {
+        const auto known = impl_->plainMs.find(request.service);
+        attempt.predictedMs = roundTripMs(target.distance) + (known == impl_->plainMs.end() ? INITIAL_PLAIN_MS : known->second);
+    }
+    target.backlogMs += attempt.workMs;
+    ++target.ownAttempts;
+    if (!target.unansweredSince) {
+        target.unansweredSince = now;
+    }
+    impl_->attempts.emplace(ticket, std::move(attempt));
+    return ticket;
+}
+
+void PhaseRouter::firstByte(Ticket ticket, Time now)
+{
+    const auto found = impl_->attempts.find(ticket);
+    if (found == impl_->attempts.end() || !found->second.reading) {
+        return;
+    }
+    Impl::Attempt &attempt = found->second;
+    attempt.reading = false;
+    Impl::Endpoint &endpoint = impl_->endpoints.at(attempt.endpoint);
+    endpoint.backlogMs = std::max(0.0, endpoint.backlogMs - attempt.workMs);
+    endpoint.unansweredSince = endpoint.ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
+    if (attempt.work == AttemptWork::Prefill && attempt.predictedMs > 0) {
+        learn(endpoint.slowness, std::clamp(toMs(now - attempt.begun) / attempt.predictedMs, LEAST_SLOWNESS, MOST_SLOWNESS));
+    }
+}
+
+void PhaseRouter::end(Ticket ticket, AttemptEnd result, Time now)
+{
+    const auto found = impl_->attempts.find(ticket);
+    if (found == impl_->attempts.end()) {
+        return;
+    }
+    Impl::Endpoint &endpoint = impl_->endpoints.at(found->second.endpoint);
+    if (result == AttemptEnd::Answered || result == AttemptEnd::Rejected || result == AttemptEnd::AnsweredFailure) {
+        firstByte(ticket, now);
+        endpoint.health.recordSuccess(now);
+    }
+    if (result != AttemptEnd::Abandoned && result != AttemptEnd::Rejected) {
+        learn(endpoint.failureShare, result == AttemptEnd::Answered ? 0 : 1);
+    }
+    const Impl::Attempt attempt = std::move(found->second);
+    if (attempt.reading) {
+        endpoint.backlogMs = std::max(0.0, endpoint.backlogMs - attempt.workMs);
+    }
+    impl_->attempts.erase(ticket);
+    --endpoint.ownAttempts;
+    if (endpoint.ownAttempts == 0) {
+        endpoint.backlogMs = 0;
+        endpoint.unansweredSince.reset();
+    }
+    if (result == AttemptEnd::Failed || result == AttemptEnd::Silent) {
+        endpoint.health.recordFailure(now);
+    }
+    if (result == AttemptEnd::Answered && attempt.chain.empty() && attempt.work == AttemptWork::Run) {
+        auto &mean = impl_->plainMs.emplace(endpoint.record.service, INITIAL_PLAIN_MS).first->second;
+        learn(mean, std::max(1.0, toMs(now - attempt.begun) - roundTripMs(endpoint.distance)));
+    }
+}
+
+void PhaseRouter::reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return;
+    }
+    found->second.foreignRequests = std::max(0, load.running + load.waiting - found->second.ownAttempts);
+    found->second.reportedAt = now;
+}
+
+std::map<ServiceId, PhaseRouter::PhaseDemand> PhaseRouter::takeDemand()
+{
+    return std::exchange(impl_->demand, {});
+}
+
+} // namespace mimosatally
--- /dev/null
+++ b/src/routing/phaserouterimpl.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "cacheindex.h"
+#include "endpointhealth.h"
+
+#include <mimosatally/routing/phaserouter.h>
+
+#include <unordered_map>
+
+namespace mimosatally
+{
+
+namespace internal
+{
+
+/// \brief Distance class between this process and an endpoint, or between two endpoints.
+enum class Distance {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion,
+};
+
+/// \brief What a process knows about one endpoint.
+struct DirectEndpoint {
+    EndpointRecord record;
+    CacheIndex::EndpointIndex cacheIndex = 0;
+    Distance distance = Distance::OtherRegion;
+    EndpointHealth health;
+    /// \brief Still listed, so that new work may go there if it is not leaving.
+    bool listed = true;
+    int ownAttempts = 0;
+    /// \brief Expected engine time of own attempts whose prompt is not read yet.
+    double backlogMs = 0;
+    /// \brief Requests of other processes at the time of the last report.
+    int foreignRequests = 0;
+    Time reportedAt = Time::min();
+    /// \brief Measured times over predicted times; 1 is nominal.
+    double slowness = 1;
+    /// \brief Recent share of calls that the endpoint failed, 0 to 1.
+    double failureShare = 0;
+    /// \brief Since when an attempt has been without any answer; nothing while answers come.
+    std::optional<Time> unansweredSince;
+};
+
+} // namespace internal
+
+struct PhaseRouter::Impl {
+    using Endpoint = internal::DirectEndpoint;
+
+    struct Attempt {
+        EndpointId endpoint;
+        AttemptWork work = AttemptWork::Run;
+        Time begun;
+        double workMs = 0;
+        double predictedMs = 0;
+        bool reading = true;
+        std::vector<std::uint64_t> chain;
+    };
+
+    struct Leg {
+        const Endpoint *endpoint = nullptr;
+        double queueMs = 0;
+        /// \brief Time until this leg is done.
+        double timeMs = 0;
+        /// \brief Time with what the choice costs other calls.
+        double costMs = 0;
+        Tokens cached;
+    };
+
+    Impl(NetworkLocation where, std::uint64_t seed);
+
+    [[nodiscard]] internal::Distance distanceTo(const DataCentreId &dataCentre) const;
+    [[nodiscard]] internal::Distance distanceBetween(const DataCentreId &first, const DataCentreId &second) const;
+    [[nodiscard]] static bool mayServe(const Endpoint &endpoint, const PlacementRequest &request);
+    [[nodiscard]] static bool healthy(const Endpoint &endpoint, Time now);
+    [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &chain) const;
+    [[nodiscard]] double foreign(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] double readingMs(AttemptWork work, Tokens uncached) const;
+    [[nodiscard]] double queueMs(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] double slotWaitMs(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] Leg readingLeg(const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const;
+    [[nodiscard]] Leg generatingLeg(const Endpoint &endpoint, const Endpoint &source, Time now) const;
+    [[nodiscard]] Leg plainLeg(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
+    [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
+
+    NetworkLocation location;
+    RegionId region;
+    std::uint64_t seed;
+    std::map<EndpointId, Endpoint> endpoints;
+    std::map<ServiceId, std::vector<EndpointId>> services;
+    std::map<ServiceId, bool> engines;
+    internal::CacheIndex cache;
+    internal::CacheIndex::EndpointIndex nextCacheIndex = 0;
+    std::unordered_map<Ticket, Attempt> attempts;
+    Ticket nextTicket = 1;
+    /// \brief Mean time of a plain call at an endpoint without a queue.
+    std::map<ServiceId, double> plainMs;
+    /// \brief Mean engine time of one reading, for the work of other processes.
+    double meanReadingMs = 0;
+    double msPerToken = 0;
+    std::map<ServiceId, PhaseDemand> demand;
+
+};
+
+} // namespace mimosatally
--- a/tests/unit/agentfixture.h
+++ b/tests/unit/agentfixture.h
@@ -4,7 +4,7 @@
 
 #include "agent/requestservice.h"
 
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 #include <mimosatally/Rpc>
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/unit/auditshippertest.cpp
+++ b/tests/unit/auditshippertest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/unit/configurationfollowertest.cpp
+++ b/tests/unit/configurationfollowertest.cpp
@@ -3,7 +3,7 @@
 #include "standins/platformstandin.h"
 
 #include <catch2/catch.hpp>
-#include <mimosatally/Platform>
+#include <mimosatally/LogService>
 
 using namespace mimosatally;
 using boost::asio::awaitable;
