Order engine phases under a fenced lease and keep cache transfers within a region

Cause: traces of an overload showed decode engines with few running requests and first events after 350 ms and more: each link carries one transfer at a time, and a transfer to another region takes ten times as long; in addition, large prompts read on decode engines stood before prefilled ones. Ruled out: slots (10 to 40 of 128 in use), processor time of the gateways. Change: the router prices transfers by tokens, link and distance, prefers pairs within a region, counts waiting work of other gateways and learns each engine's speed; one gateway orders engines to the configured share of prefill engines under a lease of the store.

--- /dev/null
+++ b/include/mimosatally/placement/phasebalancer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <mimosatally/Core>
+#include <mimosatally/serving/endpointrecord.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mimosatally
+{
+
+/// \brief One engine as the balancer sees it.
+struct BalancedEngine {
+    EndpointId id;
+    RegionId region;
+    EnginePhase phase = EnginePhase::Decode;
+    std::int64_t startedAt = 0;
+};
+
+/// \brief An engine is to work in another phase.
+struct PhaseChange {
+    EndpointId engine;
+    EnginePhase phase = EnginePhase::Decode;
+};
+
+/// \brief Keeps the number of prefill engines of one service near a share of all.
+///
+/// A change takes an engine out of service for seconds, so small deviations stay. An engine with an order under way gets no other
+/// one until its heartbeat shows the effect, or until the order can take effect no more.
+class PhaseBalancer
+{
+public:
+    /// \brief An order without an answer may be carried out within this time.
+    static constexpr Duration ORDER_LIFETIME = Duration(15000);
+    /// \brief Pause after a rejection; orders are paid for, and an engine that is busy stays so for seconds.
+    static constexpr Duration REJECTION_PAUSE = Duration(4000);
+
+    /// \param prefillShare part of the engines for prefill, 0 to 1.
+    explicit PhaseBalancer(double prefillShare);
+
+    void setPrefillShare(double share);
+
+    /// \brief Changes that bring the engines to the share; counts them as under way.
+    std::vector<PhaseChange> plan(const std::vector<BalancedEngine> &engines, Time now);
+
+    /// \brief The engine has not got or not accepted the order; it may get another one after a pause.
+    void rejected(const EndpointId &engine, Time now);
+
+    /// \brief Number of prefill engines among \a total that the share asks for; at least one engine of each phase.
+    [[nodiscard]] std::size_t prefillEngines(std::size_t total) const;
+
+private:
+    struct Pending {
+        /// \brief Phase that the engine is expected to have.
+        EnginePhase phase;
+        std::int64_t startedAt;
+        Time until;
+        bool rejected = false;
+    };
+
+    void endPending(const std::vector<BalancedEngine> &engines, Time now);
+    /// \brief Engine whose change leaves the regions most alike.
+    [[nodiscard]] const BalancedEngine *pick(const std::vector<BalancedEngine> &engines, EnginePhase from, const std::map<RegionId, double> &prefillParts) const;
+
+    double prefillShare_;
+    std::map<EndpointId, Pending> pending_;
+};
+
+} // namespace mimosatally
--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -89,8 +89,8 @@
 
     [[nodiscard]] Placement place(const PlacementRequest &request, Time now) const;
 
-    /// \brief Counts an attempt that is being sent.
-    Ticket begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now);
+    /// \brief Counts an attempt that is being sent. \param source engine that keeps the read prompt; empty if none does.
+    Ticket begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now, const EndpointId &source = EndpointId());
 
     /// \brief The first byte of the answer arrived; reading the prompt is over.
     void firstByte(Ticket ticket, Time now);
--- a/include/mimosatally/serving/endpointrecord.h
+++ b/include/mimosatally/serving/endpointrecord.h
@@ -29,8 +29,6 @@
     std::optional<EnginePhase> phase;
     /// \brief Unix time of its start in milliseconds; tells the incarnations of one id apart.
     std::int64_t startedAt = 0;
-    /// \brief Orders that the engine has accepted since its start.
-    std::int64_t ordersAccepted = 0;
 };
 
 } // namespace mimosatally
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -49,9 +49,9 @@
 class CountedAttempt
 {
 public:
-    CountedAttempt(PhaseRouter &router, const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request)
+    CountedAttempt(PhaseRouter &router, const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, const EndpointId &source = EndpointId())
         : router_(router)
-        , ticket_(router.begin(endpoint, work, request, MilliClock::now()))
+        , ticket_(router.begin(endpoint, work, request, MilliClock::now(), source))
     {
     }
 
@@ -250,7 +250,8 @@
         }
         work = AttemptWork::Run;
     }
-    const Next next = co_await runAt(endpoint, prompt, work, patience);
+    const EndpointId source = placement.prefill.value_or(EndpointId());
+    const Next next = co_await runAt(endpoint, prompt, source, work, patience);
     co_return next;
 }
 
@@ -287,10 +288,11 @@
         co_return std::nullopt;
     }
     gateway_.router.end(counted.ticket(), AttemptEnd::Answered, now);
+    prefillTime_ = now - arrived_;
     co_return PrefilledPrompt {toString(address), *handle};
 }
 
-awaitable<CallFlow::Next> CallFlow::runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, AttemptWork work, Duration patience)
+awaitable<CallFlow::Next> CallFlow::runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration patience)
 {
     const EndpointRecord *record = gateway_.router.record(endpoint);
     if (record == nullptr) {
@@ -301,7 +303,7 @@
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefilled = std::move(prompt);
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
-    CountedAttempt counted(gateway_.router, endpoint, work, placementRequest_);
+    CountedAttempt counted(gateway_.router, endpoint, work, placementRequest_, source);
     EndpointCall call(gateway_.io, gateway_.connections, *guard_);
     const bool repeatable = route_.repeat == RepeatRule::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time limit = repeatable ? MilliClock::now() + patience : guard_->deadline();
@@ -352,6 +354,7 @@
               {"not_executed", call.answer().notExecuted ? "true" : "false"},
               {"stopped", guard_->stop() == CallStop::None ? "false" : "true"},
               {"error", call.failure()},
+              {"prefill_ms", prefillTime_},
               {"after_ms", MilliClock::now() - arrived_}});
     gateway_.metrics.increment("mimosatally_attempts_failed_total", std::string("phase=\"") + phase + '"');
 }
@@ -399,11 +402,11 @@
         co_return Next::TryAgainUnknown;
     }
     gateway_.router.end(ticket, success ? AttemptEnd::Answered : AttemptEnd::AnsweredFailure, MilliClock::now());
-    logAnswered(endpoint, answer.status);
+    logAnswered(endpoint, answer.status, answer.load.value_or(ReportedLoad()));
     co_return Next::Finished;
 }
 
-void CallFlow::logAnswered(const EndpointId &endpoint, unsigned status)
+void CallFlow::logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load)
 {
     const Duration total = MilliClock::now() - arrived_;
     logEvent(LogEvent::GatewayCallAnswered,
@@ -411,7 +414,10 @@
               {"endpoint", endpoint},
               {"status", status},
               {"first_byte_ms", firstByte_.value_or(total)},
+              {"prefill_ms", prefillTime_},
               {"total_ms", total},
+              {"running", load.running},
+              {"waiting", load.waiting},
               {"attempts", attempts_}});
     gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
     constexpr double millisecondsPerSecond = 1000;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -42,7 +42,7 @@
     boost::asio::awaitable<bool> continueAfter(Next next);
     boost::asio::awaitable<Next> attempt(Placement placement);
     boost::asio::awaitable<std::optional<PrefilledPrompt>> prefill(EndpointId endpoint, Duration patience);
-    boost::asio::awaitable<Next> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, AttemptWork work, Duration patience);
+    boost::asio::awaitable<Next> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration patience);
     boost::asio::awaitable<Next> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     /// \return whether the caller has the complete answer.
     boost::asio::awaitable<bool> deliverWhole(EndpointCall &call);
@@ -58,7 +58,7 @@
     [[nodiscard]] Duration patienceFor(double predictedMs) const;
     [[nodiscard]] ServiceId chooseService();
     void logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call);
-    void logAnswered(const EndpointId &endpoint, unsigned status);
+    void logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load);
     void logFailed(unsigned status, const char *reason);
 
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
@@ -85,6 +85,8 @@
     /// \brief The retry budget has granted the next attempt already.
     bool retryGranted_ = false;
     std::optional<Duration> firstByte_;
+    /// \brief Time until another engine had read the prompt; zero if none has.
+    Duration prefillTime_ = Duration(0);
     std::string lastFailure_;
 };
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,4 +1,5 @@
 #include "callhandler.h"
+#include "ordercontroller.h"
 #include "storefollower.h"
 
 #include <mimosatally/Gateway>
@@ -51,6 +52,7 @@
         : gateway_(io_, settings)
         , handler_(gateway_)
         , follower_(gateway_)
+        , orders_(gateway_)
         , supervisor_(io_,
                       static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count()),
                       Supervisor::Options(),
@@ -115,6 +117,9 @@
         supervisor_.start("endpoints", [this](TaskContext &context) {
             return follower_.followEndpoints(context);
         });
+        supervisor_.start("orders", [this](TaskContext &context) {
+            return orders_.run(context);
+        });
         supervisor_.start("housekeeping", [this](TaskContext &context) {
             return keepHouse(context);
         });
@@ -183,6 +188,7 @@
     GatewayState gateway_;
     CallHandler handler_;
     StoreFollower follower_;
+    OrderController orders_;
     Supervisor supervisor_;
     HttpServer callers_;
     HttpServer readiness_;
--- /dev/null
+++ b/src/gateway/ordercontroller.cpp
@@ -0,0 +1,177 @@
+#include "ordercontroller.h"
+
+#include <mimosatally/Http>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+constexpr Duration RENEWAL_INTERVAL = Duration(1000);
+constexpr Duration STORE_TIMEOUT = Duration(800);
+constexpr Duration ORDER_TIMEOUT = Duration(1000);
+/// \brief An order must reach its engine within the lease.
+constexpr Duration LEASE_MARGIN = Duration(500);
+
+std::string_view phaseName(EnginePhase phase)
+{
+    return phase == EnginePhase::Prefill ? "prefill" : "decode";
+}
+
+std::string_view answerName(platform::OrderAnswer answer)
+{
+    switch (answer) {
+    case platform::OrderAnswer::Accepted:
+        return "accepted";
+    case platform::OrderAnswer::AlreadyHolds:
+        return "already-holds";
+    case platform::OrderAnswer::Conflict:
+        return "conflict";
+    case platform::OrderAnswer::Fenced:
+        return "fenced";
+    case platform::OrderAnswer::Rejected:
+        return "rejected";
+    }
+    return "rejected";
+}
+} // namespace
+
+OrderController::OrderController(GatewayState &gateway)
+    : gateway_(gateway)
+    , store_(gateway.io, parseAddress(gateway.settings.store))
+    , member_(gateway.settings.process.value() + '-' + std::to_string(MilliClock::now().time_since_epoch().count()))
+{
+}
+
+awaitable<void> OrderController::run(TaskContext &context)
+{
+    bool goesOn = true;
+    while (goesOn) {
+        std::string failure;
+        try {
+            co_await renewLease();
+        } catch (const Error &error) {
+            failure = error.what();
+        }
+        if (!failure.empty()) {
+            gateway_.metrics.increment("mimosatally_store_failures_total", "topic=\"orders\"");
+        }
+        noteLease(holdsLease(MilliClock::now()));
+        if (holds_) {
+            co_await orderEngines();
+        }
+        const Duration spread(static_cast<Duration::rep>(static_cast<double>(RENEWAL_INTERVAL.count()) * gateway_.jitter() / 4));
+        goesOn = co_await context.sleep(RENEWAL_INTERVAL + spread);
+    }
+}
+
+awaitable<void> OrderController::renewLease()
+{
+    // The lease counts from before the call: the store starts it when the call arrives.
+    const Time sent = MilliClock::now();
+    const Duration lease = gateway_.settings.orderLease;
+    const platform::Membership membership = co_await store_.joinOrderGroup(member_, generation_, lease, STORE_TIMEOUT);
+    generation_ = membership.generation;
+    leaseUntil_ = membership.holdsPartition ? sent + lease : Time::min();
+}
+
+bool OrderController::holdsLease(Time now) const
+{
+    return leaseUntil_ != Time::min() && now + LEASE_MARGIN < leaseUntil_ && generation_ != fencedGeneration_;
+}
+
+void OrderController::noteLease(bool holds)
+{
+    if (holds == holds_) {
+        return;
+    }
+    holds_ = holds;
+    logEvent(holds ? LogEvent::OrderLeaseHeld : LogEvent::OrderLeaseLost, {{"generation", generation_}});
+}
+
+std::vector<BalancedEngine> OrderController::enginesOf(const ServiceId &service) const
+{
+    std::vector<BalancedEngine> engines;
+    for (const auto &[id, record] : gateway_.registry.endpoints()) {
+        if (record.service == service && record.phase && !record.leaving) {
+            const auto region = gateway_.settings.regions.find(record.dataCentre);
+            engines.push_back({id, region == gateway_.settings.regions.end() ? RegionId() : region->second, *record.phase, record.startedAt});
+        }
+    }
+    return engines;
+}
+
+awaitable<void> OrderController::orderEngines()
+{
+    if (!gateway_.configuration) {
+        co_return;
+    }
+    const auto configuration = gateway_.configuration;
+    for (const auto &[id, service] : configuration->services) {
+        if (!service.engine) {
+            continue;
+        }
+        PhaseBalancer &balancer = balancers_.try_emplace(id, gateway_.settings.prefillShare).first->second;
+        const std::vector<BalancedEngine> engines = enginesOf(id);
+        const std::vector<PhaseChange> changes = balancer.plan(engines, MilliClock::now());
+        for (const PhaseChange &change : changes) {
+            co_await order(balancer, change);
+        }
+    }
+}
+
+awaitable<void> OrderController::order(PhaseBalancer &balancer, PhaseChange change)
+{
+    const auto record = gateway_.registry.endpoints().find(change.engine);
+    if (!holdsLease(MilliClock::now()) || record == gateway_.registry.endpoints().end()) {
+        balancer.rejected(change.engine, MilliClock::now());
+        co_return;
+    }
+    HttpClient client(gateway_.io, record->second.address);
+    std::string result;
+    bool accepted = false;
+    try {
+        accepted = co_await orderOnce(client, change, result);
+    } catch (const UnreachableError &error) {
+        // It may still be carried out, so the engine gets no other order for the lifetime of this one.
+        result = error.what();
+        accepted = true;
+    } catch (const MalformedInputError &error) {
+        result = error.what();
+    }
+    if (!accepted) {
+        balancer.rejected(change.engine, MilliClock::now());
+    }
+    logEvent(LogEvent::PhaseOrderAnswered, {{"endpoint", change.engine}, {"generation", generation_}, {"result", result}});
+}
+
+awaitable<bool> OrderController::orderOnce(HttpClient &client, PhaseChange change, std::string &result)
+{
+    HttpRequest question = platform::reportRequest();
+    const HttpResponse answered = co_await client.send(std::move(question), ORDER_TIMEOUT);
+    const platform::EngineReport report = platform::decodeReport(answered);
+    if (report.busy || report.phase == change.phase || !holdsLease(MilliClock::now())) {
+        result = report.busy ? "busy" : "not-needed";
+        co_return false;
+    }
+    platform::PhaseOrder order;
+    order.target = change.engine;
+    order.phase = change.phase;
+    order.holder = member_;
+    order.fencingToken = generation_;
+    order.expectedOrders = report.ordersAccepted;
+    logEvent(LogEvent::PhaseOrderSent,
+             {{"endpoint", change.engine}, {"phase", phaseName(change.phase)}, {"generation", generation_}, {"expected_orders", order.expectedOrders}});
+    HttpRequest request = platform::encodeOrder(order);
+    const HttpResponse response = co_await client.send(std::move(request), ORDER_TIMEOUT);
+    const platform::OrderAnswer answer = platform::decodeOrderAnswer(response);
+    result = answerName(answer);
+    if (answer == platform::OrderAnswer::Fenced) {
+        fencedGeneration_ = order.fencingToken;
+    }
+    co_return answer == platform::OrderAnswer::Accepted || answer == platform::OrderAnswer::AlreadyHolds;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/placement/phasebalancer.cpp
@@ -0,0 +1,119 @@
+#include <mimosatally/placement/phasebalancer.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosatally
+{
+
+namespace
+{
+EnginePhase otherPhase(EnginePhase phase)
+{
+    return phase == EnginePhase::Prefill ? EnginePhase::Decode : EnginePhase::Prefill;
+}
+
+/// \brief Part of each region's engines that prefill.
+std::map<RegionId, double> prefillParts(const std::vector<BalancedEngine> &engines)
+{
+    std::map<RegionId, std::pair<double, double>> counts;
+    for (const BalancedEngine &engine : engines) {
+        auto &[prefill, all] = counts[engine.region];
+        prefill += engine.phase == EnginePhase::Prefill ? 1 : 0;
+        all += 1;
+    }
+    std::map<RegionId, double> parts;
+    for (const auto &[region, count] : counts) {
+        parts[region] = count.first / count.second;
+    }
+    return parts;
+}
+} // namespace
+
+PhaseBalancer::PhaseBalancer(double prefillShare)
+    : prefillShare_(prefillShare)
+{
+}
+
+void PhaseBalancer::setPrefillShare(double share)
+{
+    prefillShare_ = share;
+}
+
+std::size_t PhaseBalancer::prefillEngines(std::size_t total) const
+{
+    if (total < 2) {
+        return 0;
+    }
+    const auto wanted = static_cast<std::size_t>(std::lround(prefillShare_ * static_cast<double>(total)));
+    return std::clamp<std::size_t>(wanted, 1, total - 1);
+}
+
+void PhaseBalancer::endPending(const std::vector<BalancedEngine> &engines, Time now)
+{
+    std::erase_if(pending_, [&engines, now](const auto &entry) {
+        const auto &[id, pending] = entry;
+        const auto engine = std::ranges::find(engines, id, &BalancedEngine::id);
+        const bool shown = engine != engines.end() && (engine->phase == pending.phase || engine->startedAt != pending.startedAt);
+        const bool done = shown && !pending.rejected;
+        return done || now >= pending.until;
+    });
+}
+
+const BalancedEngine *PhaseBalancer::pick(const std::vector<BalancedEngine> &engines, EnginePhase from, const std::map<RegionId, double> &parts) const
+{
+    const BalancedEngine *best = nullptr;
+    for (const BalancedEngine &engine : engines) {
+        if (engine.phase != from || pending_.contains(engine.id)) {
+            continue;
+        }
+        // A region with few prefill engines gives a decode engine, and one with many gives a prefill engine.
+        const double part = from == EnginePhase::Decode ? parts.at(engine.region) : -parts.at(engine.region);
+        if (best == nullptr || part < (from == EnginePhase::Decode ? parts.at(best->region) : -parts.at(best->region))) {
+            best = &engine;
+        }
+    }
+    return best;
+}
+
+std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, Time now)
+{
+    endPending(engines, now);
+    std::vector<BalancedEngine> expected = engines;
+    for (BalancedEngine &engine : expected) {
+        const auto pending = pending_.find(engine.id);
+        if (pending != pending_.end()) {
+            engine.phase = pending->second.phase;
+        }
+    }
+    std::vector<PhaseChange> changes;
+    const std::size_t wanted = prefillEngines(expected.size());
+    for (;;) {
+        const auto prefill = static_cast<std::size_t>(std::ranges::count(expected, EnginePhase::Prefill, &BalancedEngine::phase));
+        if (prefill == wanted) {
+            break;
+        }
+        const EnginePhase from = prefill < wanted ? EnginePhase::Decode : EnginePhase::Prefill;
+        const BalancedEngine *engine = pick(expected, from, prefillParts(expected));
+        if (engine == nullptr) {
+            break;
+        }
+        const PhaseChange change = {engine->id, otherPhase(from)};
+        pending_.insert_or_assign(change.engine, Pending {change.phase, engine->startedAt, now + ORDER_LIFETIME, false});
+        std::ranges::find(expected, change.engine, &BalancedEngine::id)->phase = change.phase;
+        changes.push_back(change);
+    }
+    return changes;
+}
+
+void PhaseBalancer::rejected(const EndpointId &engine, Time now)
+{
+    const auto found = pending_.find(engine);
+    if (found != pending_.end()) {
+        found->second.rejected = true;
+        found->second.phase = otherPhase(found->second.phase);
+        found->second.until = now + REJECTION_PAUSE;
+    }
+}
+
+} // namespace mimosatally
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -22,9 +22,10 @@
 constexpr double READING_OVERHEAD_MS = 1.5;
 /// \brief From the end of the reading to the first event.
 constexpr double FIRST_EVENT_MS = 15;
-/// \brief Fetching a prompt from an engine of another region, where links are slower.
-constexpr double REMOTE_FETCH_MS = 20;
-constexpr double LOCAL_FETCH_MS = 3;
+/// \brief Transfers of cache take so many times longer than within a data centre.
+constexpr double SAME_REGION_TRANSFER_FACTOR = 2;
+constexpr double OTHER_REGION_TRANSFER_FACTOR = 10;
+constexpr double TRANSFER_OVERHEAD_MS = 1;
 /// \brief Engine time that one call uses delays every later call, not this one alone.
 constexpr double ENGINE_TIME_WEIGHT = 2.5;
 /// \brief Bytes to another region are paid by volume; this much time makes up for them.
@@ -45,6 +46,7 @@
 constexpr double LEAST_SLOWNESS = 0.3;
 constexpr double MOST_SLOWNESS = 8;
 constexpr double INITIAL_PLAIN_MS = 20;
+constexpr double INITIAL_READING_MS = 10;
 /// \brief Mean tokens of a part, to turn cache memory into a number of parts.
 constexpr std::int64_t MEAN_PART_TOKENS = 3000;
 constexpr double WAIT_FOR_SLOT_MS = 50;
@@ -123,7 +125,7 @@
     : location(std::move(where))
     , region(location.regionOf(location.dataCentre))
     , seed(randomSeed)
-    , meanReadingMs(10)
+    , meanReadingMs {{EnginePhase::Prefill, INITIAL_READING_MS}, {EnginePhase::Decode, INITIAL_READING_MS}}
     , msPerToken(INITIAL_MS_PER_TOKEN)
 {
 }
@@ -177,9 +179,11 @@
         endpoint.distance = impl.distanceTo(record.dataCentre);
         const auto service = configuration.services.find(record.service);
         const bool isEngine = service != configuration.services.end() && service->second.engine;
-        const std::int64_t parts = isEngine ? service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS : 0;
-        impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
-        impl.engines[record.service] = isEngine;
+        if (isEngine) {
+            impl.engines[record.service] = *service->second.engine;
+            const std::int64_t parts = service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS;
+            impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
+        }
         impl.services[record.service].push_back(id);
     }
     std::erase_if(impl.endpoints, [&impl](const auto &entry) {
@@ -225,13 +229,17 @@
     return std::min(tokens, request.promptTokens);
 }
 
-double PhaseRouter::Impl::foreign(const Endpoint &endpoint, Time now) const
+double PhaseRouter::Impl::aged(int reported, const Endpoint &endpoint, Time now)
 {
-    const Duration age = now - endpoint.reportedAt;
-    if (endpoint.reportedAt == Time::min() || age >= REPORT_LIFETIME) {
+    if (endpoint.reportedAt == Time::min() || now - endpoint.reportedAt >= REPORT_LIFETIME) {
         return 0;
     }
-    return endpoint.foreignRequests * (1 - toMs(age) / toMs(REPORT_LIFETIME));
+    return reported * (1 - toMs(now - endpoint.reportedAt) / toMs(REPORT_LIFETIME));
+}
+
+double PhaseRouter::Impl::foreign(const Endpoint &endpoint, Time now)
+{
+    return aged(endpoint.foreignRequests, endpoint, now);
 }
 
 double PhaseRouter::Impl::readingMs(AttemptWork work, Tokens uncached) const
@@ -245,11 +253,12 @@
 
 double PhaseRouter::Impl::queueMs(const Endpoint &endpoint, Time now) const
 {
-    const double others = endpoint.record.phase == EnginePhase::Prefill ? foreign(endpoint, now) * meanReadingMs : 0;
-    return (endpoint.backlogMs + others) * endpoint.slowness;
+    const EnginePhase phase = endpoint.record.phase.value_or(EnginePhase::Decode);
+    const int reading = phase == EnginePhase::Prefill ? endpoint.foreignRequests : endpoint.foreignWaiting;
+    return (endpoint.backlogMs + aged(reading, endpoint, now) * meanReadingMs.at(phase)) * endpoint.slowness;
 }
 
-double PhaseRouter::Impl::slotWaitMs(const Endpoint &endpoint, Time now) const
+double PhaseRouter::Impl::slotWaitMs(const Endpoint &endpoint, Time now)
 {
     const double requests = endpoint.ownAttempts + foreign(endpoint, now);
     const double slots = endpoint.record.slots;
@@ -283,17 +292,82 @@
     return leg;
 }
 
-PhaseRouter::Impl::Leg PhaseRouter::Impl::generatingLeg(const Endpoint &endpoint, const Endpoint &source, Time now) const
+PhaseRouter::Impl::Leg PhaseRouter::Impl::generatingLeg(const Endpoint &endpoint, Time now)
 {
     Leg leg;
     leg.endpoint = &endpoint;
-    const bool remote = distanceBetween(endpoint.record.dataCentre, source.record.dataCentre) == Distance::OtherRegion;
-    leg.queueMs = slotWaitMs(endpoint, now);
-    leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + (remote ? REMOTE_FETCH_MS : LOCAL_FETCH_MS) + FIRST_EVENT_MS * endpoint.slowness;
-    leg.costMs = leg.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreign(endpoint, now)) + endpoint.backlogMs + endpoint.failureShare * FAILURE_PENALTY_MS + distancePenaltyMs(endpoint.distance) + (remote ? OTHER_REGION_PENALTY_MS : 0);
+    leg.queueMs = slotWaitMs(endpoint, now) + endpoint.transferBacklogMs;
+    leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + FIRST_EVENT_MS * endpoint.slowness;
+    leg.costMs = leg.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreign(endpoint, now)) + endpoint.failureShare * FAILURE_PENALTY_MS
+        + distancePenaltyMs(endpoint.distance);
+    return leg;
+}
+
+double PhaseRouter::Impl::transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const
+{
+    const auto profile = engines.find(to.record.service);
+    if (profile == engines.end() || profile->second.linkBitsPerMs <= 0) {
+        return 0;
+    }
+    constexpr double bitsPerByte = 8;
+    const double bits = static_cast<double>(tokens.count()) * static_cast<double>(profile->second.bytesPerToken.count()) * bitsPerByte;
+    double factor = 1;
+    switch (distanceBetween(from.record.dataCentre, to.record.dataCentre)) {
+    case Distance::SameDataCentre:
+        break;
+    case Distance::SameRegion:
+        factor = SAME_REGION_TRANSFER_FACTOR;
+        break;
+    case Distance::OtherRegion:
+        factor = OTHER_REGION_TRANSFER_FACTOR;
+        break;
+    }
+    return TRANSFER_OVERHEAD_MS + bits / profile->second.linkBitsPerMs * factor;
+}
+
+PhaseRouter::Impl::Leg PhaseRouter::Impl::withTransfer(const Leg &generating, const Endpoint &source, Tokens tokens) const
+{
+    const double transfer = transferMs(source, *generating.endpoint, tokens);
+    Leg leg = generating;
+    leg.queueMs += source.transferBacklogMs;
+    leg.timeMs += source.transferBacklogMs + transfer;
+    // Both links carry one transfer at a time.
+    leg.costMs += source.transferBacklogMs + ENGINE_TIME_WEIGHT * transfer;
     return leg;
 }
 
+std::optional<std::pair<PhaseRouter::Impl::Leg, PhaseRouter::Impl::Leg>>
+PhaseRouter::Impl::bestSplit(const std::vector<Leg> &reading, const std::vector<const Endpoint *> &generating, Tokens tokens, Time now) const
+{
+    // Only the best engine of each region and the best of all can be part of the best pair.
+    std::map<RegionId, Leg> best;
+    Leg bestOfAll;
+    for (const Endpoint *endpoint : generating) {
+        const Leg leg = generatingLeg(*endpoint, now);
+        Leg &inRegion = best[location.regionOf(endpoint->record.dataCentre)];
+        if (inRegion.endpoint == nullptr || leg.costMs < inRegion.costMs) {
+            inRegion = leg;
+        }
+        if (bestOfAll.endpoint == nullptr || leg.costMs < bestOfAll.costMs) {
+            bestOfAll = leg;
+        }
+    }
+    std::optional<std::pair<Leg, Leg>> result;
+    for (const Leg &first : reading) {
+        const auto near = best.find(location.regionOf(first.endpoint->record.dataCentre));
+        for (const Leg *second : {near == best.end() ? &bestOfAll : &near->second, &bestOfAll}) {
+            if (second->endpoint == nullptr) {
+                continue;
+            }
+            const Leg complete = withTransfer(*second, *first.endpoint, tokens);
+            if (!result || first.costMs + complete.costMs < result->first.costMs + result->second.costMs) {
+                result = std::pair(first, complete);
+            }
+        }
+    }
+    return result;
+}
+
 PhaseRouter::Impl::Leg PhaseRouter::Impl::plainLeg(const Endpoint &endpoint, Time now) const
 {
     Leg leg;
@@ -330,38 +404,32 @@
 Placement PhaseRouter::Impl::placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const
 {
     const std::vector<std::uint64_t> chain = chainOf(request.promptParts);
-    Leg prefill;
+    std::vector<Leg> reading;
+    std::vector<const Endpoint *> generating;
     Leg direct;
     for (const Endpoint *candidate : candidates) {
-        const bool readsOnly = candidate->record.phase == EnginePhase::Prefill;
-        const Leg leg = readingLeg(*candidate, readsOnly ? AttemptWork::Prefill : AttemptWork::PrefillAndRun, request, chain, now);
-        Leg &best = readsOnly ? prefill : direct;
-        if (best.endpoint == nullptr || leg.costMs < best.costMs) {
-            best = leg;
+        if (candidate->record.phase == EnginePhase::Prefill) {
+            reading.push_back(readingLeg(*candidate, AttemptWork::Prefill, request, chain, now));
+            continue;
         }
-    }
-    Leg generating;
-    if (prefill.endpoint != nullptr) {
-        for (const Endpoint *candidate : candidates) {
-            if (candidate->record.phase == EnginePhase::Prefill) {
-                continue;
-            }
-            const Leg leg = generatingLeg(*candidate, *prefill.endpoint, now);
-            if (generating.endpoint == nullptr || leg.costMs < generating.costMs) {
-                generating = leg;
-            }
+        generating.push_back(candidate);
+        const Leg leg = readingLeg(*candidate, AttemptWork::PrefillAndRun, request, chain, now);
+        if (direct.endpoint == nullptr || leg.costMs < direct.costMs) {
+            direct = leg;
         }
     }
     Placement placement;
     if (direct.endpoint == nullptr) {
         return placement;
     }
-    if (generating.endpoint != nullptr && prefill.costMs + generating.costMs < direct.costMs) {
-        placement.prefill = prefill.endpoint->record.id;
-        placement.run = generating.endpoint->record.id;
-        placement.firstByteMs = prefill.timeMs + generating.timeMs;
-        placement.queueMs = prefill.queueMs + generating.queueMs;
-        placement.cachedTokens = prefill.cached;
+    const auto split = bestSplit(reading, generating, request.promptTokens, now);
+    if (split && split->first.costMs + split->second.costMs < direct.costMs) {
+        const auto &[first, second] = *split;
+        placement.prefill = first.endpoint->record.id;
+        placement.run = second.endpoint->record.id;
+        placement.firstByteMs = first.timeMs + second.timeMs;
+        placement.queueMs = first.queueMs + second.queueMs;
+        placement.cachedTokens = first.cached;
         placement.reason = "split-phases";
         return placement;
     }
@@ -395,10 +463,10 @@
         // An endpoint that seems broken is better than none: the fault may be this process's own.
         std::ranges::copy_if(suspected, std::back_inserter(candidates), generates);
     }
-    return impl_->engines.at(request.service) ? impl_->placeEngine(candidates, request, now) : impl_->placePlain(candidates, now);
+    return impl_->engines.contains(request.service) ? impl_->placeEngine(candidates, request, now) : impl_->placePlain(candidates, now);
 }
 
-PhaseRouter::Ticket PhaseRouter::begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now)
+PhaseRouter::Ticket PhaseRouter::begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now, const EndpointId &source)
 {
     const Ticket ticket = impl_->nextTicket++;
     const auto found = impl_->endpoints.find(endpoint);
@@ -410,12 +478,13 @@
     attempt.endpoint = endpoint;
     attempt.work = work;
     attempt.begun = now;
-    if (impl_->engines[request.service]) {
+    if (impl_->engines.contains(request.service)) {
         attempt.chain = chainOf(request.promptParts);
         const Tokens cached = impl_->cachedTokens(target, request, attempt.chain);
         attempt.workMs = impl_->readingMs(work, request.promptTokens - cached);
         attempt.predictedMs = roundTripMs(target.distance) + impl_->queueMs(target, now) / target.slowness + attempt.workMs;
-        learn(impl_->meanReadingMs, work == AttemptWork::Run ? impl_->meanReadingMs : attempt.workMs);
+        attempt.predictedMs += work == AttemptWork::Prefill ? 0 : FIRST_EVENT_MS;
+        learn(impl_->meanReadingMs.at(target.record.phase.value_or(EnginePhase::Decode)), attempt.workMs);
         for (const std::uint64_t block : attempt.chain) {
             impl_->cache.store(target.cacheIndex, block);
         }
@@ -423,8 +492,17 @@
         const auto known = impl_->plainMs.find(request.service);
         attempt.predictedMs = roundTripMs(target.distance) + (known == impl_->plainMs.end() ? INITIAL_PLAIN_MS : known->second);
     }
+    const auto from = impl_->endpoints.find(source);
+    if (from != impl_->endpoints.end()) {
+        attempt.source = source;
+        attempt.transferMs = impl_->transferMs(from->second, target, request.promptTokens);
+        attempt.predictedMs += target.transferBacklogMs + attempt.transferMs;
+        from->second.transferBacklogMs += attempt.transferMs;
+        target.transferBacklogMs += attempt.transferMs;
+    }
     target.backlogMs += attempt.workMs;
     ++target.ownAttempts;
+    ++target.ownUnanswered;
     if (!target.unansweredSince) {
         target.unansweredSince = now;
     }
@@ -432,6 +510,16 @@
     return ticket;
 }
 
+void PhaseRouter::Impl::endTransfer(const Attempt &attempt)
+{
+    for (const EndpointId &id : {attempt.endpoint, attempt.source}) {
+        const auto found = endpoints.find(id);
+        if (found != endpoints.end()) {
+            found->second.transferBacklogMs = std::max(0.0, found->second.transferBacklogMs - attempt.transferMs);
+        }
+    }
+}
+
 void PhaseRouter::firstByte(Ticket ticket, Time now)
 {
     const auto found = impl_->attempts.find(ticket);
@@ -439,11 +527,13 @@
         return;
     }
     Impl::Attempt &attempt = found->second;
-    attempt.reading = false;
     Impl::Endpoint &endpoint = impl_->endpoints.at(attempt.endpoint);
+    attempt.reading = false;
+    impl_->endTransfer(attempt);
+    --endpoint.ownUnanswered;
     endpoint.backlogMs = std::max(0.0, endpoint.backlogMs - attempt.workMs);
     endpoint.unansweredSince = endpoint.ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
-    if (attempt.work == AttemptWork::Prefill && attempt.predictedMs > 0) {
+    if (!attempt.chain.empty()) {
         learn(endpoint.slowness, std::clamp(toMs(now - attempt.begun) / attempt.predictedMs, LEAST_SLOWNESS, MOST_SLOWNESS));
     }
 }
@@ -464,12 +554,15 @@
     }
     const Impl::Attempt attempt = std::move(found->second);
     if (attempt.reading) {
+        impl_->endTransfer(attempt);
+        --endpoint.ownUnanswered;
         endpoint.backlogMs = std::max(0.0, endpoint.backlogMs - attempt.workMs);
     }
     impl_->attempts.erase(ticket);
     --endpoint.ownAttempts;
     if (endpoint.ownAttempts == 0) {
         endpoint.backlogMs = 0;
+        endpoint.transferBacklogMs = 0;
         endpoint.unansweredSince.reset();
     }
     if (result == AttemptEnd::Failed || result == AttemptEnd::Silent) {
@@ -488,6 +581,7 @@
         return;
     }
     found->second.foreignRequests = std::max(0, load.running + load.waiting - found->second.ownAttempts);
+    found->second.foreignWaiting = std::max(0, load.waiting - found->second.ownUnanswered);
     found->second.reportedAt = now;
 }
 
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -31,8 +31,13 @@
     int ownAttempts = 0;
     /// \brief Expected engine time of own attempts whose prompt is not read yet.
     double backlogMs = 0;
-    /// \brief Requests of other processes at the time of the last report.
+    /// \brief Expected link time of transfers that this process has caused and that are not over.
+    double transferBacklogMs = 0;
+    /// \brief Own attempts without a first byte.
+    int ownUnanswered = 0;
+    /// \brief Requests of other processes at the time of the last report, and those of them that had not started.
     int foreignRequests = 0;
+    int foreignWaiting = 0;
     Time reportedAt = Time::min();
     /// \brief Measured times over predicted times; 1 is nominal.
     double slowness = 1;
@@ -53,6 +58,9 @@
         Time begun;
         double workMs = 0;
         double predictedMs = 0;
+        /// \brief Engine that keeps the prompt, and the time that its transfer takes.
+        EndpointId source;
+        double transferMs = 0;
         bool reading = true;
         std::vector<std::uint64_t> chain;
     };
@@ -74,30 +82,41 @@
     [[nodiscard]] static bool mayServe(const Endpoint &endpoint, const PlacementRequest &request);
     [[nodiscard]] static bool healthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &chain) const;
-    [[nodiscard]] double foreign(const Endpoint &endpoint, Time now) const;
+    /// \brief Part of a reported figure that still counts at \a now.
+    [[nodiscard]] static double aged(int reported, const Endpoint &endpoint, Time now);
+    [[nodiscard]] static double foreign(const Endpoint &endpoint, Time now);
     [[nodiscard]] double readingMs(AttemptWork work, Tokens uncached) const;
     [[nodiscard]] double queueMs(const Endpoint &endpoint, Time now) const;
-    [[nodiscard]] double slotWaitMs(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] static double slotWaitMs(const Endpoint &endpoint, Time now);
     [[nodiscard]] Leg readingLeg(const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const;
-    [[nodiscard]] Leg generatingLeg(const Endpoint &endpoint, const Endpoint &source, Time now) const;
+    /// \brief Generating at \a endpoint, without the transfer of the prompt.
+    [[nodiscard]] static Leg generatingLeg(const Endpoint &endpoint, Time now);
+    /// \brief Time that the links of both engines are taken by one prompt's cache.
+    [[nodiscard]] double transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const;
+    /// \brief Adds the transfer of the prompt to \a generating.
+    [[nodiscard]] Leg withTransfer(const Leg &generating, const Endpoint &source, Tokens tokens) const;
+    [[nodiscard]] std::optional<std::pair<Leg, Leg>> bestSplit(const std::vector<Leg> &reading, const std::vector<const Endpoint *> &generating, Tokens tokens, Time now) const;
     [[nodiscard]] Leg plainLeg(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
     [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
 
+    void endTransfer(const Attempt &attempt);
+
     NetworkLocation location;
     RegionId region;
     std::uint64_t seed;
     std::map<EndpointId, Endpoint> endpoints;
     std::map<ServiceId, std::vector<EndpointId>> services;
-    std::map<ServiceId, bool> engines;
+    /// \brief Profiles of the services whose endpoints are engines.
+    std::map<ServiceId, EngineProfile> engines;
     internal::CacheIndex cache;
     internal::CacheIndex::EndpointIndex nextCacheIndex = 0;
     std::unordered_map<Ticket, Attempt> attempts;
     Ticket nextTicket = 1;
     /// \brief Mean time of a plain call at an endpoint without a queue.
     std::map<ServiceId, double> plainMs;
-    /// \brief Mean engine time of one reading, for the work of other processes.
-    double meanReadingMs = 0;
+    /// \brief Mean engine time of one reading by phase of the engine, for the work of other processes.
+    std::map<EnginePhase, double> meanReadingMs;
     double msPerToken = 0;
     std::map<ServiceId, PhaseDemand> demand;
 
