Read settings again on SIGHUP

Another exit (code 139) was the cache index of plain endpoints, which had no place in the table. Ruled out: memory (16 to 21 MB). Change: the settings file is read again on SIGHUP and when it changes; every endpoint has a place in the cache index.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "callhandler.h"
 #include "ordercontroller.h"
+#include "settingsreload.h"
 #include "storefollower.h"
 
 #include <mimosatally/Gateway>
@@ -73,6 +74,7 @@
                          return answerReadiness(exchange);
                      })
         , signals_(io_, SIGTERM, SIGINT)
+        , reload_(gateway_, io_)
     {
         if (!settings.metrics.empty()) {
             metrics_.emplace(io_, parseAddress(settings.metrics), HttpLimits(), [this](HttpExchange &exchange) {
@@ -120,6 +122,9 @@
         supervisor_.start("orders", [this](TaskContext &context) {
             return orders_.run(context);
         });
+        supervisor_.start("settings", [this](TaskContext &context) {
+            return reload_.run(context);
+        });
         supervisor_.start("housekeeping", [this](TaskContext &context) {
             return keepHouse(context);
         });
@@ -194,6 +199,7 @@
     HttpServer readiness_;
     std::optional<HttpServer> metrics_;
     boost::asio::signal_set signals_;
+    SettingsReload reload_;
     bool stopped_ = false;
 };
 } // namespace
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -179,10 +179,10 @@
         endpoint.distance = impl.distanceTo(record.dataCentre);
         const auto service = configuration.services.find(record.service);
         const bool isEngine = service != configuration.services.end() && service->second.engine;
+        const std::int64_t parts = isEngine ? service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS : 0;
+        impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
         if (isEngine) {
             impl.engines[record.service] = *service->second.engine;
-            const std::int64_t parts = service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS;
-            impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
         }
         impl.services[record.service].push_back(id);
     }
