--- a/include/mimosatally/core/boundedoutput.h
+++ b/include/mimosatally/core/boundedoutput.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "milliclock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -19,12 +21,14 @@
     static constexpr std::size_t WRITE_BYTES = std::size_t(4) * 1024;
     /// \brief Some seconds of log lines under full load.
     static constexpr std::size_t MAX_HELD_BYTES = std::size_t(512) * 1024;
+    /// \brief Lines beyond this volume are dropped, so that a storm of calls does not become a storm of log lines.
+    static constexpr std::size_t MAX_BYTES_PER_SECOND = std::size_t(1024) * 1024;
 
     /// \param descriptor is set to non-blocking mode.
     explicit BoundedOutput(int descriptor);
 
-    /// \brief Adds a line; its end of line is added.
-    void write(std::string_view line);
+    /// \brief Adds a line; its end of line is added. \param now only lines with the same time share the volume of a second.
+    void write(std::string_view line, Time now = MilliClock::now());
 
     /// \brief Writes what the reader takes now.
     void flush();
@@ -36,6 +40,8 @@
     std::string held_;
     std::uint64_t dropped_ = 0;
     std::uint64_t unreportedDrops_ = 0;
+    std::int64_t second_ = 0;
+    std::size_t bytesInSecond_ = 0;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/placement/phasebalancer.h
+++ b/include/mimosatally/placement/phasebalancer.h
@@ -26,7 +26,8 @@
 
 /// \brief Keeps the number of prefill engines of one service near a share of all.
 ///
-/// A change takes an engine out of service for seconds, so small deviations stay. An engine with an order under way gets no other
+/// A decode engine that changes lets its long generations end first and is out of service for many seconds, so a deviation of one
+/// engine stays while calls are served. A prefill engine changes within the time of the change itself. An engine with an order under way gets no other
 /// one until its heartbeat shows the effect, or until the order can take effect no more.
 class PhaseBalancer
 {
@@ -42,7 +43,8 @@
     void setPrefillShare(double share);
 
     /// \brief Changes that bring the engines to the share; counts them as under way.
-    std::vector<PhaseChange> plan(const std::vector<BalancedEngine> &engines, Time now);
+    /// \param serving whether engines have work; an idle fleet is brought to the share exactly.
+    std::vector<PhaseChange> plan(const std::vector<BalancedEngine> &engines, bool serving, Time now);
 
     /// \brief The engine has not got or not accepted the order; it may get another one after a pause.
     void rejected(const EndpointId &engine, Time now);
@@ -61,7 +63,9 @@
 
     void endPending(const std::vector<BalancedEngine> &engines, Time now);
     /// \brief Engine whose change leaves the regions most alike.
-    [[nodiscard]] const BalancedEngine *pick(const std::vector<BalancedEngine> &engines, EnginePhase from, const std::map<RegionId, double> &prefillParts) const;
+    [[nodiscard]] const BalancedEngine *pick(const std::vector<BalancedEngine> &engines,
+                                             EnginePhase from,
+                                             const std::map<RegionId, double> &prefillParts) const;
 
     double prefillShare_;
     std::map<EndpointId, Pending> pending_;
--- a/scripts/check_lint.sh
+++ b/scripts/check_lint.sh
@@ -7,7 +7,7 @@
 shift || true
 FILES=("$@")
 if [ "${#FILES[@]}" -eq 0 ]; then
-    mapfile -t FILES < <(git ls-files --cached --others --exclude-standard 'src/*.cpp')
+    mapfile -t FILES < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp')
 fi
 printf '%s\n' "${FILES[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy-19 -p "$BUILD" --quiet \
     --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE \
--- a/src/cli/processcommands.cpp
+++ b/src/cli/processcommands.cpp
@@ -1,8 +1,8 @@
 #include "command.h"
 
 #include <mimosatally/Config>
-#include <mimosatally/agent/agentprocess.h>
 #include <mimosatally/Gateway>
+#include <mimosatally/agent/agentprocess.h>
 #include <mimosatally/entry/entryprocess.h>
 #include <platform/processenvironment.h>
 
--- a/src/core/boundedoutput.cpp
+++ b/src/core/boundedoutput.cpp
@@ -15,8 +15,19 @@
     }
 }
 
-void BoundedOutput::write(std::string_view line)
+void BoundedOutput::write(std::string_view line, Time now)
 {
+    const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    if (second != second_) {
+        second_ = second;
+        bytesInSecond_ = 0;
+    }
+    if (bytesInSecond_ + line.size() > MAX_BYTES_PER_SECOND) {
+        ++dropped_;
+        ++unreportedDrops_;
+        return;
+    }
+
     if (held_.size() + line.size() > MAX_HELD_BYTES) {
         flush();
     }
@@ -29,6 +40,7 @@
         held_ += "log lines dropped: " + std::to_string(unreportedDrops_) + '\n';
         unreportedDrops_ = 0;
     }
+    bytesInSecond_ += line.size() + 1;
     held_.append(line);
     held_ += '\n';
     if (held_.size() >= WRITE_BYTES) {
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -8,8 +8,8 @@
 
 #include <mimosatally/Audit>
 #include <mimosatally/Config>
-#include <mimosatally/Membership>
 #include <mimosatally/LogService>
+#include <mimosatally/Membership>
 #include <mimosatally/Routing>
 #include <mimosatally/Rpc>
 #include <mimosatally/Supervision>
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -1,6 +1,7 @@
 #include "callflow.h"
 
 #include "admission.h"
+#include "engineorder.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -27,7 +28,6 @@
 constexpr double PATIENCE_FACTOR = 3;
 /// \brief Pause for callers when nothing is known of the queue.
 constexpr Duration DEFAULT_RETRY_AFTER = Duration(300);
-constexpr int LEAST_URGENT = 9;
 /// \brief An answer that is delivered whole may be as large as this.
 constexpr std::size_t MAX_WHOLE_ANSWER_BYTES = std::size_t(16) * 1024 * 1024;
 
@@ -79,7 +79,8 @@
 }
 } // namespace
 
-CallFlow::CallFlow(GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route)
+CallFlow::CallFlow(
+    GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route)
     : gateway_(gateway)
     , exchange_(exchange)
     , call_(std::move(call))
@@ -115,6 +116,7 @@
 
 awaitable<void> CallFlow::run()
 {
+    ++gateway_.callsReceived;
     gateway_.retries.recordRequest(placementRequest_.service, arrived_);
     exchange_.onPeerClosed([weak = std::weak_ptr<CallGuard>(guard_)] {
         if (const auto guard = weak.lock()) {
@@ -156,6 +158,7 @@
         input.elapsed = now - arrived_;
         input.timeLeft = guard_->timeLeft(now);
         input.latencyTarget = route_.latencyTarget;
+        input.returned = gateway_.hasComeBack(route_.id, call_.timeLeft);
         const AdmissionDecision decision = Admission::decide(input, gateway_.jitter());
         if (!decision.admitted) {
             lastFailure_ = "predicted " + wholeMs(placement.firstByteMs) + " ms, queue " + wholeMs(placement.queueMs) + " ms";
@@ -211,10 +214,6 @@
     EndpointAttempt attempt;
     attempt.target = endpoint;
     attempt.timeLeft = guard_->timeLeft(MilliClock::now());
-    const auto service = configuration_->services.find(placementRequest_.service);
-    if (service != configuration_->services.end() && service->second.engine) {
-        attempt.priority = std::clamp(route_.priority, 0, LEAST_URGENT);
-    }
     if (streaming_) {
         attempt.resumeAfter = framer_.lastEventId();
     }
@@ -238,6 +237,7 @@
               {"left_ms", guard_->timeLeft(MilliClock::now())},
               {"configuration", configuration_->version}});
     const Duration patience = patienceFor(placement.firstByteMs);
+    cached_ = placement.cachedTokens;
     const EndpointId endpoint = *placement.run;
     std::optional<PrefilledPrompt> prompt;
     AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
@@ -264,6 +264,7 @@
     const boost::asio::ip::tcp::endpoint address = record->address;
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
+    attempt.priority = engineOrder(route_.priority, Tokens(0));
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     CountedAttempt counted(gateway_.router, endpoint, AttemptWork::Prefill, placementRequest_);
     EndpointCall call(gateway_.io, gateway_.connections, *guard_);
@@ -301,6 +302,11 @@
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
     EndpointAttempt attempt = attemptFor(endpoint);
+    if (work == AttemptWork::PrefillAndRun) {
+        attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cached_);
+    } else if (prompt) {
+        attempt.priority = engineOrder(route_.priority, Tokens(0));
+    }
     attempt.prefilled = std::move(prompt);
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     CountedAttempt counted(gateway_.router, endpoint, work, placementRequest_, source);
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -75,6 +75,8 @@
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
     EventFramer framer_;
+    /// \brief Prompt tokens that the reading engine is expected to have.
+    Tokens cached_;
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -5,10 +5,10 @@
 
 #include <platform/callcodec.h>
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <array>
 #include <optional>
 #include <string_view>
 
@@ -67,7 +67,6 @@
     boost::asio::awaitable<bool> skipBody();
     void fail(const char *step, const boost::system::error_code &error);
 
-
     boost::asio::io_context &io_;
     ConnectionPool &pool_;
     CallGuard &guard_;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -1,5 +1,7 @@
 #include "gatewaystate.h"
 
+#include <mimosatally/Http>
+
 namespace mimosatally::internal
 {
 
@@ -11,6 +13,10 @@
 /// \brief Each gateway stays below its part of the ratio, since a gateway that was lost has used some of the window's budget.
 constexpr double RATIO_MARGIN = 0.75;
 
+/// \brief A first attempt has lost less of its time on the way than this leaves.
+constexpr int FULL_TIME_PERCENT = 92;
+constexpr int FULL_TIME_PERCENT_BASE = 100;
+
 RetryAllowance allowanceOf(const GatewaySettings &settings)
 {
     RetryAllowance allowance;
@@ -62,14 +68,60 @@
         return;
     }
     appliedChanges_ = registry.changes();
+    logChanges();
     router.setEndpoints(registry.endpoints(), *configuration, now);
 }
 
+void GatewayState::logChanges()
+{
+    for (const auto &[id, record] : registry.endpoints()) {
+        const auto before = known_.find(id);
+        const bool same = before != known_.end() && before->second.leaving == record.leaving && before->second.phase == record.phase
+            && before->second.startedAt == record.startedAt && before->second.address == record.address;
+        if (same) {
+            continue;
+        }
+        std::string_view phase = "none";
+        if (record.phase) {
+            phase = *record.phase == EnginePhase::Prefill ? "prefill" : "decode";
+        }
+        logEvent(LogEvent::EndpointChanged,
+                 {{"endpoint", id},
+                  {"service", record.service},
+                  {"address", toString(record.address)},
+                  {"state", record.leaving ? "leaving" : "ready"},
+                  {"phase", phase},
+                  {"started", record.startedAt}});
+    }
+    for (const auto &[id, record] : known_) {
+        if (!registry.endpoints().contains(id)) {
+            logEvent(LogEvent::EndpointGone, {{"endpoint", id}});
+            connections.closeAll(record.address);
+        }
+    }
+    known_ = registry.endpoints();
+}
+
 bool GatewayState::canServe() const
 {
     return configuration != nullptr && !registry.endpoints().empty();
 }
 
+bool GatewayState::serving() const
+{
+    return callsReceived > 0;
+}
+
+bool GatewayState::hasComeBack(const RouteId &route, std::optional<Duration> timeLeft)
+{
+    if (!timeLeft) {
+        return false;
+    }
+    Duration &longest = longestTime_[route];
+    longest = std::max(longest, *timeLeft);
+    return *timeLeft * FULL_TIME_PERCENT_BASE < longest * FULL_TIME_PERCENT;
+}
+
 double GatewayState::jitter()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -26,6 +26,12 @@
     /// \brief Whether calls can be served: a configuration and at least one endpoint are known.
     [[nodiscard]] bool canServe() const;
 
+    /// \brief Whether a call has arrived since the start of the process.
+    [[nodiscard]] bool serving() const;
+
+    /// \brief Whether a call has clearly less time than other calls of its route have had: it was refused before.
+    bool hasComeBack(const RouteId &route, std::optional<Duration> timeLeft);
+
     /// \brief Number in [0, 1).
     double jitter();
 
@@ -39,9 +45,16 @@
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     bool leaving = false;
+    std::uint64_t callsReceived = 0;
 
 private:
+    void logChanges();
+
+    /// \brief What was last put in use, to log what differs.
+    std::map<EndpointId, EndpointRecord> known_;
     std::mt19937_64 random_;
+    /// \brief Longest time that callers of a route have given.
+    std::map<RouteId, Duration> longestTime_;
     std::uint64_t appliedChanges_ = 0;
 };
 
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -115,7 +115,7 @@
         }
         PhaseBalancer &balancer = balancers_.try_emplace(id, gateway_.settings.prefillShare).first->second;
         const std::vector<BalancedEngine> engines = enginesOf(id);
-        const std::vector<PhaseChange> changes = balancer.plan(engines, MilliClock::now());
+        const std::vector<PhaseChange> changes = balancer.plan(engines, gateway_.serving(), MilliClock::now());
         for (const PhaseChange &change : changes) {
             co_await order(balancer, change);
         }
--- a/src/placement/phasebalancer.cpp
+++ b/src/placement/phasebalancer.cpp
@@ -76,7 +76,7 @@
     return best;
 }
 
-std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, Time now)
+std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, bool serving, Time now)
 {
     endPending(engines, now);
     std::vector<BalancedEngine> expected = engines;
@@ -90,7 +90,8 @@
     const std::size_t wanted = prefillEngines(expected.size());
     for (;;) {
         const auto prefill = static_cast<std::size_t>(std::ranges::count(expected, EnginePhase::Prefill, &BalancedEngine::phase));
-        if (prefill == wanted) {
+        const bool tolerated = serving && prefill > 0 && prefill + 1 >= wanted && prefill <= wanted + 1;
+        if (prefill == wanted || tolerated) {
             break;
         }
         const EnginePhase from = prefill < wanted ? EnginePhase::Decode : EnginePhase::Prefill;
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -35,13 +35,15 @@
 /// \brief Each running request slows the batch for all others.
 constexpr double FULL_BATCH_PENALTY_MS = 100;
 /// \brief Part of a reading's time that it costs each generation in the same batch.
-constexpr double DISTURBED_GENERATION_WEIGHT = 0.1;
+constexpr double DISTURBED_GENERATION_WEIGHT = 0.3;
 /// \brief A reported load says little about the time after this.
 constexpr Duration REPORT_LIFETIME = Duration(400);
 /// \brief An endpoint that answers nothing for so long gets no new calls until it answers again.
 constexpr Duration LONGEST_SILENCE = Duration(600);
 /// \brief After so long a silent endpoint is tried once more.
 constexpr Duration SILENCE_RETRY = Duration(2500);
+constexpr Duration FIRST_REJECTION_PAUSE = Duration(100);
+constexpr Duration LONGEST_REJECTION_PAUSE = Duration(800);
 constexpr double LEARNING_RATE = 0.1;
 constexpr double LEAST_SLOWNESS = 0.3;
 constexpr double MOST_SLOWNESS = 8;
@@ -209,7 +211,7 @@
 
 bool PhaseRouter::Impl::healthy(const Endpoint &endpoint, Time now)
 {
-    if (endpoint.health.admittedPermille(now) == 0) {
+    if (endpoint.health.admittedPermille(now) == 0 || now < endpoint.avoidedUntil) {
         return false;
     }
     if (!endpoint.unansweredSince) {
@@ -265,11 +267,8 @@
     return requests < slots ? 0 : WAIT_FOR_SLOT_MS * (requests - slots + 1);
 }
 
-PhaseRouter::Impl::Leg PhaseRouter::Impl::readingLeg(const Endpoint &endpoint,
-                                                     AttemptWork work,
-                                                     const PlacementRequest &request,
-                                                     const std::vector<std::uint64_t> &chain,
-                                                     Time now) const
+PhaseRouter::Impl::Leg PhaseRouter::Impl::readingLeg(
+    const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const
 {
     Leg leg;
     leg.endpoint = &endpoint;
@@ -299,7 +298,7 @@
     leg.queueMs = slotWaitMs(endpoint, now) + endpoint.transferBacklogMs;
     leg.timeMs = roundTripMs(endpoint.distance) + leg.queueMs + FIRST_EVENT_MS * endpoint.slowness;
     leg.costMs = leg.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreign(endpoint, now)) + endpoint.failureShare * FAILURE_PENALTY_MS
-        + distancePenaltyMs(endpoint.distance);
+                 + distancePenaltyMs(endpoint.distance);
     return leg;
 }
 
@@ -336,8 +335,10 @@
     return leg;
 }
 
-std::optional<std::pair<PhaseRouter::Impl::Leg, PhaseRouter::Impl::Leg>>
-PhaseRouter::Impl::bestSplit(const std::vector<Leg> &reading, const std::vector<const Endpoint *> &generating, Tokens tokens, Time now) const
+std::optional<std::pair<PhaseRouter::Impl::Leg, PhaseRouter::Impl::Leg>> PhaseRouter::Impl::bestSplit(const std::vector<Leg> &reading,
+                                                                                                      const std::vector<const Endpoint *> &generating,
+                                                                                                      Tokens tokens,
+                                                                                                      Time now) const
 {
     // Only the best engine of each region and the best of all can be part of the best pair.
     std::map<RegionId, Leg> best;
@@ -549,6 +550,13 @@
         firstByte(ticket, now);
         endpoint.health.recordSuccess(now);
     }
+    if (result == AttemptEnd::Rejected) {
+        // An engine that changes its phase rejects everything for seconds, and its heartbeat shows that late.
+        endpoint.rejectionPause = std::clamp(endpoint.rejectionPause * 2, FIRST_REJECTION_PAUSE, LONGEST_REJECTION_PAUSE);
+        endpoint.avoidedUntil = std::max(endpoint.avoidedUntil, now + endpoint.rejectionPause);
+    } else if (result == AttemptEnd::Answered) {
+        endpoint.rejectionPause = Duration(0);
+    }
     if (result != AttemptEnd::Abandoned && result != AttemptEnd::Rejected) {
         learn(endpoint.failureShare, result == AttemptEnd::Answered ? 0 : 1);
     }
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -43,6 +43,9 @@
     double slowness = 1;
     /// \brief Recent share of calls that the endpoint failed, 0 to 1.
     double failureShare = 0;
+    /// \brief It has rejected calls and gets no others until then; the pause grows with each rejection in a row.
+    Time avoidedUntil = Time::min();
+    Duration rejectionPause = Duration(0);
     /// \brief Since when an attempt has been without any answer; nothing while answers come.
     std::optional<Time> unansweredSince;
 };
@@ -88,14 +91,18 @@
     [[nodiscard]] double readingMs(AttemptWork work, Tokens uncached) const;
     [[nodiscard]] double queueMs(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] static double slotWaitMs(const Endpoint &endpoint, Time now);
-    [[nodiscard]] Leg readingLeg(const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const;
+    [[nodiscard]] Leg readingLeg(
+        const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const;
     /// \brief Generating at \a endpoint, without the transfer of the prompt.
     [[nodiscard]] static Leg generatingLeg(const Endpoint &endpoint, Time now);
     /// \brief Time that the links of both engines are taken by one prompt's cache.
     [[nodiscard]] double transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const;
     /// \brief Adds the transfer of the prompt to \a generating.
     [[nodiscard]] Leg withTransfer(const Leg &generating, const Endpoint &source, Tokens tokens) const;
-    [[nodiscard]] std::optional<std::pair<Leg, Leg>> bestSplit(const std::vector<Leg> &reading, const std::vector<const Endpoint *> &generating, Tokens tokens, Time now) const;
+    [[nodiscard]] std::optional<std::pair<Leg, Leg>> bestSplit(const std::vector<Leg> &reading,
+                                                               const std::vector<const Endpoint *> &generating,
+                                                               Tokens tokens,
+                                                               Time now) const;
     [[nodiscard]] Leg plainLeg(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
     [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
@@ -119,7 +126,6 @@
     std::map<EnginePhase, double> meanReadingMs;
     double msPerToken = 0;
     std::map<ServiceId, PhaseDemand> demand;
-
 };
 
 } // namespace mimosatally
--- /dev/null
+++ b/tests/gateway/callerconnection.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <mimosatally/Http>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <string>
+
+namespace mimosatally::test
+{
+
+/// \brief Connection of a caller that sends requests one after another.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const std::string &address)
+        : socket_(io_)
+    {
+        socket_.connect(parseAddress(address));
+    }
+
+    void send(HttpRequest request)
+    {
+        request.set(boost::beast::http::field::host, "h");
+        request.prepare_payload();
+        boost::beast::http::write(socket_, request);
+    }
+
+    /// \throws boost::system::system_error if the answer is cut off.
+    HttpResponse response()
+    {
+        boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+        boost::beast::http::read(socket_, buffer_, parser);
+        return parser.release();
+    }
+
+    /// \brief All bytes until the gateway closes the connection.
+    std::string rest()
+    {
+        std::string text;
+        std::array<char, 4096> data {};
+        boost::system::error_code error;
+        while (!error) {
+            const std::size_t count = socket_.read_some(boost::asio::buffer(data), error);
+            text.append(data.data(), count);
+        }
+        return text;
+    }
+
+    /// \brief Bytes up to and with \a end. \throws boost::system::system_error if the connection ends before.
+    std::string readUntil(const std::string &end)
+    {
+        std::string text;
+        std::array<char, 4096> data {};
+        while (text.find(end) == std::string::npos) {
+            text.append(data.data(), socket_.read_some(boost::asio::buffer(data)));
+        }
+        return text;
+    }
+
+    void close()
+    {
+        socket_.close();
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace mimosatally::test
--- /dev/null
+++ b/tests/gateway/endpointstandin.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include <mimosatally/Core>
+#include <mimosatally/Http>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mimosatally::test
+{
+
+/// \brief One step of an endpoint's answer.
+struct AnswerStep {
+    enum class Kind {
+        Bytes,
+        Pause,
+        /// \brief Closes the connection in the usual way.
+        Close,
+        /// \brief Ends the connection with a reset.
+        Reset,
+        /// \brief Waits until the gateway closes the connection.
+        AwaitClose,
+    };
+
+    Kind kind = Kind::Bytes;
+    std::string bytes;
+    int milliseconds = 0;
+};
+
+using AnswerSteps = std::vector<AnswerStep>;
+
+/// \brief Request as an endpoint has received it.
+struct Arrival {
+    HttpRequest request;
+    int connection = 0;
+};
+
+/// \brief Endpoint that answers with the bytes of a script, so that it can also answer wrongly.
+class EndpointStandin
+{
+public:
+    using Script = std::function<AnswerSteps(const HttpRequest &)>;
+
+    EndpointStandin(boost::asio::io_context &io, Script script)
+        : io_(io)
+        , acceptor_(io, parseAddress("127.0.0.1:0"))
+        , script_(std::move(script))
+    {
+        boost::asio::co_spawn(io_, accept(), boost::asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return toString(acceptor_.local_endpoint());
+    }
+
+    [[nodiscard]] std::vector<Arrival> arrivals() const
+    {
+        const std::lock_guard lock(mutex_);
+        return arrivals_;
+    }
+
+    /// \brief Requests whose connection the gateway closed before the answer was complete.
+    [[nodiscard]] int abandoned() const
+    {
+        return abandoned_;
+    }
+
+private:
+    boost::asio::awaitable<void> accept()
+    {
+        for (;;) {
+            boost::asio::ip::tcp::socket socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+            const int number = ++connections_;
+            boost::asio::co_spawn(io_, serve(std::move(socket), number), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, int number)
+    {
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code error;
+        bool open = true;
+        while (open) {
+            HttpRequest request;
+            co_await boost::beast::http::async_read(socket, buffer, request, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
+            {
+                const std::lock_guard lock(mutex_);
+                arrivals_.push_back({request, number});
+            }
+            const AnswerSteps steps = script_(request);
+            for (const AnswerStep &step : steps) {
+                open = co_await perform(socket, step);
+                if (!open) {
+                    co_return;
+                }
+            }
+        }
+    }
+
+    boost::asio::awaitable<bool> perform(boost::asio::ip::tcp::socket &socket, const AnswerStep &step)
+    {
+        boost::system::error_code error;
+        if (step.kind == AnswerStep::Kind::Bytes) {
+            co_await boost::asio::async_write(socket, boost::asio::buffer(step.bytes), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            abandoned_ += error ? 1 : 0;
+            co_return !error;
+        }
+        if (step.kind == AnswerStep::Kind::Pause) {
+            boost::asio::steady_timer timer(io_, std::chrono::milliseconds(step.milliseconds));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            co_return true;
+        }
+        if (step.kind == AnswerStep::Kind::AwaitClose) {
+            char byte = 0;
+            co_await socket.async_read_some(boost::asio::buffer(&byte, 1), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            ++abandoned_;
+            co_return false;
+        }
+        if (step.kind == AnswerStep::Kind::Reset) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        }
+        socket.close(error);
+        co_return false;
+    }
+
+    boost::asio::io_context &io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    Script script_;
+    mutable std::mutex mutex_;
+    std::vector<Arrival> arrivals_;
+    std::atomic<int> abandoned_ = 0;
+    int connections_ = 0;
+};
+
+/// \brief Id of a request in the platform's form.
+inline std::string requestIdOf(const HttpRequest &request)
+{
+    return headerValue(request, "X-Mimosatally-Request-Id");
+}
+
+/// \brief Complete answer of an endpoint to a request. \param more further header lines with their line ends.
+inline std::string wholeAnswer(const std::string &requestId, const std::string &body, unsigned status = 200, const std::string &more = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nX-Mimosatally-Response-Seal: seal-" + requestId + "\r\n"
+        + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// \brief Answer by which an endpoint states that it has not run the request.
+inline std::string rejection(unsigned status = 503)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Mimosatally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// \brief Head of a stream in chunks.
+inline std::string streamHead(const std::string &requestId, const std::string &seal = "seal")
+{
+    return "HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nX-Mimosatally-Response-Seal: " + seal
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string &data)
+{
+    std::ostringstream size;
+    size << std::hex << data.size();
+    return size.str() + "\r\n" + data + "\r\n";
+}
+
+inline std::string lastChunk()
+{
+    return "0\r\n\r\n";
+}
+
+inline AnswerStep bytes(const std::string &text)
+{
+    return {AnswerStep::Kind::Bytes, text, 0};
+}
+
+inline AnswerStep pauseFor(int milliseconds)
+{
+    return {AnswerStep::Kind::Pause, {}, milliseconds};
+}
+
+inline AnswerStep closing()
+{
+    return {AnswerStep::Kind::Close, {}, 0};
+}
+
+inline AnswerStep resetting()
+{
+    return {AnswerStep::Kind::Reset, {}, 0};
+}
+
+inline AnswerStep untilClosed()
+{
+    return {AnswerStep::Kind::AwaitClose, {}, 0};
+}
+
+} // namespace mimosatally::test
--- /dev/null
+++ b/tests/gateway/gatewayworld.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "callerconnection.h"
+#include "endpointstandin.h"
+#include "process/testclient.h"
+#include "process/testprogram.h"
+#include "storestandin.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <thread>
+
+namespace mimosatally::test
+{
+
+/// \brief A gateway process between stand-ins of the store and of endpoints; the stand-ins run on a thread of their own.
+class GatewayWorld
+{
+public:
+    GatewayWorld()
+        : work_(boost::asio::make_work_guard(io_))
+        , store_(io_)
+        , thread_([this] {
+            io_.run();
+        })
+    {
+    }
+
+    ~GatewayWorld()
+    {
+        gateway_.reset();
+        io_.stop();
+        thread_.join();
+    }
+
+    GatewayWorld(const GatewayWorld &) = delete;
+    GatewayWorld &operator=(const GatewayWorld &) = delete;
+
+    /// \brief Runs \a use on the thread of the stand-ins.
+    template<class Use>
+    auto onStandins(Use use)
+    {
+        std::packaged_task<decltype(use())()> task(std::move(use));
+        auto result = task.get_future();
+        boost::asio::post(io_, std::ref(task));
+        return result.get();
+    }
+
+    EndpointStandin &addEndpoint(const std::string &id, const std::string &service, EndpointStandin::Script script, const std::string &more = {})
+    {
+        return onStandins([&]() -> EndpointStandin & {
+            endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
+            announce(id, service, endpoints_.back()->address(), "ready", more);
+            return *endpoints_.back();
+        });
+    }
+
+    /// \brief Writes a heartbeat; to be called on the thread of the stand-ins.
+    void announce(const std::string &id, const std::string &service, const std::string &address, const std::string &state, const std::string &more = {})
+    {
+        store_.put("keyed.servers",
+                   id,
+                   R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"here","version":"v1","slots":8,"state":")" + state + R"(","born":5)"
+                       + more + "}");
+    }
+
+    /// \brief Puts a configuration with one route of each kind for host `h` in force.
+    void configure(int version = 1, int timeoutMs = 3000)
+    {
+        const auto route = [timeoutMs](const std::string &name, const std::string &kind, const std::string &service, const std::string &more) {
+            return R"({"name":")" + name + R"(","host":"h","pathPrefix":"/)" + name + R"(/","kind":")" + kind + R"(","timeoutMs":)" + std::to_string(timeoutMs)
+                + R"(,"targetLatencyMs":1000,"priority":1,"service":")" + service + R"(","maxAttempts":2)" + more + "}";
+        };
+        const std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("safe", "safe", "plain", "") + ","
+            + route("post", "unsafe", "plain", "") + "," + route("stream", "streaming", "plain", R"(,"resumable":false)") + ","
+            + route("resume", "streaming", "plain", R"(,"resumable":true)") + "," + route("generate", "streaming", "model", R"(,"resumable":false)")
+            + R"(],"services":[{"name":"plain","maxConns":50},{"name":"model","maxConns":50,"engine":{"slots":8,"kvCacheTokens":100000,"tokenKvBytes":1000,"linkMbps":1000000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+        onStandins([&] {
+            store_.put("keyed.op", "config", text);
+        });
+    }
+
+    void startGateway()
+    {
+        const std::string directory = BINARY_DIRECTORY;
+        callers_ = freeAddress();
+        readiness_ = freeAddress();
+        metrics_ = freeAddress();
+        const std::string file = directory + "/gateway-" + std::to_string(getpid()) + ".toml";
+        std::ofstream(file) << "process = \"g1\"\ndata_centre = \"here\"\nlisten = \"" << callers_ << "\"\nreadiness = \"" << readiness_ << "\"\nmetrics = \""
+                            << metrics_ << "\"\nstore = \"" << store_.address() << "\"\ngrace_time = \"3s\"\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
+        gateway_.emplace(directory + "/mimosatally", std::vector<std::string> {"gateway", file}, directory + "/gateway-" + std::to_string(getpid()) + ".log");
+        waitUntil("the gateway listens", [this] {
+            return canConnect(readiness_);
+        });
+    }
+
+    void awaitReady()
+    {
+        waitUntil("the gateway is ready", [this] {
+            return readiness() == 200;
+        });
+    }
+
+    [[nodiscard]] unsigned readiness() const
+    {
+        return TestCall(readiness_, makeHttpRequest(http::verb::get, "/-/readiness")).response().result_int();
+    }
+
+    /// \brief A caller's request with an id and a deadline.
+    static HttpRequest request(http::verb method, const std::string &target, const std::string &id, int deadlineMs = 3000)
+    {
+        HttpRequest result = makeHttpRequest(method, target, method == http::verb::post ? "text/plain" : "", method == http::verb::post ? "body" : "");
+        result.set("X-Mimosatally-Request-Id", id);
+        result.set("X-Mimosatally-Request-Deadline", std::to_string(deadlineMs));
+        return result;
+    }
+
+    /// \brief Sends a request on a connection of its own. \throws boost::system::system_error if the answer is cut off.
+    HttpResponse call(HttpRequest request)
+    {
+        return start(std::move(request))->response();
+    }
+
+    std::unique_ptr<CallerConnection> start(HttpRequest request)
+    {
+        auto connection = std::make_unique<CallerConnection>(callers_);
+        connection->send(std::move(request));
+        return connection;
+    }
+
+    [[nodiscard]] const std::string &callers() const
+    {
+        return callers_;
+    }
+
+    [[nodiscard]] const std::string &metricsAddress() const
+    {
+        return metrics_;
+    }
+
+    TestProgram &gateway()
+    {
+        return *gateway_;
+    }
+
+    StoreStandin &store()
+    {
+        return store_;
+    }
+
+private:
+    /// \brief Address of a port that was free a moment ago.
+    static std::string freeAddress()
+    {
+        boost::asio::io_context io;
+        const boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0"));
+        return toString(acceptor.local_endpoint());
+    }
+
+    static bool canConnect(const std::string &address)
+    {
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::socket socket(io);
+        boost::system::error_code error;
+        socket.connect(parseAddress(address), error);
+        return !error;
+    }
+
+    boost::asio::io_context io_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    StoreStandin store_;
+    std::vector<std::unique_ptr<EndpointStandin>> endpoints_;
+    std::thread thread_;
+    std::string callers_;
+    std::string readiness_;
+    std::string metrics_;
+    std::optional<TestProgram> gateway_;
+};
+
+} // namespace mimosatally::test
--- /dev/null
+++ b/tests/gateway/lifecycletest.cpp
@@ -0,0 +1,230 @@
+#include "gatewayworld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosatally;
+using namespace mimosatally::test;
+
+namespace
+{
+EndpointStandin::Script good()
+{
+    return [](const HttpRequest &request) -> AnswerSteps {
+        return {bytes(wholeAnswer(requestIdOf(request), "good"))};
+    };
+}
+} // namespace
+
+// Guards against 404 for a route that this process does not know yet.
+TEST_CASE("A process that knows no configuration refuses as not run and is not ready", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", good());
+    world.startGateway();
+    CHECK(world.readiness() == 503);
+    const HttpResponse response = world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r1"));
+    CHECK(response.result_int() == 503);
+    CHECK_FALSE(headerValue(response, "Retry-After").empty());
+    world.configure();
+    world.awaitReady();
+    CHECK(world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r2")).body() == "good");
+    CHECK(world.call(GatewayWorld::request(http::verb::get, "/unknown/x", "r3")).result_int() == 404);
+}
+
+TEST_CASE("A new version is in force within two seconds and an older one never again", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", [](const HttpRequest &) -> AnswerSteps {
+        return {untilClosed()};
+    });
+    world.configure(5, 3000);
+    world.startGateway();
+    world.awaitReady();
+    world.configure(6, 300);
+    world.gateway().waitForOutput("version=6");
+    world.configure(4, 3000);
+    CHECK(world.call(GatewayWorld::request(http::verb::post, "/post/x", "r1", 1500)).result_int() == 504);
+    CHECK_FALSE(world.gateway().hasOutput("version=4"));
+}
+
+// Guards against an outage of the store that stops service.
+TEST_CASE("Serving goes on while the store is away, with few calls to it", "[gateway]")
+{
+    const auto mode = GENERATE(StoreMode::Unavailable, StoreMode::Silent);
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", good());
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.onStandins([&] {
+        world.store().setMode(mode);
+    });
+    world.gateway().waitForOutput("StoreLost");
+    const int before = world.onStandins([&] {
+        return world.store().calls();
+    });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    int served = 0;
+    while (std::chrono::steady_clock::now() < end) {
+        served += world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r" + std::to_string(served))).result_int() == 200 ? 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(served > 20);
+    const int after = world.onStandins([&] {
+        return world.store().calls();
+    });
+    CHECK(after - before < 30);
+    world.onStandins([&] {
+        world.store().setMode(StoreMode::Serving);
+    });
+    world.gateway().waitForOutput("StoreRegained");
+}
+
+TEST_CASE("The process reads a snapshot when the history of the store is gone", "[gateway]")
+{
+    GatewayWorld world;
+    EndpointStandin &endpoint = world.addEndpoint("i-1", "plain", good());
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.onStandins([&] {
+        world.announce("i-1", "plain", endpoint.address(), "draining");
+        world.announce("i-2", "plain", endpoint.address(), "ready");
+        world.store().dropHistory("keyed.servers");
+    });
+    world.gateway().waitForOutput("endpoint=i-2");
+    CHECK(world.gateway().hasOutput("state=leaving"));
+}
+
+// Guards against new work for an endpoint that is leaving or that vanished without a word.
+TEST_CASE("A leaving or vanished endpoint gets no new calls", "[gateway]")
+{
+    const auto vanishes = GENERATE(false, true);
+    GatewayWorld world;
+    EndpointStandin &leaving = world.addEndpoint("i-1", "plain", good());
+    EndpointStandin &staying = world.addEndpoint("i-2", "plain", good());
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.onStandins([&] {
+        if (vanishes) {
+            world.store().put("keyed.servers", "i-1", "");
+        } else {
+            world.announce("i-1", "plain", leaving.address(), "draining");
+        }
+    });
+    world.gateway().waitForOutput(vanishes ? "EndpointGone" : "state=leaving");
+    const std::size_t before = leaving.arrivals().size();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r" + std::to_string(i))).result_int() == 200);
+    }
+    CHECK(leaving.arrivals().size() == before);
+    CHECK(staying.arrivals().size() >= 10);
+}
+
+// Guards against planned stops that cut calls off.
+TEST_CASE("After SIGTERM the process is not ready, finishes its calls and tells callers to close", "[gateway]")
+{
+    GatewayWorld world;
+    EndpointStandin &endpoint = world.addEndpoint("i-1", "plain", [](const HttpRequest &request) -> AnswerSteps {
+        return {pauseFor(600), bytes(wholeAnswer(requestIdOf(request), "late"))};
+    });
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    const auto running = world.start(GatewayWorld::request(http::verb::post, "/post/x", "r1"));
+    waitUntil("the call arrived", [&] {
+        return endpoint.arrivals().size() == 1;
+    });
+    world.gateway().send(SIGTERM);
+    world.gateway().waitForOutput("ProcessStopping");
+    CHECK(world.readiness() == 503);
+    // A connection that was on its way is still served.
+    const HttpResponse late = world.call(GatewayWorld::request(http::verb::post, "/post/x", "r2"));
+    CHECK(late.body() == "late");
+    CHECK_FALSE(late.keep_alive());
+    CHECK(running->response().body() == "late");
+    CHECK(world.gateway().wait() == 0);
+}
+
+// Guards against SIGHUP's default, which ends the process.
+TEST_CASE("SIGHUP reads the settings again and ends nothing", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", good());
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.gateway().send(SIGHUP);
+    world.gateway().waitForOutput("SettingsReloaded");
+    CHECK(world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r1")).body() == "good");
+}
+
+TEST_CASE("Metrics are served in the text format", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", good());
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r1"));
+    const std::string text = TestCall(world.metricsAddress(), makeHttpRequest(http::verb::get, "/metrics")).response().body();
+    CHECK(text.find("mimosatally_calls_total{result=\"answered\"} 1") != std::string::npos);
+    CHECK(text.find("mimosatally_first_byte_seconds_count") != std::string::npos);
+}
+
+// Guards against two engines of which none prefills, and against orders without a fencing token.
+TEST_CASE("The holder of the lease orders an engine to prefill, and prompts are then split over both engines", "[gateway]")
+{
+    GatewayWorld world;
+    std::mutex mutex;
+    std::vector<std::string> orders;
+    std::map<std::string, std::string> phases = {{"i-1", "decode"}, {"i-2", "decode"}};
+    std::map<std::string, std::string> addresses;
+    const auto engine = [&](const std::string &id) {
+        return [&, id](const HttpRequest &request) -> AnswerSteps {
+            const std::lock_guard lock(mutex);
+            const std::string target(request.target());
+            if (target == "/-/report") {
+                return {bytes(wholeAnswer("", R"({"phase":")" + phases[id] + R"(","busy":false,"seqNum":3})"))};
+            }
+            if (target == "/-/order") {
+                orders.push_back(request.body());
+                phases[id] = "prefill";
+                world.announce(id, "model", addresses[id], "ready", R"(,"phase":"prefill")");
+                return {bytes("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")};
+            }
+            if (headerValue(request, "X-Mimosatally-Serving-Stage") == "prefill") {
+                return {bytes(wholeAnswer(requestIdOf(request), R"({"kvHandle":"abc","tokens":9000,"version":1})"))};
+            }
+            return {bytes(streamHead(requestIdOf(request), headerValue(request, "X-Mimosatally-Kv-Source")) + chunk("id: 1\ndata: a\n\n") + lastChunk())};
+        };
+    };
+    for (const char *id : {"i-1", "i-2"}) {
+        EndpointStandin &endpoint = world.addEndpoint(id, "model", engine(id), R"(,"phase":"decode")");
+        const std::lock_guard lock(mutex);
+        addresses[id] = endpoint.address();
+    }
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    world.gateway().waitForOutput("result=accepted");
+    world.gateway().waitForOutput("phase=prefill started");
+    std::string ordered;
+    {
+        const std::lock_guard lock(mutex);
+        REQUIRE(orders.size() == 1);
+        const auto order = nlohmann::json::parse(orders[0]);
+        CHECK(order["opcode"] == "phase");
+        CHECK(order["fence"] == 1);
+        CHECK(order["precondition"] == 3);
+        ordered = phases["i-1"] == "prefill" ? "i-1" : "i-2";
+    }
+    HttpRequest request = GatewayWorld::request(http::verb::post, "/generate/x", "r1");
+    request.set("X-Mimosatally-Token-Counts", "9000,10");
+    request.set("X-Mimosatally-Prefix-Hash", "aa:9000");
+    const HttpResponse response = world.call(request);
+    CHECK(response.body() == "id: 1\ndata: a\n\n");
+    const std::lock_guard lock(mutex);
+    CHECK(headerValue(response, "X-Mimosatally-Response-Seal") == addresses[ordered] + "/abc");
+}
--- /dev/null
+++ b/tests/gateway/storestandin.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <mimosatally/Core>
+#include <mimosatally/Http>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosatally::test
+{
+
+/// \brief How the store treats calls.
+enum class StoreMode {
+    Serving,
+    /// \brief Answers 503 to every call.
+    Unavailable,
+    /// \brief Takes calls and never answers.
+    Silent,
+};
+
+/// \brief Stand-in of the platform's store: keyed topics, and one group whose only partition belongs to its first member.
+class StoreStandin
+{
+public:
+    explicit StoreStandin(boost::asio::io_context &io)
+        : io_(io)
+        , server_(io, parseAddress("127.0.0.1:0"), HttpLimits(), [this](HttpExchange &exchange) {
+            return handle(exchange);
+        })
+    {
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return toString(server_.address());
+    }
+
+    /// \brief Appends a record; an empty value drops the key.
+    void put(const std::string &topic, const std::string &key, const std::string &value)
+    {
+        topics_[topic].push_back({key, value});
+    }
+
+    void setMode(StoreMode mode)
+    {
+        mode_ = mode;
+    }
+
+    /// \brief Drops the records that were written so far; the newest of each key stays readable.
+    void dropHistory(const std::string &topic)
+    {
+        firstKept_[topic] = topics_[topic].size();
+    }
+
+    [[nodiscard]] int calls() const
+    {
+        return calls_;
+    }
+
+private:
+    struct Record {
+        std::string key;
+        std::string value;
+    };
+
+    boost::asio::awaitable<void> handle(HttpExchange &exchange)
+    {
+        ++calls_;
+        if (mode_ == StoreMode::Silent) {
+            boost::asio::steady_timer timer(io_, std::chrono::seconds(30));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        HttpResponse response = makeHttpResponse(503, "application/json", "{}");
+        if (mode_ == StoreMode::Serving) {
+            const std::string target(exchange.request().target());
+            if (target.starts_with("/-/log-newest")) {
+                response = newest(topicOf(target));
+            } else if (target.starts_with("/-/log-read")) {
+                response = co_await read(target);
+            } else if (target.starts_with("/-/log-join")) {
+                response = join(exchange.request().body());
+            }
+        }
+        co_await exchange.respond(std::move(response));
+    }
+
+    static std::string parameter(const std::string &target, const std::string &name)
+    {
+        const auto start = target.find(name + '=');
+        if (start == std::string::npos) {
+            return {};
+        }
+        const auto value = target.substr(start + name.size() + 1);
+        return value.substr(0, value.find('&'));
+    }
+
+    static std::string topicOf(const std::string &target)
+    {
+        return parameter(target, "topic");
+    }
+
+    static std::string base64(const std::string &text)
+    {
+        std::string result((text.size() + 2) / 3 * 4 + 1, '\0');
+        const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(result.data()),
+                                           reinterpret_cast<const unsigned char *>(text.data()),
+                                           static_cast<int>(text.size()));
+        result.resize(static_cast<std::size_t>(length));
+        return result;
+    }
+
+    HttpResponse newest(const std::string &topic)
+    {
+        std::map<std::string, std::size_t> last;
+        const auto &records = topics_[topic];
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            last[records[i].key] = i;
+        }
+        nlohmann::json body = {{"items", nlohmann::json::array()}, {"hasMore", false}, {"endOffset", records.size()}};
+        for (const auto &[key, index] : last) {
+            if (!records[index].value.empty()) {
+                body["items"].push_back({{"key", key}, {"value", base64(records[index].value)}, {"offset", index}});
+            }
+        }
+        return makeHttpResponse(200, "application/json", body.dump());
+    }
+
+    static void appendNumber(std::string &out, std::uint64_t number, int bytes)
+    {
+        for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+            out += static_cast<char>((number >> static_cast<unsigned>(shift)) & 255U);
+        }
+    }
+
+    boost::asio::awaitable<HttpResponse> read(std::string target)
+    {
+        const std::string topic = topicOf(target);
+        const std::size_t from = std::stoul(parameter(target, "from"));
+        const std::string wait = parameter(target, "waitMs");
+        int left = wait.empty() ? 0 : std::stoi(wait);
+        if (from < firstKept_[topic]) {
+            co_return makeHttpResponse(410, "application/json", R"({"firstOffset":0})");
+        }
+        while (topics_[topic].size() <= from && left > 0) {
+            constexpr int step = 20;
+            boost::asio::steady_timer timer(io_, std::chrono::milliseconds(step));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            left -= step;
+        }
+        const auto &records = topics_[topic];
+        std::string body;
+        appendNumber(body, records.size(), 8);
+        appendNumber(body, firstKept_[topic], 8);
+        for (std::size_t i = from; i < records.size(); ++i) {
+            appendNumber(body, 1 + records[i].key.size() + records[i].value.size(), 4);
+            body += static_cast<char>(records[i].key.size());
+            body += records[i].key;
+            body += records[i].value;
+        }
+        co_return makeHttpResponse(200, "application/octet-stream", body);
+    }
+
+    HttpResponse join(const std::string &text)
+    {
+        const auto body = nlohmann::json::parse(text);
+        const std::string member = body["member"];
+        if (holder_.empty()) {
+            holder_ = member;
+            ++generation_;
+        }
+        nlohmann::json answer = {{"generation", generation_}, {"ttlMs", body["ttlMs"]}, {"parts", nlohmann::json::array()}};
+        if (holder_ == member) {
+            answer["parts"].push_back({body["topics"][0], 0, 0});
+        }
+        return makeHttpResponse(200, "application/json", answer.dump());
+    }
+
+    boost::asio::io_context &io_;
+    HttpServer server_;
+    std::map<std::string, std::vector<Record>> topics_;
+    std::map<std::string, std::size_t> firstKept_;
+    std::string holder_;
+    std::int64_t generation_ = 0;
+    StoreMode mode_ = StoreMode::Serving;
+    int calls_ = 0;
+};
+
+} // namespace mimosatally::test
--- /dev/null
+++ b/tests/unit/gatewaycorestest.cpp
@@ -0,0 +1,177 @@
+#include "../../src/gateway/admission.h"
+#include "../../src/gateway/eventframer.h"
+
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Core>
+#include <mimosatally/Gateway>
+#include <mimosatally/Serving>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace mimosatally;
+using namespace mimosatally::internal;
+
+namespace
+{
+AdmissionInput input(double firstByteMs, double queueMs)
+{
+    AdmissionInput result;
+    result.firstByteMs = firstByteMs;
+    result.queueMs = queueMs;
+    result.latencyTarget = Duration(250);
+    result.timeLeft = Duration(2000);
+    return result;
+}
+} // namespace
+
+// Load: more prompts than the engines can read for seconds. With an open queue every call would be late.
+TEST_CASE("A call that would be late behind a queue is refused at once with a time to come back", "[admission]")
+{
+    CHECK(Admission::decide(input(200, 150), 0).admitted);
+    const AdmissionDecision refused = Admission::decide(input(600, 500), 0);
+    CHECK_FALSE(refused.admitted);
+    CHECK(refused.retryAfter >= Duration(100));
+    CHECK(Admission::decide(input(600, 500), 0.9).retryAfter < refused.retryAfter);
+}
+
+// Load: a burst of seconds. A call that was refused once is late already and is lost if it is refused again.
+TEST_CASE("A call that has come back is admitted behind a longer queue", "[admission]")
+{
+    AdmissionInput returned = input(450, 400);
+    returned.timeLeft = Duration(1300);
+    CHECK_FALSE(Admission::decide(returned, 0).admitted);
+    returned.returned = true;
+    CHECK(Admission::decide(returned, 0).admitted);
+}
+
+// Guards against refusing the largest prompts for good: they are slow on idle engines as well.
+TEST_CASE("A call that is slow without a queue is admitted", "[admission]")
+{
+    CHECK(Admission::decide(input(600, 0), 0).admitted);
+}
+
+TEST_CASE("A call that cannot be answered before its deadline is refused", "[admission]")
+{
+    CHECK_FALSE(Admission::decide(input(1900, 0), 0).admitted);
+}
+
+// Guards against half an event that reaches the caller before its endpoint breaks off.
+TEST_CASE("Only whole events are passed on", "[events]")
+{
+    EventFramer framer;
+    framer.append("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK(framer.takeWholeEvents() == "id: 1\ndata: a\n\n");
+    CHECK(framer.takeWholeEvents().empty());
+    framer.append("ta: b\n");
+    CHECK(framer.takeWholeEvents().empty());
+    framer.append("\n");
+    CHECK(framer.takeWholeEvents() == "id: 2\ndata: b\n\n");
+    CHECK(framer.lastEventId() == "2");
+}
+
+// Guards against a resumed stream that repeats or skips events.
+TEST_CASE("A part of an event is dropped before a stream is resumed", "[events]")
+{
+    EventFramer framer;
+    framer.append("id: 41\ndata: x\n\nid: 42\nda");
+    framer.takeWholeEvents();
+    framer.dropPartialEvent();
+    framer.append("id: 42\ndata: y\n\n");
+    CHECK(framer.takeWholeEvents() == "id: 42\ndata: y\n\n");
+    CHECK(framer.lastEventId() == "42");
+}
+
+TEST_CASE("The route with the longest prefix is found by host and path", "[routes]")
+{
+    auto configuration = std::make_shared<ServingConfiguration>();
+    Route outer;
+    outer.id = RouteId("outer");
+    outer.host = "a.example";
+    outer.pathPrefix = "/x/";
+    Route inner = outer;
+    inner.id = RouteId("inner");
+    inner.pathPrefix = "/x/y/";
+    configuration->routes = {outer, inner};
+    const RouteTable table(configuration);
+    CHECK(table.find("A.example:80", "/x/y/z")->id == RouteId("inner"));
+    CHECK(table.find("a.example", "/x/yz")->id == RouteId("outer"));
+    CHECK(table.find("a.example", "/xy/") == nullptr);
+    CHECK(table.find("b.example", "/x/") == nullptr);
+}
+
+// Guards against a process that stands still because nobody reads its log.
+TEST_CASE("A log whose reader stalls drops lines, states their number and never waits", "[log]")
+{
+    int ends[2] = {};
+    REQUIRE(pipe(ends) == 0);
+    BoundedOutput output(ends[1]);
+    const std::string line(1000, 'x');
+    for (int i = 0; i < 2000; ++i) {
+        output.write(line, Time(Duration(i)));
+    }
+    CHECK(output.droppedLines() > 0);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::string buffer(65536, '\0');
+    for (int i = 0; i < 100; ++i) {
+        const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+        if (count > 0) {
+            text.append(buffer, 0, static_cast<std::size_t>(count));
+        }
+        output.flush();
+    }
+    output.write("after the stall", Time(Duration(5000)));
+    output.flush();
+    const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+    REQUIRE(count > 0);
+    text.append(buffer, 0, static_cast<std::size_t>(count));
+    CHECK(text.find("log lines dropped: " + std::to_string(output.droppedLines())) != std::string::npos);
+    CHECK(text.find("after the stall") != std::string::npos);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST_CASE("Gateway settings report all findings at once and ignore what they do not know", "[settings]")
+{
+    const GatewaySettings settings = parseGatewaySettings(R"(process = "g1"
+data_centre = "a"
+listen = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+store = "127.0.0.1:3"
+grace_time = "8s"
+something_new = 5
+[[data_centres]]
+id = "a"
+region = "r"
+)",
+                                                          "g.toml");
+    CHECK(settings.graceTime == Duration(8000));
+    CHECK(settings.regions.at(DataCentreId("a")) == RegionId("r"));
+    try {
+        parseGatewaySettings("process = \"g1\"\nlisten = \"nowhere\"\n", "g.toml");
+        FAIL("no findings");
+    } catch (const FindingsError &error) {
+        CHECK(error.findings().size() == 4);
+    }
+}
+
+// Guards against retries that multiply the load of an overloaded service.
+TEST_CASE("Retries of a key are bounded by its requests", "[retries]")
+{
+    RetryAllowance allowance;
+    allowance.earnedPerRequest = 150;
+    allowance.initial = 1000;
+    allowance.most = 2000;
+    KeyedRetryBudget<ServiceId> budget(allowance);
+    const ServiceId service("s");
+    CHECK(budget.tryRetry(service, Time()));
+    CHECK_FALSE(budget.tryRetry(service, Time()));
+    for (int i = 0; i < 100; ++i) {
+        budget.recordRequest(service, Time());
+    }
+    CHECK(budget.tryRetry(service, Time()));
+    CHECK(budget.tryRetry(service, Time()));
+    CHECK_FALSE(budget.tryRetry(service, Time()));
+}
--- /dev/null
+++ b/tests/unit/phasebalancertest.cpp
@@ -0,0 +1,75 @@
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Placement>
+
+using namespace mimosatally;
+
+namespace
+{
+Time at(int milliseconds)
+{
+    return Time(Duration(milliseconds));
+}
+
+std::vector<BalancedEngine> engines(std::initializer_list<EnginePhase> phases)
+{
+    std::vector<BalancedEngine> result;
+    for (const EnginePhase phase : phases) {
+        const std::string name = std::to_string(result.size());
+        result.push_back({EndpointId("e" + name), RegionId("r" + std::to_string(result.size() % 2)), phase, 1});
+    }
+    return result;
+}
+
+constexpr EnginePhase P = EnginePhase::Prefill;
+constexpr EnginePhase D = EnginePhase::Decode;
+} // namespace
+
+TEST_CASE("An idle fleet is brought to the share, evenly over the regions", "[placement]")
+{
+    PhaseBalancer balancer(0.5);
+    const std::vector<PhaseChange> changes = balancer.plan(engines({P, D, P, D}), false, at(0));
+    CHECK(changes.empty());
+    const std::vector<PhaseChange> more = balancer.plan(engines({P, D, D, D}), false, at(0));
+    REQUIRE(more.size() == 1);
+    CHECK(more[0].phase == P);
+    // e0 is the only engine for prefill and stands in region r0.
+    CHECK((more[0].engine == EndpointId("e1") || more[0].engine == EndpointId("e3")));
+}
+
+// Guards against a change for each engine that crashes and comes back: a decode engine is out of service for many seconds.
+TEST_CASE("While calls are served, a deviation of one engine stays", "[placement]")
+{
+    PhaseBalancer balancer(0.5);
+    CHECK(balancer.plan(engines({P, P, D, D, D, D}), true, at(0)).empty());
+    CHECK(balancer.plan(engines({D, D, D, D}), true, at(0)).size() >= 1);
+}
+
+// Guards against a second order while the first may still be carried out, seconds after its answer was lost.
+TEST_CASE("An engine with an order under way gets no other one", "[placement]")
+{
+    PhaseBalancer balancer(0.5);
+    const auto fleet = engines({D, D});
+    REQUIRE(balancer.plan(fleet, false, at(0)).size() == 1);
+    CHECK(balancer.plan(fleet, false, at(5000)).empty());
+    CHECK(balancer.plan(fleet, false, at(16'000)).size() == 1);
+}
+
+// Guards against paid orders that are repeated every second to an engine that rejects them.
+TEST_CASE("An engine that rejected its order is asked again only after a pause", "[placement]")
+{
+    PhaseBalancer balancer(1);
+    const auto fleet = engines({D, D});
+    const std::vector<PhaseChange> changes = balancer.plan(fleet, false, at(0));
+    REQUIRE(changes.size() == 1);
+    balancer.rejected(changes[0].engine, at(0));
+    const std::vector<PhaseChange> next = balancer.plan(fleet, false, at(1000));
+    CHECK((next.empty() || next[0].engine != changes[0].engine));
+}
+
+TEST_CASE("Each phase keeps an engine whatever the share", "[placement]")
+{
+    CHECK(PhaseBalancer(0).prefillEngines(8) == 1);
+    CHECK(PhaseBalancer(1).prefillEngines(8) == 7);
+    CHECK(PhaseBalancer(0.5).prefillEngines(1) == 0);
+}
--- /dev/null
+++ b/tests/unit/platformcodectest.cpp
@@ -0,0 +1,167 @@
+#include <catch2/catch.hpp>
+
+#include <platform/callcodec.h>
+#include <platform/engineclient.h>
+#include <platform/recordcodec.h>
+
+using namespace mimosatally;
+namespace http = boost::beast::http;
+
+namespace
+{
+HttpRequest callerRequest()
+{
+    HttpRequest request = makeHttpRequest(http::verb::post, "/a/b?c=d", "application/json", "{}");
+    request.set(http::field::host, "h.example");
+    request.set("X-Mimosatally-Request-Id", "0123");
+    request.set("X-Mimosatally-Request-Deadline", "1500");
+    request.set("X-Mimosatally-Token-Counts", "1460,80");
+    request.set("X-Mimosatally-Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    return request;
+}
+
+std::string field(const platform::EndpointRequest &request, const char *name)
+{
+    return std::string(request[name]);
+}
+} // namespace
+
+TEST_CASE("A call's own statements are decoded", "[platform]")
+{
+    const CallRequest call = platform::decodeCall(callerRequest());
+    CHECK(call.id == RequestId("0123"));
+    CHECK(call.path == "/a/b");
+    CHECK(call.timeLeft == Duration(1500));
+    CHECK(call.promptTokens == Tokens(1460));
+    REQUIRE(call.promptParts.size() == 3);
+    CHECK(call.promptParts[1].tokens == Tokens(410));
+}
+
+TEST_CASE("A deadline that is no number is an error, and unreadable parts count as none", "[platform]")
+{
+    HttpRequest request = callerRequest();
+    request.set("X-Mimosatally-Prefix-Hash", "5c1e07a2:800,nonsense");
+    CHECK(platform::decodeCall(request).promptParts.empty());
+    request.set("X-Mimosatally-Request-Deadline", "soon");
+    CHECK_THROWS_AS(platform::decodeCall(request), MalformedInputError);
+}
+
+// Guards against callers that set what only the gateway may set, and against smuggled framing.
+TEST_CASE("Fields of the gateway and of one connection are not passed on from a caller", "[platform]")
+{
+    HttpRequest request = callerRequest();
+    for (const char *name : {"X-Mimosatally-Kv-Hold",
+                             "X-Mimosatally-Pin-Ms",
+                             "X-Mimosatally-Kv-Backup",
+                             "X-Mimosatally-Kv-Source",
+                             "X-Mimosatally-Serving-Stage",
+                             "X-Mimosatally-Target-Instance",
+                             "X-Mimosatally-Request-Priority",
+                             "X-Mimosatally-Expected-Version",
+                             "Keep-Alive",
+                             "X-Hop"}) {
+        request.set(name, "caller");
+    }
+    request.set(http::field::connection, "keep-alive, X-Hop");
+    request.chunked(true);
+    EndpointAttempt attempt;
+    attempt.target = EndpointId("i-1");
+    attempt.timeLeft = Duration(700);
+    const platform::EndpointRequest sent = platform::encodeAttempt(request, attempt);
+    for (const auto &entry : sent) {
+        CHECK(entry.value() != "caller");
+    }
+    CHECK(field(sent, "X-Mimosatally-Target-Instance") == "i-1");
+    CHECK(field(sent, "X-Mimosatally-Request-Deadline") == "700");
+    CHECK(field(sent, "Content-Length") == "2");
+    CHECK(field(sent, "Transfer-Encoding").empty());
+    CHECK(field(sent, "X-Mimosatally-Request-Id") == "0123");
+    CHECK(sent.target() == "/a/b?c=d");
+}
+
+TEST_CASE("A resumed stream names the last event that the caller has", "[platform]")
+{
+    HttpRequest request = callerRequest();
+    request.set("Last-Event-Id", "3");
+    EndpointAttempt attempt;
+    CHECK(field(platform::encodeAttempt(request, attempt), "Last-Event-Id") == "3");
+    attempt.resumeAfter = "12";
+    CHECK(field(platform::encodeAttempt(request, attempt), "Last-Event-Id") == "12");
+}
+
+// Guards against "not run" without proof.
+TEST_CASE("Only the endpoint's mark and status 421 prove that a call has not run", "[platform]")
+{
+    http::response_header<> header;
+    header.result(503);
+    CHECK_FALSE(platform::decodeAnswer(header).notExecuted);
+    header.set("X-Mimosatally-Not-Executed", "1");
+    CHECK(platform::decodeAnswer(header).notExecuted);
+    http::response_header<> misdirected;
+    misdirected.result(421);
+    CHECK(platform::decodeAnswer(misdirected).notExecuted);
+}
+
+TEST_CASE("Load and keep-alive of an answer are decoded", "[platform]")
+{
+    http::response_header<> header;
+    header.result(200);
+    header.set("X-Mimosatally-Server-Load", "3,1,8");
+    header.set("Keep-Alive", "timeout=5, max=100");
+    const EndpointAnswer answer = platform::decodeAnswer(header);
+    REQUIRE(answer.load);
+    CHECK(answer.load->waiting == 1);
+    CHECK(answer.keepAlive == Duration(5000));
+    header.set("X-Mimosatally-Server-Load", "3,-1,8");
+    CHECK_FALSE(platform::decodeAnswer(header).load);
+}
+
+// Guards against entries that anyone may have written.
+TEST_CASE("A forged or unreadable heartbeat names no endpoint", "[platform]")
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","phase":"decode","born":5})";
+    const EndpointRecord record = platform::decodeEndpoint("i-1", good);
+    CHECK(record.phase == EnginePhase::Decode);
+    CHECK(record.startedAt == 5);
+    for (const char *bad : {"not json",
+                            "[]",
+                            R"({"service":"s"})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"sleeping"})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"8","state":"ready"})",
+                            R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"})",
+                            R"({"service":"s","address":"nowhere","zone":"z","slots":8,"state":"ready"})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":1.5})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","phase":"odd"})"}) {
+        CHECK_THROWS_AS(platform::decodeEndpoint("i-1", bad), MalformedInputError);
+    }
+}
+
+TEST_CASE("A configuration is decoded with the rules for repetition", "[platform]")
+{
+    const ServingConfiguration configuration = platform::decodeConfiguration(R"({"version":7,"routes":[
+{"name":"a","host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":2000,"targetLatencyMs":250,"priority":0,"service":"s","maxAttempts":2,"resumable":true},
+{"name":"b","host":"h","pathPrefix":"/b/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":200,"trafficSplit":[{"service":"s","weight":9},{"service":"t","weight":1}]},
+{"name":"c","host":"h","pathPrefix":"/c/","kind":"safe","service":"t"}],
+"services":[{"name":"s","maxConns":610,"engine":{"slots":128,"kvCacheTokens":100,"linkMbps":10,"handleTtlS":5.0}},{"name":"t","maxConns":9}],
+"limits":{"maxHeaderBytes":100}})");
+    CHECK(configuration.version == 7);
+    CHECK(configuration.routes[0].repeat == RepeatRule::Idempotent);
+    CHECK(configuration.routes[0].form == AnswerForm::Events);
+    CHECK(configuration.routes[1].repeat == RepeatRule::AtMostOnce);
+    CHECK(configuration.routes[1].services.size() == 2);
+    CHECK(configuration.routes[2].repeat == RepeatRule::Idempotent);
+    CHECK(configuration.services.at(ServiceId("s")).engine->handleLifetime == Duration(5000));
+    CHECK_FALSE(configuration.services.at(ServiceId("t")).engine);
+    CHECK(configuration.limits.maxHeaderBytes == 100);
+    CHECK_THROWS_AS(platform::decodeConfiguration(R"({"version":"x"})"), MalformedInputError);
+}
+
+TEST_CASE("A report and the answers to orders are decoded", "[platform]")
+{
+    const HttpResponse response = makeHttpResponse(200, "application/json", R"({"phase":"decode","busy":false,"seqNum":2})");
+    const platform::EngineReport report = platform::decodeReport(response);
+    CHECK(report.phase == EnginePhase::Decode);
+    CHECK(report.ordersAccepted == 2);
+    CHECK(platform::decodeOrderAnswer(makeHttpResponse(412, "", "")) == platform::OrderAnswer::Fenced);
+    CHECK(platform::decodeOrderAnswer(makeHttpResponse(202, "", "")) == platform::OrderAnswer::Accepted);
+}
