--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -7,12 +7,10 @@
 
 namespace
 {
-/// \brief A prediction may exceed the latency target by this factor: it is not more exact than that.
-constexpr double TARGET_TOLERANCE = 0.9;
+/// \brief Part of the latency target that a prediction may use; the rest is for what the prediction does not know.
+constexpr double TARGET_PART = 0.9;
 /// \brief Part of the time left that a call may use until its first byte; the rest of the answer needs time as well.
 constexpr double LATEST_FIRST_BYTE = 0.8;
-/// \brief Part of the time left that a call that has come back may wait for its first byte.
-constexpr double RETURNED_FIRST_BYTE = 0.0;
 /// \brief Callers come back within a third of their time; later than this they would be late in any case.
 constexpr double LATEST_RETURN = 0.33;
 constexpr double LEAST_RETRY_AFTER_MS = 150;
@@ -26,8 +24,7 @@
     const auto elapsed = static_cast<double>(input.elapsed.count());
     const auto target = static_cast<double>(input.latencyTarget.count());
     const auto left = static_cast<double>(input.timeLeft.count());
-    const double limit = input.returned ? std::max(target, left * RETURNED_FIRST_BYTE) : target * TARGET_TOLERANCE;
-    const bool onTime = target <= 0 || elapsed + input.firstByteMs <= limit;
+    const bool onTime = target <= 0 || elapsed + input.firstByteMs <= target * TARGET_PART;
     const bool answerable = input.firstByteMs <= left * LATEST_FIRST_BYTE;
     // Without a queue there is nothing to wait for: the call is as fast now as it will ever be.
     const bool queued = input.queueMs > 0;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -17,8 +17,6 @@
     Duration elapsed = Duration(0);
     Duration timeLeft = Duration(0);
     Duration latencyTarget = Duration(0);
-    /// \brief The call was refused before and has come back, so it is late already and will not come again.
-    bool returned = false;
 };
 
 /// \brief Admission of one call.
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -158,7 +158,6 @@
         input.elapsed = now - arrived_;
         input.timeLeft = guard_->timeLeft(now);
         input.latencyTarget = route_.latencyTarget;
-        input.returned = gateway_.hasComeBack(route_.id, call_.timeLeft);
         const AdmissionDecision decision = Admission::decide(input, gateway_.jitter());
         if (!decision.admitted) {
             lastFailure_ = "predicted " + wholeMs(placement.firstByteMs) + " ms, queue " + wholeMs(placement.queueMs) + " ms";
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -13,10 +13,6 @@
 /// \brief Each gateway stays below its part of the ratio, since a gateway that was lost has used some of the window's budget.
 constexpr double RATIO_MARGIN = 0.75;
 
-/// \brief A first attempt has lost less of its time on the way than this leaves.
-constexpr int FULL_TIME_PERCENT = 92;
-constexpr int FULL_TIME_PERCENT_BASE = 100;
-
 RetryAllowance allowanceOf(const GatewaySettings &settings)
 {
     RetryAllowance allowance;
@@ -77,7 +73,7 @@
     for (const auto &[id, record] : registry.endpoints()) {
         const auto before = known_.find(id);
         const bool same = before != known_.end() && before->second.leaving == record.leaving && before->second.phase == record.phase
-            && before->second.startedAt == record.startedAt && before->second.address == record.address;
+                          && before->second.startedAt == record.startedAt && before->second.address == record.address;
         if (same) {
             continue;
         }
@@ -112,16 +108,6 @@
     return callsReceived > 0;
 }
 
-bool GatewayState::hasComeBack(const RouteId &route, std::optional<Duration> timeLeft)
-{
-    if (!timeLeft) {
-        return false;
-    }
-    Duration &longest = longestTime_[route];
-    longest = std::max(longest, *timeLeft);
-    return *timeLeft * FULL_TIME_PERCENT_BASE < longest * FULL_TIME_PERCENT;
-}
-
 double GatewayState::jitter()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -29,9 +29,6 @@
     /// \brief Whether a call has arrived since the start of the process.
     [[nodiscard]] bool serving() const;
 
-    /// \brief Whether a call has clearly less time than other calls of its route have had: it was refused before.
-    bool hasComeBack(const RouteId &route, std::optional<Duration> timeLeft);
-
     /// \brief Number in [0, 1).
     double jitter();
 
@@ -53,8 +50,6 @@
     /// \brief What was last put in use, to log what differs.
     std::map<EndpointId, EndpointRecord> known_;
     std::mt19937_64 random_;
-    /// \brief Longest time that callers of a route have given.
-    std::map<RouteId, Duration> longestTime_;
     std::uint64_t appliedChanges_ = 0;
 };
 
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -26,6 +26,8 @@
 constexpr double SAME_REGION_TRANSFER_FACTOR = 2;
 constexpr double OTHER_REGION_TRANSFER_FACTOR = 10;
 constexpr double TRANSFER_OVERHEAD_MS = 1;
+/// \brief A second call for the same prompt costs the gateway, its links and two engines this much.
+constexpr double SPLIT_OVERHEAD_MS = 8;
 /// \brief Engine time that one call uses delays every later call, not this one alone.
 constexpr double ENGINE_TIME_WEIGHT = 2.5;
 /// \brief Bytes to another region are paid by volume; this much time makes up for them.
@@ -35,7 +37,7 @@
 /// \brief Each running request slows the batch for all others.
 constexpr double FULL_BATCH_PENALTY_MS = 100;
 /// \brief Part of a reading's time that it costs each generation in the same batch.
-constexpr double DISTURBED_GENERATION_WEIGHT = 0.3;
+constexpr double DISTURBED_GENERATION_WEIGHT = 0.45;
 /// \brief A reported load says little about the time after this.
 constexpr Duration REPORT_LIFETIME = Duration(400);
 /// \brief An endpoint that answers nothing for so long gets no new calls until it answers again.
@@ -424,7 +426,7 @@
         return placement;
     }
     const auto split = bestSplit(reading, generating, request.promptTokens, now);
-    if (split && split->first.costMs + split->second.costMs < direct.costMs) {
+    if (split && split->first.costMs + split->second.costMs + SPLIT_OVERHEAD_MS < direct.costMs) {
         const auto &[first, second] = *split;
         placement.prefill = first.endpoint->record.id;
         placement.run = second.endpoint->record.id;
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -158,7 +158,7 @@
 inline std::string wholeAnswer(const std::string &requestId, const std::string &body, unsigned status = 200, const std::string &more = {})
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nX-Mimosatally-Response-Seal: seal-" + requestId + "\r\n"
-        + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// \brief Answer by which an endpoint states that it has not run the request.
@@ -171,7 +171,7 @@
 inline std::string streamHead(const std::string &requestId, const std::string &seal = "seal")
 {
     return "HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nX-Mimosatally-Response-Seal: " + seal
-        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+           + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 inline std::string chunk(const std::string &data)
