--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -165,7 +165,8 @@
             co_return false;
         }
     }
-    const Next next = co_await attempt(placement);
+    const EndpointId endpoint = *placement.run;
+    const Next next = co_await attempt(endpoint, placement);
     if (next == Next::Finished) {
         co_return false;
     }
@@ -219,14 +220,14 @@
     return attempt;
 }
 
-awaitable<CallFlow::Next> CallFlow::attempt(Placement placement)
+awaitable<CallFlow::Next> CallFlow::attempt(EndpointId endpoint, Placement placement)
 {
     ++attempts_;
     logEvent(LogEvent::GatewayCallPlaced,
              {{"request", call_.id},
               {"route", route_.id},
               {"attempt", attempts_},
-              {"endpoint", *placement.run},
+              {"endpoint", endpoint},
               {"prefill", placement.prefill.value_or(EndpointId("-"))},
               {"reason", placement.reason},
               {"predicted_ms", wholeMs(placement.firstByteMs)},
@@ -237,7 +238,6 @@
               {"configuration", configuration_->version}});
     const Duration patience = patienceFor(placement.firstByteMs);
     cached_ = placement.cachedTokens;
-    const EndpointId endpoint = *placement.run;
     std::optional<PrefilledPrompt> prompt;
     AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
     if (placement.prefill) {
@@ -266,7 +266,7 @@
     attempt.priority = engineOrder(route_.priority, Tokens(0));
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     CountedAttempt counted(gateway_.router, endpoint, AttemptWork::Prefill, placementRequest_);
-    EndpointCall call(gateway_.io, gateway_.connections, *guard_);
+    EndpointCall call(gateway_.connections, *guard_);
     const Time limit = MilliClock::now() + patience;
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, limit);
     std::string body;
@@ -275,8 +275,9 @@
         body.append(data);
     }
     const Time now = MilliClock::now();
-    if (progress == CallProgress::HeadReceived && call.answer().load) {
-        gateway_.router.reportLoad(endpoint, *call.answer().load, now);
+    const std::optional<ReportedLoad> load = call.answer().load;
+    if (load) {
+        gateway_.router.reportLoad(endpoint, *load, now);
     }
     const bool answered = progress == CallProgress::HeadReceived && call.isComplete() && call.answer().status == STATUS_OK;
     const std::optional<std::string> handle = answered ? platform::decodePrefillHandle(body) : std::nullopt;
@@ -309,7 +310,7 @@
     attempt.prefilled = std::move(prompt);
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     CountedAttempt counted(gateway_.router, endpoint, work, placementRequest_, source);
-    EndpointCall call(gateway_.io, gateway_.connections, *guard_);
+    EndpointCall call(gateway_.connections, *guard_);
     const bool repeatable = route_.repeat == RepeatRule::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time limit = repeatable ? MilliClock::now() + patience : guard_->deadline();
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, limit);
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -40,7 +40,7 @@
     boost::asio::awaitable<bool> placeAndAttempt();
     /// \return whether another placement follows.
     boost::asio::awaitable<bool> continueAfter(Next next);
-    boost::asio::awaitable<Next> attempt(Placement placement);
+    boost::asio::awaitable<Next> attempt(EndpointId endpoint, Placement placement);
     boost::asio::awaitable<std::optional<PrefilledPrompt>> prefill(EndpointId endpoint, Duration patience);
     boost::asio::awaitable<Next> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration patience);
     boost::asio::awaitable<Next> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -26,9 +26,8 @@
 constexpr unsigned FIRST_REDIRECT_STATUS = 300;
 } // namespace
 
-EndpointCall::EndpointCall(boost::asio::io_context &io, ConnectionPool &pool, CallGuard &guard)
-    : io_(io)
-    , pool_(pool)
+EndpointCall::EndpointCall(ConnectionPool &pool, CallGuard &guard)
+    : pool_(pool)
     , guard_(guard)
 {
 }
@@ -101,7 +100,7 @@
 
 awaitable<bool> EndpointCall::readOneHead()
 {
-    parser_.emplace();
+    parser_ = std::make_unique<Parser>();
     parser_->header_limit(MAX_HEADER_BYTES);
     // Beast 1.74 takes every stated length as too long if there is no limit at all.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -9,7 +9,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <optional>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace mimosatally::internal
@@ -31,7 +32,7 @@
 class EndpointCall
 {
 public:
-    EndpointCall(boost::asio::io_context &io, ConnectionPool &pool, CallGuard &guard);
+    EndpointCall(ConnectionPool &pool, CallGuard &guard);
     ~EndpointCall();
     EndpointCall(const EndpointCall &) = delete;
     EndpointCall &operator=(const EndpointCall &) = delete;
@@ -67,11 +68,10 @@
     boost::asio::awaitable<bool> skipBody();
     void fail(const char *step, const boost::system::error_code &error);
 
-    boost::asio::io_context &io_;
     ConnectionPool &pool_;
     CallGuard &guard_;
     std::unique_ptr<EndpointConnection> connection_;
-    std::optional<Parser> parser_;
+    std::unique_ptr<Parser> parser_;
     EndpointAnswer answer_;
     std::string failure_;
     bool complete_ = false;
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -182,11 +182,11 @@
         endpoint.listed = true;
         endpoint.distance = impl.distanceTo(record.dataCentre);
         const auto service = configuration.services.find(record.service);
-        const bool isEngine = service != configuration.services.end() && service->second.engine;
-        const std::int64_t parts = isEngine ? service->second.engine->cacheTokens.count() / MEAN_PART_TOKENS : 0;
+        const std::optional<EngineProfile> engine = service == configuration.services.end() ? std::nullopt : service->second.engine;
+        const std::int64_t parts = engine ? engine->cacheTokens.count() / MEAN_PART_TOKENS : 0;
         impl.cache.setCapacity(endpoint.cacheIndex, static_cast<std::size_t>(parts));
-        if (isEngine) {
-            impl.engines[record.service] = *service->second.engine;
+        if (engine) {
+            impl.engines[record.service] = *engine;
         }
         impl.services[record.service].push_back(id);
     }
