Keep idle connections of callers open until a stopping process has ended its calls

Cause: three seconds after SIGTERM idle connections were closed; a request that had just arrived was read, passed on and could not be answered (Parkland, mix, LOST at 33.502 s, read and closed in the same turn of the loop). Ruled out: the end of the grace time (the process had five seconds left). Change: after SIGTERM only the acceptor is closed; kept connections are served, each answer says that the connection ends, and idle ones are closed at the end. A connection that was closed while its first bytes were on their way is not served.

--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -36,6 +36,9 @@
     /// \brief Bound address; gives the chosen port if port 0 was asked for.
     [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
+    /// \brief Stops accepting connections; the open ones are served on, and their callers are told with the next response.
+    void stopAccepting();
+
     /// \brief Stops accepting, closes idle connections and lets running exchanges finish.
     void shutDownGracefully();
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -7,6 +7,7 @@
 #include <mimosatally/Http>
 #include <mimosatally/Supervision>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -179,13 +180,15 @@
         const Time end = MilliClock::now() + gateway_.settings.graceTime - GRACE_MARGIN;
         gateway_.leaving = true;
         callers_.announceClosing();
-        co_await pause(ACCEPTING_AFTER_SIGTERM);
-        callers_.shutDownGracefully();
+        co_await pause(std::min(ACCEPTING_AFTER_SIGTERM, gateway_.settings.graceTime * 3 / 8));
+        // Kept connections stay open: a request that crosses their closing would be lost.
+        callers_.stopAccepting();
         bool waits = true;
         while (waits) {
             co_await pause(SHUTDOWN_POLL);
             waits = callers_.activeExchanges() > 0 && MilliClock::now() < end;
         }
+        callers_.shutDownGracefully();
         stopped_ = true;
     }
 
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -99,11 +99,17 @@
         });
     }
 
-    void shutDownGracefully()
+    void stopAccepting()
     {
-        stopping_ = true;
+        closingAnnounced_ = true;
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+    }
+
+    void shutDownGracefully()
+    {
+        stopping_ = true;
+        stopAccepting();
         for (Connection *connection : connections_) {
             if (!connection->busy) {
                 connection->stream.close();
@@ -188,6 +194,10 @@
         if (!co_await awaitFirstByte(connection)) {
             co_return false;
         }
+        if (!connection.stream.socket().is_open()) {
+            // Closed while the first bytes were on their way to this coroutine: the caller could not get an answer.
+            co_return false;
+        }
         connection.busy = true;
         boost::system::error_code error;
         {
@@ -309,6 +319,11 @@
     return impl_->address();
 }
 
+void HttpServer::stopAccepting()
+{
+    impl_->stopAccepting();
+}
+
 void HttpServer::shutDownGracefully()
 {
     impl_->shutDownGracefully();
--- a/tests/gateway/lifecycletest.cpp
+++ b/tests/gateway/lifecycletest.cpp
@@ -147,6 +147,33 @@
     CHECK(world.gateway().wait() == 0);
 }
 
+// Guards against requests on kept connections that are read and then lost, because the process closed idle connections early.
+TEST_CASE("A kept connection is served until the last call of a stopping process has ended", "[gateway]")
+{
+    GatewayWorld world;
+    EndpointStandin &endpoint = world.addEndpoint("i-1", "plain", [](const HttpRequest &request) -> AnswerSteps {
+        const int length = request.target() == "/post/long" ? 2000 : 0;
+        return {pauseFor(length), bytes(wholeAnswer(requestIdOf(request), "answer"))};
+    });
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    const auto kept = world.start(GatewayWorld::request(http::verb::post, "/post/x", "r1"));
+    CHECK(kept->response().keep_alive());
+    const auto running = world.start(GatewayWorld::request(http::verb::post, "/post/long", "r2"));
+    waitUntil("the call arrived", [&] {
+        return endpoint.arrivals().size() == 2;
+    });
+    world.gateway().send(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    kept->send(GatewayWorld::request(http::verb::post, "/post/x", "r3"));
+    const HttpResponse response = kept->response();
+    CHECK(response.body() == "answer");
+    CHECK_FALSE(response.keep_alive());
+    CHECK(running->response().body() == "answer");
+    CHECK(world.gateway().wait() == 0);
+}
+
 // Guards against SIGHUP's default, which ends the process.
 TEST_CASE("SIGHUP reads the settings again and ends nothing", "[gateway]")
 {
