--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -35,6 +35,7 @@
 /// \brief The process exits so long before the platform would kill it.
 constexpr Duration GRACE_MARGIN = Duration(500);
 constexpr Duration SHUTDOWN_POLL = Duration(50);
+constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
 
 HttpLimits limitsOf(const GatewaySettings &settings, const CallerLimits &limits)
 {
@@ -53,7 +54,7 @@
     explicit GatewayProcess(const GatewaySettings &settings)
         : gateway_(io_, settings)
         , handler_(gateway_)
-        , follower_(gateway_)
+        , follower_(gateway_, rpc_)
         , orders_(gateway_)
         , supervisor_(io_,
                       static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count()),
@@ -77,6 +78,9 @@
         , signals_(io_, SIGTERM, SIGINT)
         , reload_(gateway_, io_)
     {
+        if (!settings.peerListen.empty()) {
+            peers_.emplace(rpc_, parseAddress(settings.peerListen), kj::heap<PeerService>(follower_.newest()), MAX_PEER_MESSAGE_BYTES);
+        }
         if (!settings.metrics.empty()) {
             metrics_.emplace(io_, parseAddress(settings.metrics), HttpLimits(), [this](HttpExchange &exchange) {
                 return answerMetrics(exchange);
@@ -193,6 +197,7 @@
     }
 
     boost::asio::io_context io_ {1};
+    RpcContext rpc_ {io_};
     GatewayState gateway_;
     CallHandler handler_;
     StoreFollower follower_;
@@ -201,6 +206,7 @@
     HttpServer callers_;
     HttpServer readiness_;
     std::optional<HttpServer> metrics_;
+    std::optional<RpcServer> peers_;
     boost::asio::signal_set signals_;
     SettingsReload reload_;
     bool stopped_ = false;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -1,9 +1,9 @@
 #include "storefollower.h"
 
 #include <mimosatally/Http>
-#include <platform/recordcodec.h>
 
 #include <algorithm>
+#include <platform/recordcodec.h>
 
 namespace mimosatally::internal
 {
@@ -26,12 +26,44 @@
 constexpr Duration PAUSE_AFTER_VERSION = Duration(100);
 } // namespace
 
-StoreFollower::StoreFollower(GatewayState &gateway)
+StoreFollower::StoreFollower(GatewayState &gateway, RpcContext &rpc)
     : gateway_(gateway)
+    , rpc_(rpc)
     , store_(gateway.io, parseAddress(gateway.settings.store))
 {
 }
 
+const NewestRecords &StoreFollower::newest() const
+{
+    return newest_;
+}
+
+awaitable<void> StoreFollower::askPeers()
+{
+    const std::vector<std::string> peers = gateway_.settings.peers;
+    if (peers.empty()) {
+        co_return;
+    }
+    const std::string peer = peers[nextPeer_++ % peers.size()];
+    if (peer == gateway_.settings.peerListen) {
+        co_return;
+    }
+    try {
+        const NewestRecords records = co_await askPeer(rpc_, peer, endpointsNext_);
+        const Time now = MilliClock::now();
+        if (records.configuration) {
+            applyConfigurationRecord(*records.configuration);
+        }
+        for (const auto &[key, record] : records.endpoints) {
+            applyEndpointRecord(record, now);
+        }
+    } catch (const Error &error) {
+        // The next peer is asked with the next failure of the store.
+        gateway_.metrics.increment("mimosatally_peer_failures_total", {});
+        logEvent(LogEvent::PeerUnreachable, {{"peer", peer}, {"error", error.what()}});
+    }
+}
+
 awaitable<void> StoreFollower::followConfiguration(TaskContext &context)
 {
     Position position;
@@ -49,6 +81,7 @@
         } else {
             noteFailure(position, "configuration", failure);
             pause = pauseAfterFailure(position);
+            co_await askPeers();
         }
         goesOn = co_await context.sleep(pause);
     }
@@ -114,6 +147,7 @@
         }
         gateway_.registry.retain(present, snapshot.next, now);
         position.next = snapshot.next;
+        endpointsNext_ = snapshot.next;
         co_return;
     }
     const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, *position.next, Duration(0), ANSWER_TIMEOUT);
@@ -128,6 +162,7 @@
         applyEndpointRecord(record, now);
     }
     position.next = records->next;
+    endpointsNext_ = records->next;
 }
 
 void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record)
@@ -136,7 +171,9 @@
         return;
     }
     try {
-        gateway_.applyConfiguration(platform::decodeConfiguration(*record.value));
+        if (gateway_.applyConfiguration(platform::decodeConfiguration(*record.value))) {
+            newest_.configuration = record;
+        }
     } catch (const MalformedInputError &error) {
         logEvent(LogEvent::ServingConfigurationUnreadable, {{"offset", record.offset}, {"error", error.what()}});
     }
@@ -153,6 +190,10 @@
             logEvent(LogEvent::EndpointRecordUnreadable, {{"endpoint", id}, {"offset", record.offset}, {"error", error.what()}});
         }
     }
+    const auto known = newest_.endpoints.find(record.key);
+    if (known == newest_.endpoints.end() || known->second.offset < record.offset) {
+        newest_.endpoints.insert_or_assign(record.key, record);
+    }
     gateway_.registry.apply(id, record.offset, endpoint, now);
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gatewaystate.h"
+#include "peerexchange.h"
 
 #include <mimosatally/Supervision>
 
@@ -13,7 +14,10 @@
 class StoreFollower
 {
 public:
-    explicit StoreFollower(GatewayState &gateway);
+    StoreFollower(GatewayState &gateway, RpcContext &rpc);
+
+    /// \brief What was read so far, for other gateways.
+    [[nodiscard]] const NewestRecords &newest() const;
 
     /// \brief Follows the configuration until the task is stopped.
     boost::asio::awaitable<void> followConfiguration(TaskContext &context);
@@ -37,8 +41,16 @@
     void noteFailure(Position &position, const char *topic, const std::string &error);
     Duration pauseAfterFailure(const Position &position);
 
+    /// \brief Asks another gateway for what this one cannot read from the store.
+    boost::asio::awaitable<void> askPeers();
+
     GatewayState &gateway_;
+    RpcContext &rpc_;
     platform::StoreClient store_;
+    NewestRecords newest_;
+    /// \brief First offset of the endpoints' records that was not read.
+    Offset endpointsNext_;
+    std::size_t nextPeer_ = 0;
 };
 
 } // namespace mimosatally::internal
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -147,3 +147,16 @@
   cancel @2 (requestId :Text, agentIncarnation :Text) -> (word :CancelWord);
   order @3 (order :Order) -> (verdict :OrderVerdict);
 }
+
+struct StoreRecord {
+  offset @0 :Int64;
+  key @1 :Text;
+  present @2 :Bool;
+  # False if the key was dropped.
+  value @3 :Data;
+}
+
+interface Gateway {
+  newestRecords @0 (endpointsFrom :Int64) -> (configuration :StoreRecord, endpoints :List(StoreRecord));
+  # The configuration as this gateway has it, and the newest record of each endpoint at endpointsFrom or later.
+}
--- a/tests/gateway/gatewayworld.h
+++ b/tests/gateway/gatewayworld.h
@@ -30,6 +30,7 @@
     ~GatewayWorld()
     {
         gateway_.reset();
+        peer_.reset();
         io_.stop();
         thread_.join();
     }
@@ -82,7 +83,22 @@
         });
     }
 
-    void startGateway()
+    /// \brief Starts a second gateway that only serves other gateways. \return its address for them.
+    std::string startPeer()
+    {
+        const std::string directory = BINARY_DIRECTORY;
+        const std::string address = freeAddress();
+        const std::string name = directory + "/peer-" + std::to_string(getpid());
+        std::ofstream(name + ".toml") << "process = \"g2\"\ndata_centre = \"here\"\nlisten = \"" << freeAddress() << "\"\nreadiness = \"" << freeAddress()
+                                      << "\"\npeer_listen = \"" << address << "\"\nstore = \"" << store_.address() << "\"\n";
+        peer_.emplace(directory + "/mimosatally", std::vector<std::string> {"gateway", name + ".toml"}, name + ".log");
+        peer_->waitForOutput("ServingConfigurationInForce");
+        peer_->waitForOutput("EndpointChanged");
+        return address;
+    }
+
+    /// \param more further lines of the settings file, before its tables.
+    void startGateway(const std::string &more = {}, const std::string &store = {})
     {
         const std::string directory = BINARY_DIRECTORY;
         callers_ = freeAddress();
@@ -90,7 +106,8 @@
         metrics_ = freeAddress();
         const std::string file = directory + "/gateway-" + std::to_string(getpid()) + ".toml";
         std::ofstream(file) << "process = \"g1\"\ndata_centre = \"here\"\nlisten = \"" << callers_ << "\"\nreadiness = \"" << readiness_ << "\"\nmetrics = \""
-                            << metrics_ << "\"\nstore = \"" << store_.address() << "\"\ngrace_time = \"3s\"\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
+                            << metrics_ << "\"\nstore = \"" << (store.empty() ? store_.address() : store) << "\"\ngrace_time = \"3s\"\n"
+                            << more << "[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
         gateway_.emplace(directory + "/mimosatally", std::vector<std::string> {"gateway", file}, directory + "/gateway-" + std::to_string(getpid()) + ".log");
         waitUntil("the gateway listens", [this] {
             return canConnect(readiness_);
@@ -177,6 +194,7 @@
     std::string callers_;
     std::string readiness_;
     std::string metrics_;
+    std::optional<TestProgram> peer_;
     std::optional<TestProgram> gateway_;
 };
 
--- a/tests/gateway/lifecycletest.cpp
+++ b/tests/gateway/lifecycletest.cpp
@@ -80,6 +80,20 @@
     world.gateway().waitForOutput("StoreRegained");
 }
 
+// Guards against a process that was started while the store refuses its machine, and against versions that it never sees.
+TEST_CASE("A process that the store refuses learns configuration and endpoints from another gateway", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", good());
+    world.configure();
+    const std::string peer = world.startPeer();
+    world.startGateway("peers = [\"127.0.0.1:1\", \"" + peer + "\"]\n", "127.0.0.1:1");
+    world.awaitReady();
+    CHECK(world.call(GatewayWorld::request(http::verb::get, "/safe/x", "r1")).body() == "good");
+    world.configure(7);
+    world.gateway().waitForOutput("version=7");
+}
+
 TEST_CASE("The process reads a snapshot when the history of the store is gone", "[gateway]")
 {
     GatewayWorld world;
--- a/tests/process/operatorcommandstest.cpp
+++ b/tests/process/operatorcommandstest.cpp
@@ -108,7 +108,7 @@
     CHECK(desk.publish("4s") == 3);
 }
 
-// Guards against exit codes and help texts that differ from docs/operations.md.
+// Guards against exit codes and help texts that differ from docs/OPERATIONS.md.
 TEST_CASE("Every command has a help text, and wrong usage ends with code 2", "[cli]")
 {
     Desk desk;
