--- a/include/mimosatally/routing/retrybudget.h
+++ b/include/mimosatally/routing/retrybudget.h
@@ -24,7 +24,9 @@
 class KeyedRetryBudget
 {
 public:
-    explicit KeyedRetryBudget(RetryAllowance allowance = RetryAllowance())
+    KeyedRetryBudget() = default;
+
+    explicit KeyedRetryBudget(RetryAllowance allowance)
         : allowance_(allowance)
     {
     }
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -52,7 +52,8 @@
 {
 public:
     explicit GatewayProcess(const GatewaySettings &settings)
-        : gateway_(io_, settings)
+        : signals_(io_, SIGTERM, SIGINT)
+        , gateway_(io_, settings)
         , handler_(gateway_)
         , follower_(gateway_, rpc_)
         , orders_(gateway_)
@@ -75,7 +76,6 @@
                      [this](HttpExchange &exchange) {
                          return answerReadiness(exchange);
                      })
-        , signals_(io_, SIGTERM, SIGINT)
         , reload_(gateway_, io_)
     {
         if (!settings.peerListen.empty()) {
@@ -198,6 +198,8 @@
 
     boost::asio::io_context io_ {1};
     RpcContext rpc_ {io_};
+    /// \brief Before the addresses that are listened on: a signal must not end the process by default once it has accepted a connection.
+    boost::asio::signal_set signals_;
     GatewayState gateway_;
     CallHandler handler_;
     StoreFollower follower_;
@@ -207,7 +209,6 @@
     HttpServer readiness_;
     std::optional<HttpServer> metrics_;
     std::optional<RpcServer> peers_;
-    boost::asio::signal_set signals_;
     SettingsReload reload_;
     bool stopped_ = false;
 };
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -44,7 +44,7 @@
     if (peers.empty()) {
         co_return;
     }
-    const std::string peer = peers[nextPeer_++ % peers.size()];
+    const std::string &peer = peers[nextPeer_++ % peers.size()];
     if (peer == gateway_.settings.peerListen) {
         co_return;
     }
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -288,6 +288,8 @@
             observations_.finding("a gateway ended with " + std::to_string(end));
         }
         startGateway(number);
+        // A signal before the process has installed its handlers ends it by default; nothing is accepted until then.
+        gateways_[index]->waitForOutput("ProcessStarted");
     }
 
     std::mt19937_64 random_;
