Refuse calls that could outlast a stopping process; endpoints of a peer are in use at once

Change: from 500 ms before the process stops accepting, a call whose time could end after the process is refused as not run, with a time to come back; endpoints from a peer reach the router before the process is ready.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -2,6 +2,7 @@
 
 #include "callflow.h"
 
+#include <algorithm>
 #include <platform/callcodec.h>
 
 namespace mimosatally::internal
@@ -16,6 +17,8 @@
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 /// \brief A process that has just started knows its configuration after this time.
 constexpr Duration START_RETRY_AFTER = Duration(500);
+/// \brief The next connection of the caller reaches another process.
+constexpr Duration OTHER_GATEWAY_RETRY_AFTER = Duration(50);
 } // namespace
 
 CallHandler::CallHandler(GatewayState &gateway)
@@ -23,6 +26,13 @@
 {
 }
 
+bool CallHandler::endsTooLate(const CallRequest &call, const Route &route) const
+{
+    const Time now = MilliClock::now();
+    const Duration longest = std::min(call.timeLeft.value_or(route.timeout), route.timeout);
+    return now >= gateway_.refusesLongCallsFrom && now + longest > gateway_.stopsAt;
+}
+
 awaitable<void> CallHandler::handle(HttpExchange &exchange)
 {
     std::optional<CallRequest> call;
@@ -51,6 +61,12 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (endsTooLate(*call, *route)) {
+        logEvent(LogEvent::GatewayCallRefused, {{"request", call->id}, {"reason", "stopping"}, {"retry_after_ms", OTHER_GATEWAY_RETRY_AFTER}});
+        HttpResponse response = makeErrorResponse(STATUS_UNAVAILABLE, "stopping", OTHER_GATEWAY_RETRY_AFTER);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     CallFlow flow(gateway_, exchange, std::move(*call), gateway_.configuration, *route);
     co_await flow.run();
 }
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -18,6 +18,9 @@
     boost::asio::awaitable<void> handle(HttpExchange &exchange);
 
 private:
+    /// \brief Whether a stopping process might have to cut the call off.
+    [[nodiscard]] bool endsTooLate(const CallRequest &call, const Route &route) const;
+
     GatewayState &gateway_;
 };
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -34,6 +34,8 @@
 constexpr Duration ACCEPTING_AFTER_SIGTERM = Duration(3000);
 /// \brief The process exits so long before the platform would kill it.
 constexpr Duration GRACE_MARGIN = Duration(500);
+/// \brief Calls that could outlast the process are refused from this long before it stops accepting, when callers know other processes.
+constexpr Duration LAST_LONG_CALL_MARGIN = Duration(500);
 constexpr Duration SHUTDOWN_POLL = Duration(50);
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
 
@@ -182,9 +184,12 @@
     {
         logEvent(LogEvent::ProcessStopping, {{"reason", "signal"}, {"active", callers_.activeExchanges()}});
         const Time end = MilliClock::now() + gateway_.settings.graceTime - GRACE_MARGIN;
+        const Duration accepting = std::min(ACCEPTING_AFTER_SIGTERM, gateway_.settings.graceTime * 3 / 8);
         gateway_.leaving = true;
+        gateway_.stopsAt = end;
+        gateway_.refusesLongCallsFrom = MilliClock::now() + accepting - LAST_LONG_CALL_MARGIN;
         callers_.announceClosing();
-        co_await pause(std::min(ACCEPTING_AFTER_SIGTERM, gateway_.settings.graceTime * 3 / 8));
+        co_await pause(accepting);
         // Kept connections stay open: a request that crosses their closing would be lost.
         callers_.stopAccepting();
         bool waits = true;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -42,6 +42,9 @@
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     bool leaving = false;
+    /// \brief When a stopping process ends at the latest, and from when on it takes no call that could last longer.
+    Time stopsAt = Time::max();
+    Time refusesLongCallsFrom = Time::max();
     std::uint64_t callsReceived = 0;
 
 private:
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -57,6 +57,8 @@
         for (const auto &[key, record] : records.endpoints) {
             applyEndpointRecord(record, now);
         }
+        // The process counts as ready from now on, so calls must find the endpoints at once.
+        gateway_.applyEndpoints(now);
     } catch (const Error &error) {
         // The next peer is asked with the next failure of the store.
         gateway_.metrics.increment("mimosatally_peer_failures_total", {});
--- a/tests/gateway/lifecycletest.cpp
+++ b/tests/gateway/lifecycletest.cpp
@@ -161,7 +161,8 @@
     CHECK(world.gateway().wait() == 0);
 }
 
-// Guards against requests on kept connections that are read and then lost, because the process closed idle connections early.
+// Guards against requests on kept connections that are read and then lost, because the process closed idle connections early, and
+// against long calls that are taken late and cut off at the end.
 TEST_CASE("A kept connection is served until the last call of a stopping process has ended", "[gateway]")
 {
     GatewayWorld world;
@@ -174,13 +175,19 @@
     world.awaitReady();
     const auto kept = world.start(GatewayWorld::request(http::verb::post, "/post/x", "r1"));
     CHECK(kept->response().keep_alive());
+    const auto second = world.start(GatewayWorld::request(http::verb::post, "/post/x", "r5"));
+    CHECK(second->response().keep_alive());
     const auto running = world.start(GatewayWorld::request(http::verb::post, "/post/long", "r2"));
     waitUntil("the call arrived", [&] {
-        return endpoint.arrivals().size() == 2;
+        return endpoint.arrivals().size() == 3;
     });
     world.gateway().send(SIGTERM);
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
-    kept->send(GatewayWorld::request(http::verb::post, "/post/x", "r3"));
+    second->send(GatewayWorld::request(http::verb::post, "/post/x", "r4", 3000));
+    const HttpResponse refused = second->response();
+    CHECK(refused.result_int() == 503);
+    CHECK_FALSE(headerValue(refused, "Retry-After").empty());
+    kept->send(GatewayWorld::request(http::verb::post, "/post/x", "r3", 500));
     const HttpResponse response = kept->response();
     CHECK(response.body() == "answer");
     CHECK_FALSE(response.keep_alive());
