--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -133,11 +133,11 @@
             return reload_.run(context);
         });
         supervisor_.start("housekeeping", [this](TaskContext &context) {
-            return keepHouse(context);
+            return runHousekeeping(context);
         });
     }
 
-    awaitable<void> keepHouse(TaskContext &context)
+    awaitable<void> runHousekeeping(TaskContext &context)
     {
         std::int64_t limitsVersion = -1;
         bool goesOn = true;
