--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -41,6 +41,8 @@
     double queueMs = 0;
     /// \brief Prompt tokens that the reading engine is expected to have in its cache.
     Tokens cachedTokens;
+    /// \brief Engine from which the reading engine fetches more of the prompt than it has itself.
+    std::optional<EndpointId> cacheSource;
     std::string_view reason = "no-endpoint";
 };
 
@@ -54,6 +56,16 @@
     PrefillAndRun,
 };
 
+/// \brief One attempt at one endpoint.
+struct AttemptPlan {
+    EndpointId endpoint;
+    AttemptWork work = AttemptWork::Run;
+    /// \brief Prompt tokens that the endpoint need not read, since it has or fetches them.
+    Tokens cached = Tokens(0);
+    /// \brief Engine that has read the prompt and keeps it for this attempt; empty if none does.
+    EndpointId promptSource = EndpointId();
+};
+
 /// \brief How an attempt ended, as far as the endpoint's health is concerned.
 enum class AttemptEnd {
     Answered,
@@ -89,8 +101,8 @@
 
     [[nodiscard]] Placement place(const PlacementRequest &request, Time now) const;
 
-    /// \brief Counts an attempt that is being sent. \param source engine that keeps the read prompt; empty if none does.
-    Ticket begin(const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, Time now, const EndpointId &source = EndpointId());
+    /// \brief Counts an attempt that is being sent.
+    Ticket begin(const AttemptPlan &plan, const PlacementRequest &request, Time now);
 
     /// \brief The first byte of the answer arrived; reading the prompt is over.
     void firstByte(Ticket ticket, Time now);
@@ -103,13 +115,6 @@
     /// \brief Address of an endpoint; nothing if it is gone.
     [[nodiscard]] const EndpointRecord *record(const EndpointId &endpoint) const;
 
-    /// \brief Work for prefill and decode that this process has placed since the last call, in engine milliseconds by service.
-    struct PhaseDemand {
-        double prefillMs = 0;
-        double decodeMs = 0;
-    };
-    [[nodiscard]] std::map<ServiceId, PhaseDemand> takeDemand();
-
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/include/mimosatally/serving/endpointattempt.h
+++ b/include/mimosatally/serving/endpointattempt.h
@@ -2,6 +2,7 @@
 
 #include <mimosatally/Core>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
     /// \brief Read the prompt only and keep it for another engine.
     bool prefillOnly = false;
     std::optional<PrefilledPrompt> prefilled;
+    /// \brief Engine from which the target fetches what it lacks of the prompt's cache.
+    std::optional<boost::asio::ip::tcp::endpoint> cacheSource;
     /// \brief Last event that the caller has; nothing leaves what the caller itself sent.
     std::optional<std::string> resumeAfter;
 };
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -49,9 +49,9 @@
 class CountedAttempt
 {
 public:
-    CountedAttempt(PhaseRouter &router, const EndpointId &endpoint, AttemptWork work, const PlacementRequest &request, const EndpointId &source = EndpointId())
+    CountedAttempt(PhaseRouter &router, const AttemptPlan &plan, const PlacementRequest &request)
         : router_(router)
-        , ticket_(router.begin(endpoint, work, request, MilliClock::now(), source))
+        , ticket_(router.begin(plan, request, MilliClock::now()))
     {
     }
 
@@ -220,6 +220,12 @@
     return attempt;
 }
 
+std::optional<boost::asio::ip::tcp::endpoint> CallFlow::addressOf(const std::optional<EndpointId> &endpoint) const
+{
+    const EndpointRecord *record = endpoint ? gateway_.router.record(*endpoint) : nullptr;
+    return record == nullptr ? std::nullopt : std::optional(record->address);
+}
+
 awaitable<CallFlow::Next> CallFlow::attempt(EndpointId endpoint, Placement placement)
 {
     ++attempts_;
@@ -234,9 +240,11 @@
               {"queue_ms", wholeMs(placement.queueMs)},
               {"prompt", placementRequest_.promptTokens},
               {"cached", placement.cachedTokens},
+              {"cache_source", placement.cacheSource.value_or(EndpointId("-"))},
               {"left_ms", guard_->timeLeft(MilliClock::now())},
               {"configuration", configuration_->version}});
     const Duration patience = patienceFor(placement.firstByteMs);
+    cacheSource_ = addressOf(placement.cacheSource);
     cached_ = placement.cachedTokens;
     std::optional<PrefilledPrompt> prompt;
     AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
@@ -263,9 +271,11 @@
     const boost::asio::ip::tcp::endpoint address = record->address;
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
+    attempt.cacheSource = cacheSource_;
     attempt.priority = engineOrder(route_.priority, Tokens(0));
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
-    CountedAttempt counted(gateway_.router, endpoint, AttemptWork::Prefill, placementRequest_);
+    const AttemptPlan plan {endpoint, AttemptWork::Prefill, cached_};
+    CountedAttempt counted(gateway_.router, plan, placementRequest_);
     EndpointCall call(gateway_.connections, *guard_);
     const Time limit = MilliClock::now() + patience;
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, limit);
@@ -304,12 +314,14 @@
     EndpointAttempt attempt = attemptFor(endpoint);
     if (work == AttemptWork::PrefillAndRun) {
         attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cached_);
+        attempt.cacheSource = cacheSource_;
     } else if (prompt) {
         attempt.priority = engineOrder(route_.priority, Tokens(0));
     }
     attempt.prefilled = std::move(prompt);
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
-    CountedAttempt counted(gateway_.router, endpoint, work, placementRequest_, source);
+    const AttemptPlan plan {endpoint, work, cached_, source};
+    CountedAttempt counted(gateway_.router, plan, placementRequest_);
     EndpointCall call(gateway_.connections, *guard_);
     const bool repeatable = route_.repeat == RepeatRule::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time limit = repeatable ? MilliClock::now() + patience : guard_->deadline();
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -53,6 +53,7 @@
     [[nodiscard]] bool mayTryAgain(Next next);
     void noteRun();
     [[nodiscard]] AttemptEnd endOfBrokenAttempt() const;
+    [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> addressOf(const std::optional<EndpointId> &endpoint) const;
     [[nodiscard]] EndpointAttempt attemptFor(const EndpointId &endpoint) const;
     /// \brief How long an answer with the predicted time is waited for if another attempt can follow.
     [[nodiscard]] Duration patienceFor(double predictedMs) const;
@@ -77,6 +78,8 @@
     EventFramer framer_;
     /// \brief Prompt tokens that the reading engine is expected to have.
     Tokens cached_;
+    /// \brief Engine from which the reading engine fetches what it lacks.
+    std::optional<boost::asio::ip::tcp::endpoint> cacheSource_;
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -20,6 +20,25 @@
     OtherRegion,
 };
 
+/// \brief Requests of other processes at an endpoint.
+struct ForeignLoad {
+    double requests = 0;
+    /// \brief Those of them that have not started.
+    double waiting = 0;
+};
+
+/// \brief Mean load that endpoints of one service and phase have reported.
+struct MeanLoad {
+    ForeignLoad load;
+    Time reportedAt = Time::min();
+};
+
+/// \brief How much later than predicted first bytes have come lately from the endpoints of one service.
+struct ObservedDelay {
+    double ms = 0;
+    Time observedAt = Time::min();
+};
+
 /// \brief What a process knows about one endpoint.
 struct DirectEndpoint {
     EndpointRecord record;
@@ -35,9 +54,8 @@
     double transferBacklogMs = 0;
     /// \brief Own attempts without a first byte.
     int ownUnanswered = 0;
-    /// \brief Requests of other processes at the time of the last report, and those of them that had not started.
-    int foreignRequests = 0;
-    int foreignWaiting = 0;
+    /// \brief At the time of the last report.
+    ForeignLoad foreign;
     Time reportedAt = Time::min();
     /// \brief Measured times over predicted times; 1 is nominal.
     double slowness = 1;
@@ -61,6 +79,8 @@
         Time begun;
         double workMs = 0;
         double predictedMs = 0;
+        /// \brief Part of the prediction that comes from the delay observed at other endpoints.
+        double delayMs = 0;
         /// \brief Engine that keeps the prompt, and the time that its transfer takes.
         EndpointId source;
         double transferMs = 0;
@@ -76,6 +96,31 @@
         /// \brief Time with what the choice costs other calls.
         double costMs = 0;
         Tokens cached;
+        /// \brief Engine from which the rest of the known prefix is fetched; nothing if reading it is not slower.
+        const Endpoint *cacheSource = nullptr;
+    };
+
+    /// \brief Most of a prompt that an engine can have when it starts to read.
+    struct PrefixSource {
+        /// \brief Tokens that it has or fetches as far as this process knows.
+        Tokens cached;
+        /// \brief Engine that it fetches from; nothing if none has more.
+        const Endpoint *source = nullptr;
+        double fetchMs = 0;
+        /// \brief Further tokens that it or the source probably has, as all processes prefer one engine for them.
+        ///
+        /// They weigh in the choice of an engine alone. Predictions that counted on them admitted too many calls that came late.
+        Tokens probable;
+    };
+
+    /// \brief A prompt with what all engines are compared by.
+    struct PromptView {
+        const PlacementRequest &request;
+        std::vector<std::uint64_t> chain;
+        /// \brief Tokens of all parts but the last one, which belongs to the call or its session.
+        Tokens sharedTokens;
+        /// \brief The engine in each region that all processes prefer for the shared parts.
+        std::map<RegionId, const Endpoint *> homes;
     };
 
     Impl(NetworkLocation where, std::uint64_t seed);
@@ -85,16 +130,22 @@
     [[nodiscard]] static bool mayServe(const Endpoint &endpoint, const PlacementRequest &request);
     [[nodiscard]] static bool healthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &chain) const;
-    /// \brief Part of a reported figure that still counts at \a now.
-    [[nodiscard]] static double aged(int reported, const Endpoint &endpoint, Time now);
-    [[nodiscard]] static double foreign(const Endpoint &endpoint, Time now);
+    /// \brief Requests of other processes at an endpoint: its own report while it is fresh, later the mean of endpoints like it.
+    [[nodiscard]] internal::ForeignLoad foreignLoad(const Endpoint &endpoint, Time now) const;
+    /// \brief Wait that neither own attempts nor reports explain: the work of other processes since their last report.
+    [[nodiscard]] double delayMs(const ServiceId &service, AttemptWork work, Time now) const;
+    void observeDelay(const Attempt &attempt, const Endpoint &endpoint, double measuredMs, Time now);
     [[nodiscard]] double readingMs(AttemptWork work, Tokens uncached) const;
     [[nodiscard]] double queueMs(const Endpoint &endpoint, Time now) const;
-    [[nodiscard]] static double slotWaitMs(const Endpoint &endpoint, Time now);
-    [[nodiscard]] Leg readingLeg(
-        const Endpoint &endpoint, AttemptWork work, const PlacementRequest &request, const std::vector<std::uint64_t> &chain, Time now) const;
+    [[nodiscard]] double slotWaitMs(const Endpoint &endpoint, Time now) const;
+    [[nodiscard]] Leg readingLeg(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt, Time now) const;
+    /// \brief What the engine has of the prompt itself, or with a fetch from another one if that is faster than reading.
+    /// \brief The best of what processes know of the engine itself and of the holders that it could fetch from.
+    [[nodiscard]] PrefixSource knownPrefix(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
+    [[nodiscard]] PrefixSource prefixFor(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
+    [[nodiscard]] PromptView viewOf(const PlacementRequest &request, const std::vector<const Endpoint *> &candidates) const;
     /// \brief Generating at \a endpoint, without the transfer of the prompt.
-    [[nodiscard]] static Leg generatingLeg(const Endpoint &endpoint, Time now);
+    [[nodiscard]] Leg generatingLeg(const Endpoint &endpoint, Time now) const;
     /// \brief Time that the links of both engines are taken by one prompt's cache.
     [[nodiscard]] double transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const;
     /// \brief Adds the transfer of the prompt to \a generating.
@@ -103,6 +154,7 @@
                                                                const std::vector<const Endpoint *> &generating,
                                                                Tokens tokens,
                                                                Time now) const;
+    [[nodiscard]] static std::optional<EndpointId> sourceOf(const Leg &leg);
     [[nodiscard]] Leg plainLeg(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
     [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
@@ -114,6 +166,9 @@
     std::uint64_t seed;
     std::map<EndpointId, Endpoint> endpoints;
     std::map<ServiceId, std::vector<EndpointId>> services;
+    std::unordered_map<internal::CacheIndex::EndpointIndex, EndpointId> endpointOfCache;
+    std::map<std::pair<ServiceId, std::optional<EnginePhase>>, internal::MeanLoad> meanLoads;
+    std::map<std::pair<ServiceId, AttemptWork>, internal::ObservedDelay> delays;
     /// \brief Profiles of the services whose endpoints are engines.
     std::map<ServiceId, EngineProfile> engines;
     internal::CacheIndex cache;
@@ -125,7 +180,6 @@
     /// \brief Mean engine time of one reading by phase of the engine, for the work of other processes.
     std::map<EnginePhase, double> meanReadingMs;
     double msPerToken = 0;
-    std::map<ServiceId, PhaseDemand> demand;
 };
 
 } // namespace mimosatally
--- /dev/null
+++ b/src/routing/phasetimes.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "phaserouterimpl.h"
+
+namespace mimosatally::internal
+{
+
+/// \brief From the end of the reading to the first event.
+constexpr double FIRST_EVENT_MS = 15;
+/// \brief Time of a plain call before one was measured.
+constexpr double INITIAL_PLAIN_MS = 20;
+
+[[nodiscard]] double roundTripMs(Distance distance);
+
+[[nodiscard]] double toMs(Duration duration);
+
+/// \brief 1 for a report that has just come, 0 for one as old as \a lifetime.
+[[nodiscard]] double freshness(Time reportedAt, Time now, Duration lifetime);
+
+/// \brief Moves an exponential mean by one sample.
+void learn(double &mean, double sample);
+
+/// \brief Hash of the prompt up to the end of each part.
+[[nodiscard]] std::vector<std::uint64_t> chainOf(const std::vector<PromptPart> &parts);
+
+/// \brief Number in [0, 1) that all processes compute alike.
+[[nodiscard]] double spread(std::uint64_t prompt, const EndpointId &endpoint);
+
+} // namespace mimosatally::internal
--- a/tests/unit/gatewaycorestest.cpp
+++ b/tests/unit/gatewaycorestest.cpp
@@ -1,4 +1,5 @@
 #include "../../src/gateway/admission.h"
+#include "../../src/gateway/engineorder.h"
 #include "../../src/gateway/eventframer.h"
 
 #include <catch2/catch.hpp>
@@ -165,3 +166,15 @@
     CHECK(budget.tryRetry(service, Time()));
     CHECK_FALSE(budget.tryRetry(service, Time()));
 }
+
+// Load: decode engines that read long prompts beside generations. Generations whose prompt is read already and short prompts
+// would wait behind the long ones.
+TEST_CASE("An engine admits less reading first, and among alike the more urgent route", "[engineorder]")
+{
+    CHECK(engineOrder(2, Tokens(0)) < engineOrder(0, Tokens(200)));
+    CHECK(engineOrder(2, Tokens(200)) < engineOrder(0, Tokens(5000)));
+    CHECK(engineOrder(0, Tokens(5000)) < engineOrder(1, Tokens(5000)));
+    CHECK(engineOrder(0, Tokens(0)) == 0);
+    CHECK(engineOrder(100, Tokens(100'000)) <= 9);
+    CHECK(engineOrder(-1, Tokens(0)) == 0);
+}
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -165,3 +165,14 @@
     CHECK(platform::decodeOrderAnswer(makeHttpResponse(412, "", "")) == platform::OrderAnswer::Fenced);
     CHECK(platform::decodeOrderAnswer(makeHttpResponse(202, "", "")) == platform::OrderAnswer::Accepted);
 }
+
+// Guards against a prefix that is read again although another engine has it, and against a caller that names an engine itself.
+TEST_CASE("A reading names the engine from which the prompt's cache is fetched", "[platform]")
+{
+    HttpRequest request = callerRequest();
+    request.set("Kv-Fetch", "10.9.9.9:1");
+    EndpointAttempt attempt;
+    CHECK(field(platform::encodeAttempt(request, attempt), "Kv-Fetch").empty());
+    attempt.cacheSource = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("10.0.0.7"), 80);
+    CHECK(field(platform::encodeAttempt(request, attempt), "Kv-Fetch") == "10.0.0.7:80");
+}
