--- a/include/mimosatally/gateway/gatewaysettings.h
+++ b/include/mimosatally/gateway/gatewaysettings.h
@@ -37,6 +37,8 @@
     double retryRatio = 0.2;
     /// \brief Retries beyond the ratio that all gateways together have.
     std::int64_t retrySlack = 50;
+    /// \brief Length of the window in which retries are counted against requests.
+    Duration retryWindow = Duration(10'000);
     /// \brief Part of a service's engines that are kept for prefill.
     double prefillShare = 0.5;
     std::size_t maxConnections = 3000;
--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -112,6 +112,9 @@
     /// \brief Load that came with an answer.
     void reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now);
 
+    /// \brief Mean number of requests of other processes that wait at an engine of a phase, by the reports of the last second.
+    [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
+
     /// \brief Address of an endpoint; nothing if it is gone.
     [[nodiscard]] const EndpointRecord *record(const EndpointId &endpoint) const;
 
--- a/include/mimosatally/routing/retrybudget.h
+++ b/include/mimosatally/routing/retrybudget.h
@@ -17,6 +17,10 @@
     std::int64_t initial = 3000;
     /// \brief Greatest budget that a key may save.
     std::int64_t most = 10'000;
+    /// \brief What is earned and not used expires after at most this; zero keeps it.
+    Duration lifetime = Duration(0);
+    /// \brief A key whose requests of a lifetime do not earn one retry may have one in this time all the same; zero allows none.
+    Duration slackInterval = Duration(0);
 };
 
 /// \brief Bounds the retries of each key to a fraction of its requests, so that retries cannot amplify an overload.
@@ -32,32 +36,67 @@
     }
 
     /// \brief Counts a first attempt.
-    void recordRequest(const Key &key, Time)
+    void recordRequest(const Key &key, Time now)
     {
-        std::int64_t &budget = account(key);
-        budget = std::min(budget + allowance_.earnedPerRequest, allowance_.most);
+        Account &account = accountOf(key, now);
+        ++account.requests;
+        account.earned = std::min(account.earned + allowance_.earnedPerRequest, allowance_.most - account.earnedBefore);
     }
 
-    /// \return whether one retry is allowed; takes it from the budget.
-    bool tryRetry(const Key &key, Time)
+    /// \return whether \a count retries are allowed; takes them from the budget.
+    bool tryRetry(const Key &key, Time now, std::int64_t count = 1)
     {
-        constexpr std::int64_t oneRetry = 1000;
-        std::int64_t &budget = account(key);
-        if (budget < oneRetry) {
-            return false;
+        Account &account = accountOf(key, now);
+        const std::int64_t price = count * ONE_RETRY;
+        if (account.earnedBefore + account.earned < price) {
+            return count == 1 && trySlack(account, now);
         }
-        budget -= oneRetry;
+        const std::int64_t oldPart = std::min(price, account.earnedBefore);
+        account.earnedBefore -= oldPart;
+        account.earned -= price - oldPart;
         return true;
     }
 
 private:
-    std::int64_t &account(const Key &key)
+    static constexpr std::int64_t ONE_RETRY = 1000;
+
+    /// \brief Unused budget of the present half of a lifetime and of the one before.
+    struct Account {
+        std::int64_t earned = 0;
+        std::int64_t earnedBefore = 0;
+        std::int64_t requests = 0;
+        std::int64_t requestsBefore = 0;
+        Time halfEnd = Time::min();
+        Time nextSlack = Time::min();
+    };
+
+    bool trySlack(Account &account, Time now) const
+    {
+        const bool earnsEnough = (account.requests + account.requestsBefore) * allowance_.earnedPerRequest >= ONE_RETRY;
+        if (allowance_.slackInterval <= Duration(0) || earnsEnough || now < account.nextSlack) {
+            return false;
+        }
+        account.nextSlack = now + allowance_.slackInterval;
+        return true;
+    }
+
+    Account &accountOf(const Key &key, Time now)
     {
-        return budgets_.emplace(key, allowance_.initial).first->second;
+        Account &account = accounts_.emplace(key, Account {allowance_.initial, 0, 0, 0, now + allowance_.lifetime / 2, now}).first->second;
+        const Duration half = allowance_.lifetime / 2;
+        if (half > Duration(0) && now >= account.halfEnd) {
+            const bool idle = now >= account.halfEnd + half;
+            account.earnedBefore = idle ? 0 : account.earned;
+            account.earned = 0;
+            account.requestsBefore = idle ? 0 : account.requests;
+            account.requests = 0;
+            account.halfEnd = idle ? now + half : account.halfEnd + half;
+        }
+        return account;
     }
 
     RetryAllowance allowance_;
-    std::map<Key, std::int64_t> budgets_;
+    std::map<Key, Account> accounts_;
 };
 
 /// \brief Budget of each customer.
--- /dev/null
+++ b/src/gateway/callanswers.cpp
@@ -0,0 +1,114 @@
+#include "callflow.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mimosatally::internal
+{
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+
+namespace
+{
+constexpr unsigned STATUS_BAD_GATEWAY = 502;
+constexpr unsigned STATUS_UNAVAILABLE = 503;
+constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
+/// \brief Seconds with three decimals.
+std::string secondsText(Duration duration)
+{
+    constexpr Duration::rep millisecondsPerSecond = 1000;
+    std::string fraction = std::to_string(duration.count() % millisecondsPerSecond);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(duration.count() / millisecondsPerSecond) + '.' + fraction;
+}
+} // namespace
+
+void CallFlow::logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load)
+{
+    const Duration total = MilliClock::now() - arrived_;
+    logEvent(LogEvent::GatewayCallAnswered,
+             {{"request", call_.id},
+              {"endpoint", endpoint},
+              {"status", status},
+              {"first_byte_ms", firstByte_.value_or(total)},
+              {"prefill_ms", prefillTime_},
+              {"total_ms", total},
+              {"running", load.running},
+              {"waiting", load.waiting},
+              {"attempts", attempts_}});
+    gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
+    constexpr double millisecondsPerSecond = 1000;
+    gateway_.metrics.observe("mimosatally_first_byte_seconds",
+                             "route=\"" + route_.id.value() + '"',
+                             static_cast<double>(firstByte_.value_or(total).count()) / millisecondsPerSecond);
+}
+
+awaitable<void> CallFlow::giveUp()
+{
+    if (streaming_) {
+        logFailed(0, "stream-broken");
+        exchange_.abort();
+        co_return;
+    }
+    if (!mayHaveRun_) {
+        co_await refuse(DEFAULT_RETRY_AFTER, guard_->stop() == CallStop::DeadlinePassed ? "deadline" : "attempts-rejected");
+        co_return;
+    }
+    const bool late = guard_->stop() == CallStop::DeadlinePassed || MilliClock::now() >= guard_->deadline();
+    const unsigned status = late ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+    const char *reason = late ? "timeout" : "endpoint-failed";
+    logFailed(status, reason);
+    co_await respondError(status, reason, std::nullopt);
+}
+
+void CallFlow::logFailed(unsigned status, const char *reason)
+{
+    logEvent(LogEvent::GatewayCallFailed,
+             {{"request", call_.id},
+              {"route", route_.id},
+              {"status", status},
+              {"reason", reason},
+              {"cause", lastFailure_},
+              {"attempts", attempts_},
+              {"runs", runs_},
+              {"after_ms", MilliClock::now() - arrived_}});
+    gateway_.metrics.increment("mimosatally_calls_total", "result=\"failed\"");
+}
+
+awaitable<void> CallFlow::refuse(Duration retryAfter, const char *reason)
+{
+    logEvent(LogEvent::GatewayCallRefused,
+             {{"request", call_.id},
+              {"route", route_.id},
+              {"reason", reason},
+              {"cause", lastFailure_},
+              {"retry_after_ms", retryAfter},
+              {"attempts", attempts_},
+              {"after_ms", MilliClock::now() - arrived_},
+              {"configuration", configuration_->version}});
+    gateway_.metrics.increment("mimosatally_calls_total", "result=\"refused\"");
+    co_await respondError(STATUS_UNAVAILABLE, reason, retryAfter);
+}
+
+awaitable<void> CallFlow::respondError(unsigned status, const char *reason, std::optional<Duration> retryAfter)
+{
+    HttpResponse response = makeErrorResponse(status, reason, retryAfter);
+    co_await exchange_.respond(std::move(response));
+}
+
+HttpResponse makeErrorResponse(unsigned status, const char *reason, std::optional<Duration> retryAfter)
+{
+    const bool notRun = status != STATUS_BAD_GATEWAY && status != STATUS_GATEWAY_TIMEOUT;
+    nlohmann::ordered_json body = {{"error", {{"message", reason}, {"type", "gateway_error"}, {"code", reason}}},
+                                   {"mimosatally", {{"outcome", notRun ? "not_run" : "outcome_unknown"}, {"reason", reason}}}};
+    if (retryAfter) {
+        body["mimosatally"]["retry_after_ms"] = retryAfter->count();
+    }
+    HttpResponse response = makeHttpResponse(status, "application/json", body.dump());
+    if (retryAfter) {
+        response.set(http::field::retry_after, secondsText(*retryAfter));
+    }
+    return response;
+}
+
+} // namespace mimosatally::internal
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -15,6 +15,17 @@
 /// \brief Final answer of the gateway itself. \param retryAfter when a call that has not run may come back.
 HttpResponse makeErrorResponse(unsigned status, const char *reason, std::optional<Duration> retryAfter);
 
+/// \brief Pause for callers when nothing is known of the queue.
+constexpr Duration DEFAULT_RETRY_AFTER = Duration(300);
+
+/// \brief Whether an endpoint's status is a success.
+[[nodiscard]] constexpr bool isSuccess(unsigned status)
+{
+    constexpr unsigned first = 200;
+    constexpr unsigned firstOther = 300;
+    return status >= first && status < firstOther;
+}
+
 /// \brief The way of one call from its placement to its final answer.
 class CallFlow
 {
@@ -49,8 +60,10 @@
     boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket);
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
-    /// \brief Whether an attempt may follow; takes it from the retry budget.
-    [[nodiscard]] bool mayTryAgain(Next next);
+    /// \brief Whether an attempt may follow as far as the call itself allows it.
+    [[nodiscard]] bool mayTryAgain(Next next) const;
+    /// \brief Takes the calls of the next attempt that repeat earlier ones from the retry budget.
+    [[nodiscard]] bool payForRetries(const Placement &placement);
     void noteRun();
     [[nodiscard]] AttemptEnd endOfBrokenAttempt() const;
     [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> addressOf(const std::optional<EndpointId> &endpoint) const;
@@ -87,7 +100,10 @@
     bool mayHaveRun_ = false;
     /// \brief The head of a stream was sent to the caller.
     bool streaming_ = false;
-    /// \brief The retry budget has granted the next attempt already.
+    /// \brief Calls of this request that endpoints have received; later ones of the same kind are retries.
+    int runsReceived_ = 0;
+    int readingsReceived_ = 0;
+    /// \brief The retry budget has granted one call of the next attempt already.
     bool retryGranted_ = false;
     std::optional<Duration> firstByte_;
     /// \brief Time until another engine had read the prompt; zero if none has.
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,4 +1,5 @@
 #include "callhandler.h"
+#include "loopwatch.h"
 #include "ordercontroller.h"
 #include "settingsreload.h"
 #include "storefollower.h"
@@ -149,11 +150,21 @@
                 limitsVersion = gateway_.configuration->version;
                 callers_.setLimits(limitsOf(gateway_.settings, gateway_.configuration->limits));
             }
+            reportDelay(now);
             flushLog();
             goesOn = co_await context.sleep(HOUSEKEEPING_INTERVAL);
         }
     }
 
+    void reportDelay(Time now)
+    {
+        const std::optional<LoopDelay> held = loopWatch_.check(now, processorTimeOfProcess());
+        if (held) {
+            logEvent(LogEvent::EventLoopDelayed, {{"delay_ms", held->delay}, {"processor_ms", held->processorTime}, {"active", callers_.activeExchanges()}});
+            gateway_.metrics.increment("mimosatally_loop_delays_total", {});
+        }
+    }
+
     awaitable<void> answerReadiness(HttpExchange &exchange)
     {
         const bool ready = gateway_.canServe() && !gateway_.leaving;
@@ -215,6 +226,7 @@
     std::optional<HttpServer> metrics_;
     std::optional<RpcServer> peers_;
     SettingsReload reload_;
+    LoopWatch loopWatch_ {HOUSEKEEPING_INTERVAL};
     bool stopped_ = false;
 };
 } // namespace
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -27,6 +27,7 @@
     result.orderLease = root.duration("order_lease", result.orderLease);
     result.retryRatio = root.number("retry_ratio", result.retryRatio, 0);
     result.retrySlack = root.integer("retry_slack", result.retrySlack, 0, MOST_RETRIES);
+    result.retryWindow = root.duration("retry_window", result.retryWindow);
     result.prefillShare = root.number("prefill_share", result.prefillShare, 0);
     result.maxConnections = static_cast<std::size_t>(root.integer("max_connections", static_cast<std::int64_t>(result.maxConnections), 1, MOST_CONNECTIONS));
     result.logLevel = static_cast<LogLevel>(root.choice("log_level", LOG_LEVELS, static_cast<std::size_t>(result.logLevel)));
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -1,5 +1,6 @@
 #include "gatewaystate.h"
 
+#include <limits>
 #include <mimosatally/Http>
 
 namespace mimosatally::internal
@@ -8,8 +9,9 @@
 namespace
 {
 constexpr double MILLI_RETRIES = 1000;
-/// \brief Gateways that may share the slack of the retry budget, with those that are added in the day.
-constexpr std::int64_t GATEWAYS_SHARING_SLACK = 16;
+/// \brief Retries in a window come from requests of that window and of this part of a window before it, so that the sum over any
+/// number of gateways stays within the ratio: RATIO_MARGIN times one and a quarter.
+constexpr int SAVED_PART_OF_WINDOW = 4;
 /// \brief Each gateway stays below its part of the ratio, since a gateway that was lost has used some of the window's budget.
 constexpr double RATIO_MARGIN = 0.75;
 
@@ -17,8 +19,11 @@
 {
     RetryAllowance allowance;
     allowance.earnedPerRequest = static_cast<std::int64_t>(settings.retryRatio * RATIO_MARGIN * MILLI_RETRIES);
-    allowance.most = settings.retrySlack * static_cast<std::int64_t>(MILLI_RETRIES) / GATEWAYS_SHARING_SLACK;
-    allowance.initial = allowance.most;
+    allowance.initial = 0;
+    allowance.most = std::numeric_limits<std::int32_t>::max();
+    allowance.lifetime = settings.retryWindow / SAVED_PART_OF_WINDOW;
+    // One for each gateway with little traffic; more gateways than the slack has retries would need all of theirs at once to exceed it.
+    allowance.slackInterval = settings.retrySlack > 0 ? settings.retryWindow : Duration(0);
     return allowance;
 }
 
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -9,6 +9,8 @@
 
 namespace
 {
+/// \brief So many requests waiting at each engine of a phase on average mean that the phase lacks engines.
+constexpr double LEAST_WAITING = 1;
 constexpr Duration RENEWAL_INTERVAL = Duration(1000);
 constexpr Duration STORE_TIMEOUT = Duration(800);
 constexpr Duration ORDER_TIMEOUT = Duration(1000);
@@ -103,6 +105,16 @@
     return engines;
 }
 
+PhasePressure OrderController::pressureOf(const ServiceId &service) const
+{
+    const Time now = MilliClock::now();
+    PhasePressure pressure;
+    pressure.serving = gateway_.serving();
+    pressure.reading = gateway_.router.meanWaiting(service, EnginePhase::Prefill, now) >= LEAST_WAITING;
+    pressure.generating = gateway_.router.meanWaiting(service, EnginePhase::Decode, now) >= LEAST_WAITING;
+    return pressure;
+}
+
 awaitable<void> OrderController::orderEngines()
 {
     if (!gateway_.configuration) {
@@ -115,7 +127,7 @@
         }
         PhaseBalancer &balancer = balancers_.try_emplace(id, gateway_.settings.prefillShare).first->second;
         const std::vector<BalancedEngine> engines = enginesOf(id);
-        const std::vector<PhaseChange> changes = balancer.plan(engines, gateway_.serving(), MilliClock::now());
+        const std::vector<PhaseChange> changes = balancer.plan(engines, pressureOf(id), MilliClock::now());
         for (const PhaseChange &change : changes) {
             co_await order(balancer, change);
         }
--- a/src/gateway/ordercontroller.h
+++ b/src/gateway/ordercontroller.h
@@ -29,6 +29,7 @@
     /// \brief Reads the engine's state and sends the order. \param result what to log.
     /// \return whether the engine carries the order out. \throws UnreachableError \throws MalformedInputError
     boost::asio::awaitable<bool> orderOnce(HttpClient &client, PhaseChange change, std::string &result);
+    [[nodiscard]] PhasePressure pressureOf(const ServiceId &service) const;
     [[nodiscard]] std::vector<BalancedEngine> enginesOf(const ServiceId &service) const;
     /// \brief Whether an order that is sent now is covered by the lease.
     [[nodiscard]] bool holdsLease(Time now) const;
--- a/src/placement/phasebalancer.cpp
+++ b/src/placement/phasebalancer.cpp
@@ -76,7 +76,19 @@
     return best;
 }
 
-std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, bool serving, Time now)
+bool PhaseBalancer::tolerates(std::size_t prefill, std::size_t wanted, std::size_t total, PhasePressure pressure) const
+{
+    if (prefill == wanted) {
+        return true;
+    }
+    if (total > LARGEST_FLEET_IN_ADVANCE) {
+        const bool needed = prefill < wanted ? pressure.reading : pressure.generating;
+        return prefill > 0 && (!needed || pending_.size() >= total / CHANGING_DIVISOR);
+    }
+    return pressure.serving && prefill > 0 && prefill + 1 >= wanted && prefill <= wanted + 1;
+}
+
+std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, PhasePressure pressure, Time now)
 {
     endPending(engines, now);
     std::vector<BalancedEngine> expected = engines;
@@ -90,8 +102,7 @@
     const std::size_t wanted = prefillEngines(expected.size());
     for (;;) {
         const auto prefill = static_cast<std::size_t>(std::ranges::count(expected, EnginePhase::Prefill, &BalancedEngine::phase));
-        const bool tolerated = serving && prefill > 0 && prefill + 1 >= wanted && prefill <= wanted + 1;
-        if (prefill == wanted || tolerated) {
+        if (tolerates(prefill, wanted, expected.size(), pressure)) {
             break;
         }
         const EnginePhase from = prefill < wanted ? EnginePhase::Decode : EnginePhase::Prefill;
--- a/src/queueing/contractchange.cpp
+++ b/src/queueing/contractchange.cpp
@@ -160,6 +160,7 @@
     impl_->totalAtReport = impl_->totalService;
     impl_->order.clear();
     std::vector<Impl::RemoteCorrection> corrections;
+    corrections.reserve(impl_->customers.size());
     for (Impl::Position position = 0; position < impl_->customers.size(); ++position) {
         corrections.push_back(impl_->remoteCorrection(impl_->customers[position], growth[position], total, localTotal));
     }
--- a/src/routing/phaseestimates.cpp
+++ b/src/routing/phaseestimates.cpp
@@ -55,6 +55,12 @@
     return result;
 }
 
+double PhaseRouter::Impl::meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const
+{
+    const auto mean = meanLoads.find({service, phase});
+    return mean == meanLoads.end() ? 0 : mean->second.load.waiting * freshness(mean->second.reportedAt, now, MEAN_LOAD_LIFETIME);
+}
+
 double PhaseRouter::Impl::delayMs(const ServiceId &service, AttemptWork work, Time now) const
 {
     const auto found = delays.find({service, work});
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -87,7 +87,11 @@
         if (engine) {
             impl.engines[record.service] = *engine;
         }
-        impl.services[record.service].push_back(id);
+        Impl::ServiceFleet &fleet = impl.services[record.service];
+        (endpoint.distance == internal::Distance::OtherRegion ? fleet.far : fleet.near).push_back(&endpoint);
+        if (record.phase == EnginePhase::Prefill) {
+            fleet.readers[impl.location.regionOf(record.dataCentre)].push_back({internal::hashOf(id), &endpoint});
+        }
     }
     std::erase_if(impl.endpoints, [&impl](const auto &entry) {
         const bool gone = !entry.second.listed && entry.second.ownAttempts == 0;
@@ -99,6 +103,11 @@
     });
 }
 
+double PhaseRouter::meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const
+{
+    return impl_->meanWaiting(service, phase, now);
+}
+
 const EndpointRecord *PhaseRouter::record(const EndpointId &endpoint) const
 {
     const auto found = impl_->endpoints.find(endpoint);
@@ -123,29 +132,42 @@
     return silence <= LONGEST_SILENCE || silence >= SILENCE_RETRY;
 }
 
-Placement PhaseRouter::place(const PlacementRequest &request, Time now) const
+std::vector<const PhaseRouter::Impl::Endpoint *> PhaseRouter::Impl::usable(const std::vector<const Endpoint *> &sample,
+                                                                           const PlacementRequest &request,
+                                                                           Time now)
 {
-    const auto service = impl_->services.find(request.service);
-    if (service == impl_->services.end()) {
-        return {};
-    }
-    std::vector<const Impl::Endpoint *> candidates;
-    std::vector<const Impl::Endpoint *> suspected;
-    for (const EndpointId &id : service->second) {
-        const Impl::Endpoint &endpoint = impl_->endpoints.at(id);
-        if (!impl_->mayServe(endpoint, request)) {
-            continue;
+    std::vector<const Endpoint *> candidates;
+    std::vector<const Endpoint *> suspected;
+    for (const Endpoint *endpoint : sample) {
+        if (mayServe(*endpoint, request)) {
+            (healthy(*endpoint, now) ? candidates : suspected).push_back(endpoint);
         }
-        (impl_->healthy(endpoint, now) ? candidates : suspected).push_back(&endpoint);
     }
-    const auto generates = [](const Impl::Endpoint *endpoint) {
+    const auto generates = [](const Endpoint *endpoint) {
         return endpoint->record.phase != EnginePhase::Prefill;
     };
     if (std::ranges::none_of(candidates, generates)) {
         // An endpoint that seems broken is better than none: the fault may be this process's own.
         std::ranges::copy_if(suspected, std::back_inserter(candidates), generates);
     }
-    return impl_->engines.contains(request.service) ? impl_->placeEngine(candidates, request, now) : impl_->placePlain(candidates, now);
+    return candidates;
+}
+
+Placement PhaseRouter::place(const PlacementRequest &request, Time now) const
+{
+    const auto service = impl_->services.find(request.service);
+    if (service == impl_->services.end()) {
+        return {};
+    }
+    const Impl::ServiceFleet &fleet = service->second;
+    const Impl::PromptView prompt = impl_->viewOf(request, fleet, now);
+    std::vector<const Impl::Endpoint *> candidates = Impl::usable(impl_->sampleOf(fleet, prompt), request, now);
+    if (candidates.empty()) {
+        std::vector<const Impl::Endpoint *> all = fleet.near;
+        all.insert(all.end(), fleet.far.begin(), fleet.far.end());
+        candidates = Impl::usable(all, request, now);
+    }
+    return impl_->engines.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
 }
 
 PhaseRouter::Ticket PhaseRouter::begin(const AttemptPlan &plan, const PlacementRequest &request, Time now)
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -121,6 +121,22 @@
         Tokens sharedTokens;
         /// \brief The engine in each region that all processes prefer for the shared parts.
         std::map<RegionId, const Endpoint *> homes;
+        /// \brief Engines that are known to have a part of the prompt.
+        std::vector<const Endpoint *> holders;
+    };
+
+    /// \brief A prefill engine with what chooses it for a prefix; all of a large fleet are compared, so there are no lookups.
+    struct Reader {
+        std::uint64_t hash = 0;
+        const Endpoint *endpoint = nullptr;
+    };
+
+    /// \brief The listed endpoints of one service.
+    struct ServiceFleet {
+        /// \brief In the process's own region, and elsewhere.
+        std::vector<const Endpoint *> near;
+        std::vector<const Endpoint *> far;
+        std::map<RegionId, std::vector<Reader>> readers;
     };
 
     Impl(NetworkLocation where, std::uint64_t seed);
@@ -130,6 +146,7 @@
     [[nodiscard]] static bool mayServe(const Endpoint &endpoint, const PlacementRequest &request);
     [[nodiscard]] static bool healthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &chain) const;
+    [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
     /// \brief Requests of other processes at an endpoint: its own report while it is fresh, later the mean of endpoints like it.
     [[nodiscard]] internal::ForeignLoad foreignLoad(const Endpoint &endpoint, Time now) const;
     /// \brief Wait that neither own attempts nor reports explain: the work of other processes since their last report.
@@ -143,7 +160,11 @@
     /// \brief The best of what processes know of the engine itself and of the holders that it could fetch from.
     [[nodiscard]] PrefixSource knownPrefix(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
     [[nodiscard]] PrefixSource prefixFor(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
-    [[nodiscard]] PromptView viewOf(const PlacementRequest &request, const std::vector<const Endpoint *> &candidates) const;
+    [[nodiscard]] PromptView viewOf(const PlacementRequest &request, const ServiceFleet &fleet, Time now) const;
+    /// \brief The endpoints that are compared for one call: all of a small fleet, a sample of a large one with all that know the prompt.
+    [[nodiscard]] std::vector<const Endpoint *> sampleOf(const ServiceFleet &fleet, const PromptView &prompt) const;
+    /// \brief Those of \a sample that may serve the call: healthy ones, or if none of these generates, suspected ones as well.
+    [[nodiscard]] static std::vector<const Endpoint *> usable(const std::vector<const Endpoint *> &sample, const PlacementRequest &request, Time now);
     /// \brief Generating at \a endpoint, without the transfer of the prompt.
     [[nodiscard]] Leg generatingLeg(const Endpoint &endpoint, Time now) const;
     /// \brief Time that the links of both engines are taken by one prompt's cache.
@@ -157,15 +178,18 @@
     [[nodiscard]] static std::optional<EndpointId> sourceOf(const Leg &leg);
     [[nodiscard]] Leg plainLeg(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
-    [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
+    [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PromptView &prompt, Time now) const;
 
     void endTransfer(const Attempt &attempt);
 
     NetworkLocation location;
     RegionId region;
     std::uint64_t seed;
+    /// \brief Samples drawn so far.
+    mutable std::uint64_t draws = 0;
     std::map<EndpointId, Endpoint> endpoints;
-    std::map<ServiceId, std::vector<EndpointId>> services;
+    /// \brief Points into `endpoints`, whose elements stay in place.
+    std::map<ServiceId, ServiceFleet> services;
     std::unordered_map<internal::CacheIndex::EndpointIndex, EndpointId> endpointOfCache;
     std::map<std::pair<ServiceId, std::optional<EnginePhase>>, internal::MeanLoad> meanLoads;
     std::map<std::pair<ServiceId, AttemptWork>, internal::ObservedDelay> delays;
--- a/src/routing/phasetimes.cpp
+++ b/src/routing/phasetimes.cpp
@@ -10,6 +10,7 @@
 constexpr double SAME_REGION_MS = 3;
 constexpr double OTHER_REGION_MS = 25;
 constexpr double LEARNING_RATE = 0.1;
+} // namespace
 
 std::uint64_t mix(std::uint64_t value)
 {
@@ -19,7 +20,6 @@
     value *= 0xc4ceb9fe1a85ec53ULL;
     return value ^ (value >> 33U);
 }
-} // namespace
 
 std::vector<std::uint64_t> chainOf(const std::vector<PromptPart> &parts)
 {
@@ -63,10 +63,13 @@
     mean += LEARNING_RATE * (sample - mean);
 }
 
-double spread(std::uint64_t prompt, const EndpointId &endpoint)
+std::uint64_t hashOf(const EndpointId &endpoint)
 {
-    const std::uint64_t hash = mix(prompt ^ std::hash<std::string>()(endpoint.value()));
-    return static_cast<double>(hash >> 11U) / static_cast<double>(1ULL << 53U);
+    std::uint64_t hash = 0;
+    for (const char letter : endpoint.value()) {
+        hash = mix(hash ^ static_cast<unsigned char>(letter));
+    }
+    return hash;
 }
 
 } // namespace mimosatally::internal
--- a/src/routing/phasetimes.h
+++ b/src/routing/phasetimes.h
@@ -23,7 +23,10 @@
 /// \brief Hash of the prompt up to the end of each part.
 [[nodiscard]] std::vector<std::uint64_t> chainOf(const std::vector<PromptPart> &parts);
 
-/// \brief Number in [0, 1) that all processes compute alike.
-[[nodiscard]] double spread(std::uint64_t prompt, const EndpointId &endpoint);
+/// \brief Mixes the bits of \a value; all processes compute the same.
+[[nodiscard]] std::uint64_t mix(std::uint64_t value);
+
+/// \brief Hash of an endpoint's id, the same in all processes.
+[[nodiscard]] std::uint64_t hashOf(const EndpointId &endpoint);
 
 } // namespace mimosatally::internal
--- a/src/routing/placementlegs.cpp
+++ b/src/routing/placementlegs.cpp
@@ -157,9 +157,8 @@
     return leg.cacheSource == nullptr ? std::nullopt : std::optional<EndpointId>(leg.cacheSource->record.id);
 }
 
-Placement PhaseRouter::Impl::placeEngine(const std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const
+Placement PhaseRouter::Impl::placeEngine(const std::vector<const Endpoint *> &candidates, const PromptView &prompt, Time now) const
 {
-    const PromptView prompt = viewOf(request, candidates);
     std::vector<Leg> reading;
     std::vector<const Endpoint *> generating;
     Leg direct;
@@ -178,7 +177,7 @@
     if (direct.endpoint == nullptr) {
         return placement;
     }
-    const auto split = bestSplit(reading, generating, request.promptTokens, now);
+    const auto split = bestSplit(reading, generating, prompt.request.promptTokens, now);
     if (split && split->first.costMs + split->second.costMs + SPLIT_OVERHEAD_MS < direct.costMs) {
         const auto &[first, second] = *split;
         placement.prefill = first.endpoint->record.id;
--- a/tests/unit/gatewaycorestest.cpp
+++ b/tests/unit/gatewaycorestest.cpp
@@ -1,6 +1,7 @@
 #include "../../src/gateway/admission.h"
 #include "../../src/gateway/engineorder.h"
 #include "../../src/gateway/eventframer.h"
+#include "../../src/gateway/loopwatch.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +10,7 @@
 #include <mimosatally/Serving>
 
 #include <fcntl.h>
+#include <numeric>
 #include <unistd.h>
 
 using namespace mimosatally;
@@ -167,6 +169,87 @@
     CHECK_FALSE(budget.tryRetry(service, Time()));
 }
 
+// Load: a service that is calm for long and then rejects many calls. Saved without bound, the retries of a calm hour would come at once.
+TEST_CASE("Retries that are not used expire", "[retries]")
+{
+    RetryAllowance allowance;
+    allowance.earnedPerRequest = 500;
+    allowance.initial = 0;
+    allowance.most = 1'000'000;
+    allowance.lifetime = Duration(2000);
+    KeyedRetryBudget<ServiceId> budget(allowance);
+    const ServiceId service("s");
+    const auto at = [](int milliseconds) {
+        return Time(Duration(milliseconds));
+    };
+    for (int i = 0; i < 4; ++i) {
+        budget.recordRequest(service, at(i));
+    }
+    CHECK_FALSE(budget.tryRetry(service, at(900), 3));
+    CHECK(budget.tryRetry(service, at(1500)));
+    CHECK_FALSE(budget.tryRetry(service, at(2100)));
+}
+
+// Guards against a call that fails on a quiet gateway because too few requests came before it to earn a retry.
+TEST_CASE("A service with few requests has one retry in a window", "[retries]")
+{
+    RetryAllowance allowance;
+    allowance.earnedPerRequest = 150;
+    allowance.initial = 0;
+    allowance.lifetime = Duration(2500);
+    allowance.slackInterval = Duration(10'000);
+    KeyedRetryBudget<ServiceId> budget(allowance);
+    const ServiceId service("s");
+    const auto at = [](int milliseconds) {
+        return Time(Duration(milliseconds));
+    };
+    budget.recordRequest(service, at(0));
+    CHECK(budget.tryRetry(service, at(0)));
+    CHECK_FALSE(budget.tryRetry(service, at(9999)));
+    CHECK(budget.tryRetry(service, at(10'000)));
+    // With many requests it is their earnings alone that count.
+    for (int i = 0; i < 10; ++i) {
+        budget.recordRequest(service, at(20'000));
+    }
+    CHECK(budget.tryRetry(service, at(20'000)));
+    CHECK_FALSE(budget.tryRetry(service, at(20'000)));
+}
+
+// Load: as in a sweep at 100 gateways, where each had its fixed part of a slack that is shared by all of them. The sum over any number
+// of gateways has to stay within the ratio of the requests of a window.
+TEST_CASE("Retries of many gateways stay within the ratio", "[retries]")
+{
+    constexpr int gateways = 100;
+    constexpr int seconds = 40;
+    constexpr int requestsPerSecond = 3;
+    constexpr int window = 10;
+    RetryAllowance allowance;
+    allowance.earnedPerRequest = 150;
+    allowance.initial = 0;
+    allowance.most = 1'000'000;
+    allowance.lifetime = Duration(2500);
+    std::vector<KeyedRetryBudget<ServiceId>> budgets(gateways, KeyedRetryBudget<ServiceId>(allowance));
+    const ServiceId service("s");
+    std::vector<int> retries(seconds, 0);
+    for (int second = 0; second < seconds; ++second) {
+        for (auto &budget : budgets) {
+            const Time now = Time(Duration(second * 1000));
+            for (int i = 0; i < requestsPerSecond; ++i) {
+                budget.recordRequest(service, now);
+            }
+            // Calm at first, then every call is rejected for as long as retries are granted.
+            while (second >= window && budget.tryRetry(service, now)) {
+                ++retries[static_cast<std::size_t>(second)];
+            }
+        }
+    }
+    const int allowed = gateways * requestsPerSecond * window / 5;
+    for (auto from = retries.begin(); retries.end() - from >= window; ++from) {
+        CHECK(std::accumulate(from, from + window, 0) <= allowed);
+    }
+    CHECK(std::accumulate(retries.begin(), retries.end(), 0) > 0);
+}
+
 // Load: decode engines that read long prompts beside generations. Generations whose prompt is read already and short prompts
 // would wait behind the long ones.
 TEST_CASE("An engine admits less reading first, and among alike the more urgent route", "[engineorder]")
@@ -178,3 +261,19 @@
     CHECK(engineOrder(100, Tokens(100'000)) <= 9);
     CHECK(engineOrder(-1, Tokens(0)) == 0);
 }
+
+// Guards against a process whose calls were all late for a second with no line that says why.
+TEST_CASE("An event loop that was held up is noticed with the processor time it used", "[loopwatch]")
+{
+    LoopWatch watch(Duration(200));
+    const auto at = [](int milliseconds) {
+        return Time(Duration(milliseconds));
+    };
+    CHECK_FALSE(watch.check(at(0), Duration(10)));
+    CHECK_FALSE(watch.check(at(250), Duration(15)));
+    const auto held = watch.check(at(1450), Duration(20));
+    REQUIRE(held);
+    CHECK(held->delay == Duration(1000));
+    CHECK(held->processorTime == Duration(5));
+    CHECK_FALSE(watch.check(at(1650), Duration(25)));
+}
--- a/tests/unit/phasebalancertest.cpp
+++ b/tests/unit/phasebalancertest.cpp
@@ -21,6 +21,8 @@
     return result;
 }
 
+constexpr PhasePressure IDLE = {};
+constexpr PhasePressure SERVING = {.serving = true};
 constexpr EnginePhase P = EnginePhase::Prefill;
 constexpr EnginePhase D = EnginePhase::Decode;
 } // namespace
@@ -28,9 +30,9 @@
 TEST_CASE("An idle fleet is brought to the share, evenly over the regions", "[placement]")
 {
     PhaseBalancer balancer(0.5);
-    const std::vector<PhaseChange> changes = balancer.plan(engines({P, D, P, D}), false, at(0));
+    const std::vector<PhaseChange> changes = balancer.plan(engines({P, D, P, D}), IDLE, at(0));
     CHECK(changes.empty());
-    const std::vector<PhaseChange> more = balancer.plan(engines({P, D, D, D}), false, at(0));
+    const std::vector<PhaseChange> more = balancer.plan(engines({P, D, D, D}), IDLE, at(0));
     REQUIRE(more.size() == 1);
     CHECK(more[0].phase == P);
     // e0 is the only engine for prefill and stands in region r0.
@@ -41,8 +43,8 @@
 TEST_CASE("While calls are served, a deviation of one engine stays", "[placement]")
 {
     PhaseBalancer balancer(0.5);
-    CHECK(balancer.plan(engines({P, P, D, D, D, D}), true, at(0)).empty());
-    CHECK(balancer.plan(engines({D, D, D, D}), true, at(0)).size() >= 1);
+    CHECK(balancer.plan(engines({P, P, D, D, D, D}), SERVING, at(0)).empty());
+    CHECK(balancer.plan(engines({D, D, D, D}), SERVING, at(0)).size() >= 1);
 }
 
 // Guards against a second order while the first may still be carried out, seconds after its answer was lost.
@@ -50,9 +52,9 @@
 {
     PhaseBalancer balancer(0.5);
     const auto fleet = engines({D, D});
-    REQUIRE(balancer.plan(fleet, false, at(0)).size() == 1);
-    CHECK(balancer.plan(fleet, false, at(5000)).empty());
-    CHECK(balancer.plan(fleet, false, at(16'000)).size() == 1);
+    REQUIRE(balancer.plan(fleet, IDLE, at(0)).size() == 1);
+    CHECK(balancer.plan(fleet, IDLE, at(5000)).empty());
+    CHECK(balancer.plan(fleet, IDLE, at(16'000)).size() == 1);
 }
 
 // Guards against paid orders that are repeated every second to an engine that rejects them.
@@ -60,10 +62,10 @@
 {
     PhaseBalancer balancer(1);
     const auto fleet = engines({D, D});
-    const std::vector<PhaseChange> changes = balancer.plan(fleet, false, at(0));
+    const std::vector<PhaseChange> changes = balancer.plan(fleet, IDLE, at(0));
     REQUIRE(changes.size() == 1);
     balancer.rejected(changes[0].engine, at(0));
-    const std::vector<PhaseChange> next = balancer.plan(fleet, false, at(1000));
+    const std::vector<PhaseChange> next = balancer.plan(fleet, IDLE, at(1000));
     CHECK((next.empty() || next[0].engine != changes[0].engine));
 }
 
@@ -73,3 +75,17 @@
     CHECK(PhaseBalancer(1).prefillEngines(8) == 7);
     CHECK(PhaseBalancer(0.5).prefillEngines(1) == 0);
 }
+
+// Load: a fleet of hundreds of engines at little load. Sixty changes cost more than all calls of the day earned.
+TEST_CASE("A large fleet changes only where work waits, some engines at a time", "[placement]")
+{
+    PhaseBalancer balancer(0.5);
+    std::vector<BalancedEngine> fleet;
+    for (int i = 0; i < 320; ++i) {
+        fleet.push_back({EndpointId("e" + std::to_string(i)), RegionId("r"), i < 96 ? P : D, 1});
+    }
+    CHECK(balancer.plan(fleet, IDLE, at(0)).empty());
+    CHECK(balancer.plan(fleet, {.serving = true, .reading = false, .generating = true}, at(0)).empty());
+    CHECK(balancer.plan(fleet, {.serving = true, .reading = true, .generating = false}, at(0)).size() == 10);
+    CHECK(balancer.plan(fleet, {.serving = true, .reading = true, .generating = false}, at(1000)).empty());
+}
--- a/tests/unit/phaseroutertest.cpp
+++ b/tests/unit/phaseroutertest.cpp
@@ -2,6 +2,8 @@
 
 #include <mimosatally/Routing>
 
+#include <set>
+
 using namespace mimosatally;
 
 namespace
@@ -303,15 +305,57 @@
         fleet.add(id, MODEL, HERE, EnginePhase::Prefill);
     }
     fleet.add("d", MODEL, HERE, EnginePhase::Decode);
-    const double idle = fleet.router.place(longPrompt(0), at(0)).firstByteMs;
+    // A prefix that belongs to an engine that none of the late calls went to.
+    std::uint64_t prefix = 100;
+    while (fleet.router.place(longPrompt(prefix), at(0)).prefill == EndpointId("p1")) {
+        prefix += 10;
+    }
+    const double idle = fleet.router.place(longPrompt(prefix), at(0)).firstByteMs;
     for (int i = 0; i < 20; ++i) {
         const auto ticket = fleet.router.begin({EndpointId("p1"), AttemptWork::Prefill}, longPrompt(10), at(i * 10));
         fleet.router.end(ticket, AttemptEnd::Answered, at(400 + i * 10));
     }
     fillBatch(fleet, 600);
-    const Placement late = fleet.router.place(longPrompt(0), at(600));
+    const Placement late = fleet.router.place(longPrompt(prefix), at(600));
     REQUIRE(late.prefill);
     CHECK(late.prefill != EndpointId("p1"));
     CHECK(late.firstByteMs > idle + 100);
-    CHECK(fleet.router.place(longPrompt(0), at(1700)).firstByteMs <= idle);
+    CHECK(fleet.router.place(longPrompt(prefix), at(1700)).firstByteMs <= idle);
+}
+
+// Load: the size of docs/design.md, section 1.8. Comparing all endpoints took a tenth of a core at 300 gateways and 3,000 endpoints.
+TEST_CASE("In a large fleet a sample is compared, and a prefix still goes to its engine", "[phaserouter]")
+{
+    Fleet first;
+    Fleet second;
+    for (Fleet *fleet : {&first, &second}) {
+        for (int i = 0; i < 400; ++i) {
+            EndpointRecord record;
+            record.id = EndpointId("e" + std::to_string(i));
+            record.service = MODEL;
+            record.dataCentre = i % 2 == 0 ? HERE : THERE;
+            record.phase = i % 4 < 2 ? EnginePhase::Prefill : EnginePhase::Decode;
+            record.slots = 128;
+            fleet->records[record.id] = record;
+        }
+        fleet->apply();
+    }
+    std::set<EndpointId> readers;
+    std::set<EndpointId> runners;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const Placement placement = first.router.place(longPrompt(i * 10), at(0));
+        REQUIRE(placement.prefill);
+        readers.insert(*placement.prefill);
+        runners.insert(*placement.run);
+        CHECK(first.router.record(*placement.prefill)->dataCentre == HERE);
+        CHECK(second.router.place(otherCallOf(longPrompt(i * 10)), at(0)).prefill == placement.prefill);
+    }
+    CHECK(readers.size() > 30);
+    CHECK(runners.size() > 10);
+    // Nothing else than two engines outside of most samples is left: they are found all the same.
+    for (auto &[id, record] : first.records) {
+        record.leaving = id != EndpointId("e7") && id != EndpointId("e5");
+    }
+    first.apply();
+    CHECK(first.router.place(longPrompt(3), at(0)).run);
 }
