Let a stopping gateway accept new connections while calls from before are running

All three gateways are restarted one after the other there; each stopped accepting after three seconds and then waited up to 4.5 s for its long generations. With no gateway of a data centre ready, the balancer goes on sending callers to it, and none of them got in.

Change: after the three seconds the process goes on accepting while a call from before runs, until 500 ms before its end. Calls that could outlast it are refused at once with a time to come back, as before.

Test: "A stopping process takes new connections while a call from before is running".

--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -30,6 +30,7 @@
     , configuration_(std::move(configuration))
     , route_(route)
     , arrived_(MilliClock::now())
+    , running_(gateway.runningSince.insert(arrived_))
 {
     Duration limit = call_.timeLeft.value_or(route.timeout);
     if (route.timeout > Duration(0)) {
@@ -41,6 +42,11 @@
     placementRequest_.promptParts = std::move(call_.promptParts);
 }
 
+CallFlow::~CallFlow()
+{
+    gateway_.runningSince.erase(running_);
+}
+
 ServiceId CallFlow::chooseService()
 {
     int total = 0;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -33,6 +33,10 @@
     /// \param route belongs to \a configuration.
     CallFlow(GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route);
 
+    ~CallFlow();
+    CallFlow(const CallFlow &) = delete;
+    CallFlow &operator=(const CallFlow &) = delete;
+
     boost::asio::awaitable<void> run();
 
 private:
@@ -87,6 +91,7 @@
     const Route &route_;
     PlacementRequest placementRequest_;
     Time arrived_;
+    std::multiset<Time>::iterator running_;
     std::shared_ptr<CallGuard> guard_;
     EventFramer framer_;
     /// \brief Prompt tokens that the reading engine is expected to have.
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -37,6 +37,8 @@
 constexpr Duration GRACE_MARGIN = Duration(500);
 /// \brief Calls that could outlast the process are refused from this long before it stops accepting, when callers know other processes.
 constexpr Duration LAST_LONG_CALL_MARGIN = Duration(500);
+/// \brief Accepting stops so long before the end, so that what was accepted is read and answered.
+constexpr Duration LAST_ACCEPTING_MARGIN = Duration(500);
 constexpr Duration SHUTDOWN_POLL = Duration(50);
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
 
@@ -191,6 +193,19 @@
         co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
 
+    /// \brief Goes on accepting while calls from before \a mark run: where no other process is ready, callers still come here.
+    awaitable<void> finishCallsBefore(Time mark, Time end)
+    {
+        bool waits = true;
+        while (waits) {
+            const bool running = !gateway_.runningSince.empty() && *gateway_.runningSince.begin() < mark;
+            waits = running && MilliClock::now() + LAST_ACCEPTING_MARGIN < end;
+            if (waits) {
+                co_await pause(SHUTDOWN_POLL);
+            }
+        }
+    }
+
     awaitable<void> shutDown()
     {
         logEvent(LogEvent::ProcessStopping, {{"reason", "signal"}, {"active", callers_.activeExchanges()}});
@@ -201,6 +216,7 @@
         gateway_.refusesLongCallsFrom = MilliClock::now() + accepting - LAST_LONG_CALL_MARGIN;
         callers_.announceClosing();
         co_await pause(accepting);
+        co_await finishCallsBefore(MilliClock::now(), end);
         // Kept connections stay open: a request that crosses their closing would be lost.
         callers_.stopAccepting();
         bool waits = true;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <random>
+#include <set>
 
 namespace mimosatally::internal
 {
@@ -46,6 +47,8 @@
     Time stopsAt = Time::max();
     Time refusesLongCallsFrom = Time::max();
     std::uint64_t callsReceived = 0;
+    /// \brief When each of the calls that are not answered yet arrived.
+    std::multiset<Time> runningSince;
 
 private:
     void logChanges();
--- a/tests/gateway/lifecycletest.cpp
+++ b/tests/gateway/lifecycletest.cpp
@@ -195,6 +195,31 @@
     CHECK(world.gateway().wait() == 0);
 }
 
+// Load: a rolling restart of all gateways. Where no other process is ready, callers still come to the stopping one: 1,568 calls of a
+// day found no connection while long calls of before kept the processes from restarting.
+TEST_CASE("A stopping process takes new connections while a call from before is running", "[gateway]")
+{
+    GatewayWorld world;
+    EndpointStandin &endpoint = world.addEndpoint("i-1", "plain", [](const HttpRequest &request) -> AnswerSteps {
+        const int length = request.target() == "/post/long" ? 2500 : 0;
+        return {pauseFor(length), bytes(wholeAnswer(requestIdOf(request), "answer"))};
+    });
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    const auto running = world.start(GatewayWorld::request(http::verb::post, "/post/long", "r1"));
+    waitUntil("the call arrived", [&] {
+        return endpoint.arrivals().size() == 1;
+    });
+    world.gateway().send(SIGTERM);
+    // Later than the time for which new connections are accepted in any case.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    const auto late = world.start(GatewayWorld::request(http::verb::post, "/post/x", "r2", 500));
+    CHECK(late->response().body() == "answer");
+    CHECK(running->response().body() == "answer");
+    CHECK(world.gateway().wait() == 0);
+}
+
 // Guards against SIGHUP's default, which ends the process.
 TEST_CASE("SIGHUP reads the settings again and ends nothing", "[gateway]")
 {
