Forget loads and delays of services that are gone; comments of the phase router and balancer

Found in the last read: the mean load and the observed delay of a service stayed after the service had gone, so a process that lives long under changing configurations would have kept an entry for each.

--- a/include/mimosatally/placement/phasebalancer.h
+++ b/include/mimosatally/placement/phasebalancer.h
@@ -36,10 +36,13 @@
 
 /// \brief Keeps the number of prefill engines of one service near a share of all.
 ///
-/// A decode engine that changes lets its long generations end first and is out of service for many seconds, so a deviation of one
-/// engine stays while calls are served. A fleet of more than LARGEST_FLEET_IN_ADVANCE engines changes only where work waits, some
-/// engines at a time: each change is paid for, and a phase of many engines carries a burst until the next ones have changed. A prefill engine changes within
-/// the time of the change itself. An engine with an order under way gets no other one until its heartbeat shows the effect, or until the order can take effect
+/// A decode engine that changes lets its long generations end first and is out of service for many seconds, so a deviation of
+/// one engine stays while calls are served. A prefill engine changes within the time of the change itself.
+///
+/// A fleet of more than LARGEST_FLEET_IN_ADVANCE engines changes only where work waits, some engines at a time: each change is
+/// paid for, and a phase of many engines carries a burst until the next ones have changed.
+///
+/// An engine with an order under way gets no other one until its heartbeat shows the effect, or until the order can take effect
 /// no more.
 class PhaseBalancer
 {
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -93,6 +93,12 @@
             fleet.readers[impl.location.regionOf(record.dataCentre)].push_back({internal::hashOf(id), &endpoint});
         }
     }
+    std::erase_if(impl.meanLoads, [&impl](const auto &entry) {
+        return !impl.services.contains(entry.first.first);
+    });
+    std::erase_if(impl.delays, [&impl](const auto &entry) {
+        return !impl.services.contains(entry.first.first);
+    });
     std::erase_if(impl.endpoints, [&impl](const auto &entry) {
         const bool gone = !entry.second.listed && entry.second.ownAttempts == 0;
         if (gone) {
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -156,9 +156,9 @@
     [[nodiscard]] double queueMs(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] double slotWaitMs(const Endpoint &endpoint, Time now) const;
     [[nodiscard]] Leg readingLeg(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt, Time now) const;
-    /// \brief What the engine has of the prompt itself, or with a fetch from another one if that is faster than reading.
-    /// \brief The best of what processes know of the engine itself and of the holders that it could fetch from.
+    /// \brief What this process knows the engine to have, or to be able to fetch if that is faster than reading.
     [[nodiscard]] PrefixSource knownPrefix(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
+    /// \brief As knownPrefix(), with what the preferred engine of its region probably has.
     [[nodiscard]] PrefixSource prefixFor(const Endpoint &endpoint, AttemptWork work, const PromptView &prompt) const;
     [[nodiscard]] PromptView viewOf(const PlacementRequest &request, const ServiceFleet &fleet, Time now) const;
     /// \brief The endpoints that are compared for one call: all of a small fleet, a sample of a large one with all that know the prompt.
