Cover the lines of gateways by digests, and verify them

Cause: the product answers for each decision, but a gateway's lines on standard output could be changed without trace, and `audit verify` knew only the records of entries and agents. The store has no room for records.

Ruled out: records on the store (each call is priced; it keeps 20 s of history), a digest in each line (100 bytes more for each of two or three lines of a call), signatures (a process has no key that its machine's owner could not read).

Change: a gateway writes a checkpoint with the digest of its lines once a second and when it stops; each digest begins with the one before. `audit verify FILE` takes log lines as well as exports: it checks the digests, that each call has one end, that no call is refused as not run after an attempt that may have run, and that no call that may run once only was tried again after one. For this MT5001 states `repeat` and MT5005 `may_have_run`. The soak verifies the log of each gateway that it ends.

--- a/include/mimosatally/core/boundedoutput.h
+++ b/include/mimosatally/core/boundedoutput.h
@@ -28,7 +28,8 @@
     explicit BoundedOutput(int descriptor);
 
     /// \brief Adds a line; its end of line is added. \param now only lines with the same time share the volume of a second.
-    void write(std::string_view line, Time now = MilliClock::now());
+    /// \return whether the line was not dropped.
+    bool write(std::string_view line, Time now = MilliClock::now());
 
     /// \brief Writes what the reader takes now.
     void flush();
--- a/include/mimosatally/core/logger.h
+++ b/include/mimosatally/core/logger.h
@@ -70,6 +70,10 @@
 /// \brief Writes held lines as far as the reader takes them; to be called several times a second after startBoundedLogging().
 void flushLog();
 
+/// \brief Writes a checkpoint with the digest of the lines since the last one, if there are any; after startBoundedLogging() only.
+/// \sa LineChain, docs/audit.md
+void logCheckpoint();
+
 /// \brief Number of lines that were dropped because the reader did not take them.
 std::uint64_t droppedLogLines();
 
--- a/src/cli/auditcommand.cpp
+++ b/src/cli/auditcommand.cpp
@@ -45,9 +45,30 @@
     co_return ExitCode::Success;
 }
 
-int verify(const std::string &path)
+void printAll(const char *kind, const std::vector<Finding> &findings)
+{
+    for (const Finding &finding : findings) {
+        std::cout << kind << ": " << toString(finding) << '\n';
+    }
+}
+
+int verifyLines(const std::string &path, std::istream &lines)
+{
+    LineVerifier verifier(path);
+    for (std::string line; std::getline(lines, line);) {
+        verifier.add(line);
+    }
+    const LineReport report = verifier.report();
+    printAll("finding", report.findings);
+    printAll("open end", report.openEnds);
+    std::cout << report.lines << " lines of " << report.processes << " processes, " << report.checkpoints << " checkpoints, " << report.dropped
+              << " lines dropped; calls: " << report.answered << " answered, " << report.refused << " refused, " << report.failed << " failed, "
+              << report.callersGone << " left by their callers; " << report.findings.size() << " findings, " << report.openEnds.size() << " open ends\n";
+    return report.findings.empty() ? ExitCode::Success : ExitCode::Negative;
+}
+
+int verifyRecords(std::istream &lines)
 {
-    std::istringstream lines(readFile(path));
     AuditVerifier verifier;
     Offset offset;
     for (std::string line; std::getline(lines, line);) {
@@ -55,17 +76,22 @@
         offset += Offset(1);
     }
     const AuditReport report = verifier.verify();
-    for (const Finding &finding : report.findings) {
-        std::cout << "finding: " << toString(finding) << '\n';
-    }
-    for (const Finding &openEnd : report.openEnds) {
-        std::cout << "open end: " << toString(openEnd) << '\n';
-    }
+    printAll("finding", report.findings);
+    printAll("open end", report.openEnds);
     std::cout << report.records << " records in " << report.chains << " chains, " << report.dispatchesReplayed << " dispatches recomputed, "
               << report.dispatchesNotReplayed << " not recomputed, " << report.findings.size() << " findings, " << report.openEnds.size() << " open ends\n";
     return report.findings.empty() ? ExitCode::Success : ExitCode::Negative;
 }
 
+int verify(const std::string &path)
+{
+    std::istringstream lines(readFile(path));
+    std::string first;
+    std::getline(lines, first);
+    lines.seekg(0);
+    return LineVerifier::isLogLine(first) ? verifyLines(path, lines) : verifyRecords(lines);
+}
+
 int audit(const Arguments &arguments)
 {
     if (arguments.at("verify").asBool()) {
@@ -87,7 +113,8 @@
   --log=ADDR  Address of the log service, IP:PORT.
   --out=FILE  File to write, one batch a line.
 
-`verify` checks the hash chains and recomputes the order of service. An open end is a chain without a closing record, for
+`verify` takes an export, or the log lines of gateways. Of an export it checks the hash chains and recomputes the order of
+service; of log lines it checks the digests, and that the lines on each call fit together. An open end is a chain without a closing record, for
 example of a killed process; what came after it is unknown. Exit code 1 means findings.
 )",
                                audit};
--- a/src/core/boundedoutput.cpp
+++ b/src/core/boundedoutput.cpp
@@ -15,7 +15,7 @@
     }
 }
 
-void BoundedOutput::write(std::string_view line, Time now)
+bool BoundedOutput::write(std::string_view line, Time now)
 {
     const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
     if (second != second_) {
@@ -25,16 +25,15 @@
     if (bytesInSecond_ + line.size() > MAX_BYTES_PER_SECOND) {
         ++dropped_;
         ++unreportedDrops_;
-        return;
+        return false;
     }
-
     if (held_.size() + line.size() > MAX_HELD_BYTES) {
         flush();
     }
     if (held_.size() + line.size() > MAX_HELD_BYTES) {
         ++dropped_;
         ++unreportedDrops_;
-        return;
+        return false;
     }
     if (unreportedDrops_ > 0) {
         held_ += "log lines dropped: " + std::to_string(unreportedDrops_) + '\n';
@@ -46,6 +45,7 @@
     if (held_.size() >= WRITE_BYTES) {
         flush();
     }
+    return true;
 }
 
 void BoundedOutput::flush()
--- a/src/core/logger.cpp
+++ b/src/core/logger.cpp
@@ -50,7 +50,15 @@
 public:
     void consume(const boost::log::record_view &, const string_type &line)
     {
-        output().write(line);
+        const bool written = output().write(line);
+        if (!written) {
+            return;
+        }
+        if (writesCheckpoint) {
+            chain().beginSection(chain().digest());
+        } else {
+            chain().add(line);
+        }
     }
 
     static BoundedOutput &output()
@@ -58,6 +66,15 @@
         static BoundedOutput bounded(STDOUT_FILENO);
         return bounded;
     }
+
+    static LineChain &chain()
+    {
+        static LineChain lines;
+        return lines;
+    }
+
+    /// \brief The line that is being written is a checkpoint, which the digest of the next section covers by its own.
+    static inline bool writesCheckpoint = false;
 };
 
 bool needsQuotes(const std::string &value)
@@ -94,6 +111,17 @@
     BoundedBackend::output().flush();
 }
 
+void logCheckpoint()
+{
+    const LineChain &chain = BoundedBackend::chain();
+    if (chain.lines() == 0) {
+        return;
+    }
+    BoundedBackend::writesCheckpoint = true;
+    logEvent(LogEvent::LogCheckpoint, {{"lines", chain.lines()}, {"digest", chain.digest()}});
+    BoundedBackend::writesCheckpoint = false;
+}
+
 std::uint64_t droppedLogLines()
 {
     return BoundedBackend::output().droppedLines();
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -77,7 +77,7 @@
     if (!handle) {
         const bool rejected = progress == CallProgress::HeadReceived && call.answer().notExecuted;
         gateway_.router.end(counted.ticket(), rejected ? AttemptEnd::Rejected : endOfBrokenAttempt(), now);
-        logAttempt(endpoint, "prefill", call);
+        logAttempt(endpoint, "prefill", call, false);
         co_return std::nullopt;
     }
     gateway_.router.end(counted.ticket(), AttemptEnd::Answered, now);
@@ -115,7 +115,7 @@
         co_return next;
     }
     gateway_.router.end(counted.ticket(), endOfBrokenAttempt(), MilliClock::now());
-    logAttempt(endpoint, "run", call);
+    logAttempt(endpoint, "run", call, progress != CallProgress::NotConnected);
     placementRequest_.excluded.push_back(endpoint);
     if (progress == CallProgress::NotConnected) {
         co_return Next::TryAgainUnseen;
@@ -133,7 +133,7 @@
     }
     if (answer.notExecuted) {
         gateway_.router.end(ticket, AttemptEnd::Rejected, now);
-        logAttempt(endpoint, "run", call);
+        logAttempt(endpoint, "run", call, false);
         placementRequest_.excluded.push_back(endpoint);
         co_return Next::TryAgainNotRun;
     }
@@ -142,14 +142,14 @@
     const bool usable = success ? answer.sealed : !streaming_;
     if (!usable) {
         gateway_.router.end(ticket, AttemptEnd::Failed, now);
-        logAttempt(endpoint, "run", call);
+        logAttempt(endpoint, "run", call, true);
         placementRequest_.excluded.push_back(endpoint);
         co_return Next::TryAgainUnknown;
     }
     if (answer.status >= STATUS_SERVER_ERROR && mayTryAgain(Next::TryAgainUnknown) && gateway_.retries.tryRetry(placementRequest_.service, now)) {
         retryGranted_ = true;
         gateway_.router.end(ticket, AttemptEnd::AnsweredFailure, now);
-        logAttempt(endpoint, "run", call);
+        logAttempt(endpoint, "run", call, true);
         placementRequest_.excluded.push_back(endpoint);
         co_return Next::TryAgainUnknown;
     }
@@ -162,7 +162,7 @@
     }
     if (!delivered) {
         gateway_.router.end(ticket, endOfBrokenAttempt(), MilliClock::now());
-        logAttempt(endpoint, "answer", call);
+        logAttempt(endpoint, "answer", call, true);
         placementRequest_.excluded.push_back(endpoint);
         co_return Next::TryAgainUnknown;
     }
@@ -171,7 +171,7 @@
     co_return Next::Finished;
 }
 
-void CallFlow::logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call)
+void CallFlow::logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun)
 {
     lastFailure_ = call.failure().empty() ? "status " + std::to_string(call.answer().status) : call.failure();
     logEvent(LogEvent::GatewayAttemptFailed,
@@ -180,6 +180,7 @@
               {"phase", phase},
               {"status", call.answer().status},
               {"not_executed", call.answer().notExecuted ? "true" : "false"},
+              {"may_have_run", mayHaveRun ? "true" : "false"},
               {"stopped", guard_->stop() == CallStop::None ? "false" : "true"},
               {"error", call.failure()},
               {"prefill_ms", prefillTime_},
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -202,6 +202,7 @@
     logEvent(LogEvent::GatewayCallPlaced,
              {{"request", call_.id},
               {"route", route_.id},
+              {"repeat", route_.repeat == RepeatRule::Idempotent ? "idempotent" : "once"},
               {"attempt", attempts_},
               {"endpoint", endpoint},
               {"prefill", placement.prefill.value_or(EndpointId("-"))},
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -75,7 +75,7 @@
     /// \brief How long an answer with the predicted time is waited for if another attempt can follow.
     [[nodiscard]] Duration patienceFor(double predictedMs) const;
     [[nodiscard]] ServiceId chooseService();
-    void logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call);
+    void logAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
     void logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load);
     void logFailed(unsigned status, const char *reason);
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -31,6 +31,8 @@
 constexpr unsigned STATUS_OK = 200;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr Duration HOUSEKEEPING_INTERVAL = Duration(200);
+/// \brief What a killed process wrote last is covered by no checkpoint; each of them is a line of 200 bytes.
+constexpr Duration CHECKPOINT_INTERVAL = Duration(1000);
 /// \brief After SIGTERM new connections are still accepted for this time: the load balancer needs two questions to notice.
 constexpr Duration ACCEPTING_AFTER_SIGTERM = Duration(3000);
 /// \brief The process exits so long before the platform would kill it.
@@ -115,6 +117,7 @@
             runOneHandler();
         }
         logEvent(LogEvent::ProcessStopped, {{"active", callers_.activeExchanges()}});
+        logCheckpoint();
         flushLog();
         // Calls that are still running at the end of the grace time end with their connections.
         std::_Exit(EXIT_SUCCESS);
@@ -152,6 +155,7 @@
     awaitable<void> runHousekeeping(TaskContext &context)
     {
         std::int64_t limitsVersion = -1;
+        Time nextCheckpoint;
         bool goesOn = true;
         while (goesOn) {
             const Time now = MilliClock::now();
@@ -162,6 +166,10 @@
                 callers_.setLimits(limitsOf(gateway_.settings, gateway_.configuration->limits));
             }
             reportDelay(now);
+            if (now >= nextCheckpoint) {
+                nextCheckpoint = now + CHECKPOINT_INTERVAL;
+                logCheckpoint();
+            }
             flushLog();
             goesOn = co_await context.sleep(HOUSEKEEPING_INTERVAL);
         }
--- a/tests/gateway/lifecycletest.cpp
+++ b/tests/gateway/lifecycletest.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <mimosatally/Audit>
+
+#include <sstream>
+
 using namespace mimosatally;
 using namespace mimosatally::test;
 
@@ -221,6 +225,38 @@
     CHECK(world.gateway().wait() == 0);
 }
 
+// Guards against lines that the digests of the process do not cover, and against decisions that the log shows otherwise than callers do.
+TEST_CASE("The lines of a gateway are verified to its last one", "[gateway]")
+{
+    GatewayWorld world;
+    world.addEndpoint("i-1", "plain", [](const HttpRequest &request) -> AnswerSteps {
+        const bool fails = request.target() == "/post/reset";
+        return {fails ? resetting() : bytes(wholeAnswer(requestIdOf(request), "answer"))};
+    });
+    world.configure();
+    world.startGateway();
+    world.awaitReady();
+    constexpr int calls = 5;
+    for (int call = 0; call < calls; ++call) {
+        world.call(GatewayWorld::request(http::verb::post, "/post/x", "r" + std::to_string(call)));
+    }
+    CHECK(world.call(GatewayWorld::request(http::verb::post, "/post/reset", "reset")).result_int() == 502);
+    world.gateway().waitForOutput("LogCheckpoint");
+    world.gateway().send(SIGTERM);
+    CHECK(world.gateway().wait() == 0);
+    LineVerifier verifier("gateway.log");
+    std::istringstream lines(world.gateway().output());
+    for (std::string line; std::getline(lines, line);) {
+        verifier.add(line);
+    }
+    const LineReport report = verifier.report();
+    CHECK(report.findings.empty());
+    CHECK(report.openEnds.empty());
+    CHECK(report.checkpoints > 0);
+    CHECK(report.answered == calls);
+    CHECK(report.failed == 1);
+}
+
 // Guards against SIGHUP's default, which ends the process.
 TEST_CASE("SIGHUP reads the settings again and ends nothing", "[gateway]")
 {
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -8,9 +8,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <mimosatally/Audit>
+
 #include <future>
 #include <random>
 #include <set>
+#include <sstream>
 #include <thread>
 
 namespace mimosatally::test
@@ -114,6 +117,11 @@
 
     ~SoakWorld()
     {
+        for (const std::unique_ptr<TestProgram> &gateway : gateways_) {
+            gateway->send(SIGTERM);
+            gateway->wait();
+            verifyLines(*gateway);
+        }
         gateways_.clear();
         io_.stop();
         thread_.join();
@@ -289,9 +297,23 @@
         if (end != 0 && end != -SIGKILL) {
             observations_.finding("a gateway ended with " + std::to_string(end));
         }
+        verifyLines(*gateways_[index]);
         startGateway(number);
     }
 
+    /// \brief Checks what a gateway wrote; lines without a checkpoint are allowed, since it may have been killed.
+    void verifyLines(const TestProgram &gateway)
+    {
+        LineVerifier verifier("gateway " + std::to_string(gateway.id()));
+        std::istringstream lines(gateway.output());
+        for (std::string line; std::getline(lines, line);) {
+            verifier.add(line);
+        }
+        for (const Finding &finding : verifier.report().findings) {
+            observations_.finding("log of a gateway: " + toString(finding));
+        }
+    }
+
     std::mt19937_64 random_;
     Observations &observations_;
     boost::asio::io_context io_;
