Replace one of few decode engines while calls are served

Two crashes and two departures left six engines, five of them for prefill. The balancer allows a deviation of one engine while calls are served, so one decode engine carried everything from second 24.8 to the end, and the predictions of its queue refused 1,500 calls in two seconds.

Change: one prefill engine too many is allowed only if at least three quarters of the decode engines that the share asks for are there. That change is cheap: a prefill engine is back within seconds. A decode engine too many still stays, and so does one of many.

--- a/include/mimosatally/placement/phasebalancer.h
+++ b/include/mimosatally/placement/phasebalancer.h
@@ -37,7 +37,8 @@
 /// \brief Keeps the number of prefill engines of one service near a share of all.
 ///
 /// A decode engine that changes lets its long generations end first and is out of service for many seconds, so a deviation of
-/// one engine stays while calls are served. A prefill engine changes within the time of the change itself.
+/// one engine stays while calls are served. A prefill engine changes within the time of the change itself, so it does where one of few
+/// decode engines is missing.
 ///
 /// A fleet of more than LARGEST_FLEET_IN_ADVANCE engines changes only where work waits, some engines at a time: each change is
 /// paid for, and a phase of many engines carries a burst until the next ones have changed.
--- a/src/placement/phasebalancer.cpp
+++ b/src/placement/phasebalancer.cpp
@@ -10,6 +10,8 @@
 {
 /// \brief Slots that the prompts of one busy prefill engine take: in a burst it reads some 100 a second, and each stays some 80 ms.
 constexpr double SLOTS_PER_PREFILL_ENGINE = 8;
+/// \brief With a smaller part of the decode engines that the share asks for, one of few is missing and prompts wait for the others.
+constexpr double LEAST_DECODE_PART = 0.75;
 
 EnginePhase otherPhase(EnginePhase phase)
 {
@@ -94,7 +96,10 @@
         const bool needed = prefill < wanted ? pressure.reading : pressure.generating;
         return prefill > 0 && (!needed || pending_.size() >= total / CHANGING_DIVISOR);
     }
-    return pressure.serving && prefill > 0 && prefill + 1 >= wanted && prefill <= wanted + 1;
+    const bool nearShare = prefill + 1 >= wanted && prefill <= wanted + 1;
+    const auto decode = static_cast<double>(total - prefill);
+    const bool enoughDecode = decode >= LEAST_DECODE_PART * static_cast<double>(total - wanted);
+    return pressure.serving && prefill > 0 && nearShare && enoughDecode;
 }
 
 std::vector<PhaseChange> PhaseBalancer::plan(const std::vector<BalancedEngine> &engines, PhasePressure pressure, Time now)
--- a/tests/unit/phasebalancertest.cpp
+++ b/tests/unit/phasebalancertest.cpp
@@ -47,6 +47,24 @@
     CHECK(balancer.plan(engines({D, D, D, D}), SERVING, at(0)).size() >= 1);
 }
 
+// Load: engines of a small fleet crash and leave in a burst of long prompts. On Parkland's scale-1, one decode engine of six was left for ten
+// seconds, since five prefill engines were one more than the share asks for; a quarter of the largest prompts were served.
+TEST_CASE("A prefill engine replaces one of few decode engines while calls are served", "[placement]")
+{
+    const auto changesOf = [](std::initializer_list<EnginePhase> phases) {
+        return PhaseBalancer(0.625).plan(engines(phases), SERVING, at(0));
+    };
+    const std::vector<PhaseChange> changes = changesOf({P, P, P, P, P, D});
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].phase == D);
+    CHECK(changesOf({P, P, P, P, P, D, D}).size() == 1);
+    CHECK(changesOf({P, P, P, P, D, D, D}).empty());
+    // One decode engine more than needed stays: it would be out of service for many seconds.
+    CHECK(changesOf({P, P, P, P, D, D, D, D}).empty());
+    // In a fleet of many, one engine more or less stays.
+    CHECK(PhaseBalancer(0.5).plan(engines({P, P, P, P, P, D, D, D}), SERVING, at(0)).empty());
+}
+
 // Guards against a second order while the first may still be carried out, seconds after its answer was lost.
 TEST_CASE("An engine with an order under way gets no other one", "[placement]")
 {
