Let the linter see the size of the text that a duration is read from

Ruled out: a fault in what is read. The bounds are the same; the tests of settings and configuration pass before and after.

Change: the amount is a view of its own, whose size the call names.

After: the linter passes on this file; it found nothing else in that run.

--- a/src/config/tomltable.cpp
+++ b/src/config/tomltable.cpp
@@ -30,11 +30,11 @@
 std::optional<Duration> parseDuration(std::string_view text, bool fractionAllowed)
 {
     const std::string_view amountCharacters = fractionAllowed ? "0123456789." : "0123456789";
-    const std::size_t length = std::min(text.find_first_not_of(amountCharacters), text.size());
+    const std::string_view number = text.substr(0, text.find_first_not_of(amountCharacters));
     double amount = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + length, amount, std::chars_format::fixed);
-    const bool readable = error == std::errc() && end == text.data() + length;
-    const auto *const unit = std::ranges::find(DURATION_UNITS, text.substr(length), &DurationUnit::suffix);
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), amount, std::chars_format::fixed);
+    const bool readable = error == std::errc() && end == number.data() + number.size();
+    const auto *const unit = std::ranges::find(DURATION_UNITS, text.substr(number.size()), &DurationUnit::suffix);
     if (!readable || unit == DURATION_UNITS.end()) {
         return std::nullopt;
     }
