--- a/src/placement/phasebalancer.cpp
+++ b/src/placement/phasebalancer.cpp
@@ -8,7 +8,7 @@
 
 namespace
 {
-/// \brief Slots that the prompts of one busy prefill engine take: in a burst it reads some 100 a second, and each stays some 80 ms.
+/// \brief Slots of decode engines that the prompts of one busy prefill engine take (docs/policy.md).
 constexpr double SLOTS_PER_PREFILL_ENGINE = 8;
 /// \brief With a smaller part of the decode engines that the share asks for, one of few is missing and prompts wait for the others.
 constexpr double LEAST_DECODE_PART = 0.75;
