Log and count what endpoints say about their request limits

An answer's Server-Limit is now decoded. A line is written when an endpoint names a limit, another one, or none any more (MT5029, at most one a second for an endpoint), when it cannot be read (MT5030, one in ten seconds), and each second for each limit in force with the calls of the last four seconds (MT5031, at most 32 lines). Two gauges show the same. No call is placed differently.

--- a/include/mimosatally/core/metrics.h
+++ b/include/mimosatally/core/metrics.h
@@ -26,6 +26,9 @@
     /// \brief Sets a gauge.
     void set(const std::string &name, const std::string &labels, double value);
 
+    /// \brief Removes a gauge, for example of an endpoint that is gone.
+    void removeGauge(const std::string &name, const std::string &labels);
+
     /// \brief Adds one observation to a distribution; the unit is part of the name, for example `_seconds`.
     void observe(const std::string &name, const std::string &labels, double value);
 
--- a/include/mimosatally/core/quantity.h
+++ b/include/mimosatally/core/quantity.h
@@ -62,6 +62,8 @@
 using Tokens = Quantity<struct TokensTag>;
 /// \brief Size in bytes.
 using Bytes = Quantity<struct BytesTag>;
+/// \brief Rate of requests in thousandths of a request per second.
+using RequestRate = Quantity<struct RequestRateTag>;
 /// \brief Position of a record in a stream of the log service; the first record has offset 0.
 using Offset = Quantity<struct OffsetTag>;
 /// \brief Fencing token of a lease: the log offset of the record that acquired it.
@@ -69,6 +71,13 @@
 /// \brief Log offset of the record that made a configuration current; -1 before the first one.
 using ConfigurationVersion = Quantity<struct ConfigurationVersionTag>;
 
+/// \brief Returns \a rate in requests per second.
+[[nodiscard]] constexpr double requestsPerSecond(RequestRate rate)
+{
+    constexpr double ratePerRequest = 1000;
+    return static_cast<double>(rate.count()) / ratePerRequest;
+}
+
 } // namespace mimosatally
 
 template<class Tag>
--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -66,8 +66,30 @@
     std::optional<Duration> retryAfter;
 };
 
+/// \brief Change of the request limit that an endpoint names in its answers.
+enum class LimitChange {
+    None,
+    Named,
+    Changed,
+    Ended,
+};
+
+/// \brief Request limit of one endpoint and this process's use of it.
+struct RequestLimitUse {
+    EndpointId endpoint;
+    RequestRate limit;
+    /// \brief Time since an answer last named the limit.
+    Duration age = Duration(0);
+    /// \brief Own prefill calls and other own calls of the last four seconds.
+    int prefills = 0;
+    int runs = 0;
+};
+
 /// \brief New information about an endpoint from an answer, besides its load.
 struct EndpointUpdate {
+    LimitChange limitChange = LimitChange::None;
+    /// \brief The answer names a limit that cannot be read, and no such answer was reported in the last seconds.
+    bool limitUnreadable = false;
     bool newlyLeaving = false;
     /// \brief The endpoint has asked this process to send no calls for this time.
     std::optional<Duration> pause;
@@ -199,6 +221,12 @@
     /// \brief Returns the estimated times of the engines of each service.
     [[nodiscard]] std::map<ServiceId, EngineTimes> engineTimes() const;
 
+    /// \brief Returns the limit that \a endpoint has named; empty if it names none.
+    [[nodiscard]] std::optional<RequestLimitUse> requestLimit(const EndpointId &endpoint, Time now) const;
+
+    /// \brief Returns the limits that endpoints have named, with this process's use of them.
+    [[nodiscard]] std::vector<RequestLimitUse> requestLimits(Time now) const;
+
     /// \brief Returns the record of an endpoint; null if the endpoint is unknown.
     [[nodiscard]] const EndpointRecord *record(const EndpointId &endpoint) const;
 
--- a/include/mimosatally/serving/endpointanswer.h
+++ b/include/mimosatally/serving/endpointanswer.h
@@ -30,6 +30,10 @@
     bool leaving = false;
     /// \brief Set if the endpoint rejected the call: time for which this process must send it no calls.
     std::optional<Duration> retryAfter;
+    /// \brief Requests that the endpoint takes from all processes together; empty if the answer names no limit.
+    std::optional<RequestRate> requestLimit;
+    /// \brief The answer names a limit that cannot be read.
+    bool requestLimitUnreadable = false;
 };
 
 } // namespace mimosatally
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -66,6 +66,11 @@
     impl_->gauges[{name, labels}] = value;
 }
 
+void Metrics::removeGauge(const std::string &name, const std::string &labels)
+{
+    impl_->gauges.erase({name, labels});
+}
+
 void Metrics::observe(const std::string &name, const std::string &labels, double value)
 {
     auto found = impl_->distributions.find({name, labels});
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -174,6 +174,10 @@
     if (update.newlyLeaving) {
         logEvent(LogEvent::EndpointAnnouncedLeaving, {{"request", call_.id}, {"endpoint", endpoint}});
     }
+    if (update.limitUnreadable) {
+        logEvent(LogEvent::EndpointLimitUnreadable, {{"request", call_.id}, {"endpoint", endpoint}});
+    }
+    gateway_.limitReport.recordChange(call_.id, endpoint, update.limitChange, MilliClock::now());
     if (update.pause) {
         logEvent(LogEvent::EndpointPaused, {{"request", call_.id}, {"endpoint", endpoint}, {"pause_ms", *update.pause}});
     }
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -34,6 +34,7 @@
 constexpr Duration HOUSEKEEPING_INTERVAL = Duration(200);
 /// \brief Interval between the log lines with the engine times learned.
 constexpr Duration ENGINE_TIMES_LOG_INTERVAL = Duration(5000);
+constexpr Duration LIMIT_REPORT_INTERVAL = Duration(1000);
 /// \brief A compromise: the lines after the last checkpoint of a killed process are not covered, and each checkpoint is a line of 200 bytes.
 constexpr Duration CHECKPOINT_INTERVAL = Duration(1000);
 /// \brief New connections are still accepted for this time after SIGTERM, since the load balancer notices only at its second probe.
@@ -172,6 +173,7 @@
         std::int64_t limitsVersion = -1;
         Time nextCheckpoint;
         Time nextEngineTimes;
+        Time nextLimitReport;
         bool running = true;
         while (running) {
             const Time now = MilliClock::now();
@@ -186,6 +188,10 @@
                 nextCheckpoint = now + CHECKPOINT_INTERVAL;
                 logCheckpoint();
             }
+            if (now >= nextLimitReport) {
+                nextLimitReport = now + LIMIT_REPORT_INTERVAL;
+                gateway_.limitReport.update(now);
+            }
             if (now >= nextEngineTimes) {
                 nextEngineTimes = now + ENGINE_TIMES_LOG_INTERVAL;
                 logEngineTimes();
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -43,6 +43,7 @@
     : io(context)
     , settings(processSettings)
     , router(locationOf(processSettings), seedOf(processSettings))
+    , limitReport(router, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , random_(seedOf(processSettings))
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "limitreport.h"
 
 #include <mimosatally/Gateway>
 #include <mimosatally/Membership>
@@ -40,6 +41,7 @@
     RouteTable routes;
     EndpointRegistry registry;
     PhaseRouter router;
+    LimitReport limitReport;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     /// \brief Set by the signal that stops the process.
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -25,6 +25,8 @@
 constexpr Duration MAX_PAUSE = Duration(60'000);
 /// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
 constexpr std::size_t MAX_NOTICES = 1000;
+/// \brief Interval between reports of unreadable limits of one endpoint.
+constexpr Duration FINDING_INTERVAL = Duration(10'000);
 constexpr double MIN_SLOWNESS = 0.3;
 constexpr double MAX_SLOWNESS = 8;
 } // namespace
@@ -137,6 +139,27 @@
     return times;
 }
 
+std::optional<RequestLimitUse> PhaseRouter::requestLimit(const EndpointId &endpoint, Time now) const
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end() || !found->second.limit.rate()) {
+        return std::nullopt;
+    }
+    const Impl::Endpoint &state = found->second;
+    return RequestLimitUse {endpoint, *state.limit.rate(), now - state.limit.namedAt(), state.sentPrefills.count(now), state.sentRuns.count(now)};
+}
+
+std::vector<RequestLimitUse> PhaseRouter::requestLimits(Time now) const
+{
+    std::vector<RequestLimitUse> result;
+    for (const auto &[id, endpoint] : impl_->endpoints) {
+        if (endpoint.limit.rate()) {
+            result.push_back(*requestLimit(id, now));
+        }
+    }
+    return result;
+}
+
 const EndpointRecord *PhaseRouter::record(const EndpointId &endpoint) const
 {
     const auto found = impl_->endpoints.find(endpoint);
@@ -286,6 +309,7 @@
     if (attempt.workMs > 0) {
         impl_->addNotice(attempt, target, request, now);
     }
+    (plan.work == AttemptWork::Prefill ? target.sentPrefills : target.sentRuns).add(now);
     ++target.ownAttempts;
     ++target.ownUnanswered;
     if (!target.unansweredSince) {
@@ -446,6 +470,12 @@
     }
     update.newlyLeaving = answer.leaving && !endpoint->announcedLeaving && !endpoint->record.leaving;
     endpoint->announcedLeaving = endpoint->announcedLeaving || answer.leaving;
+    update.limitChange = endpoint->limit.recordAnswer(answer, found->second.beganAt, now);
+    if (answer.requestLimitUnreadable
+        && (endpoint->unreadableLimitReportedAt == Time::min() || now - endpoint->unreadableLimitReportedAt >= FINDING_INTERVAL)) {
+        endpoint->unreadableLimitReportedAt = now;
+        update.limitUnreadable = true;
+    }
     if (answer.retryAfter) {
         update.pause = std::min(*answer.retryAfter, MAX_PAUSE);
         endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + *update.pause);
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -2,6 +2,7 @@
 
 #include "cacheindex.h"
 #include "endpointhealth.h"
+#include "endpointlimit.h"
 #include "enginemodel.h"
 
 #include <mimosatally/routing/phaserouter.h>
@@ -95,6 +96,13 @@
     Time pausedUntil = Time::min();
     /// \brief An answer of this incarnation has announced that it is leaving.
     bool announcedLeaving = false;
+    /// \brief Request limit that the endpoint has named.
+    EndpointLimit limit;
+    /// \brief Own prefill calls, and all other own calls.
+    RecentSends sentPrefills;
+    RecentSends sentRuns;
+    /// \brief Last report of a limit that could not be read.
+    Time unreadableLimitReportedAt = Time::min();
     /// \brief Start of the current period in which attempts are open and no answer arrives; empty if there is none.
     std::optional<Time> unansweredSince;
 };
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -138,6 +138,27 @@
     CHECK_FALSE(platform::decodeAnswer(header).leaving);
 }
 
+// Guards against limits that are missed, or set by a value that is no number.
+TEST_CASE("The request limit of an answer is decoded, and the lowest of several counts", "[platform]")
+{
+    http::response_header<> header;
+    header.result(200);
+    CHECK_FALSE(platform::decodeAnswer(header).requestLimit);
+    for (const auto &[text, milli] : {std::pair("18.3", 18'300), std::pair("0", 0), std::pair(" 0.25", 250), std::pair("1e9", 1'000'000'000)}) {
+        header.set("Server-Limit", text);
+        CHECK(platform::decodeAnswer(header).requestLimit == RequestRate(milli));
+        CHECK_FALSE(platform::decodeAnswer(header).requestLimitUnreadable);
+    }
+    for (const char *bad : {"many", "-1", "", "nan", "inf", "1e400", "5 per s", "5,6"}) {
+        header.set("Server-Limit", bad);
+        CHECK_FALSE(platform::decodeAnswer(header).requestLimit);
+        CHECK(platform::decodeAnswer(header).requestLimitUnreadable);
+    }
+    header.insert("Server-Limit", "20");
+    header.insert("Server-Limit", "10");
+    CHECK(platform::decodeAnswer(header).requestLimit == RequestRate(10'000));
+}
+
 // Guards against heartbeats from untrusted writers.
 TEST_CASE("A forged or malformed heartbeat is rejected", "[platform]")
 {
