--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -38,6 +38,14 @@
     GatewayFixture(const GatewayFixture &) = delete;
     GatewayFixture &operator=(const GatewayFixture &) = delete;
 
+    /// \brief Returns an address whose port was free at the time of the call.
+    static std::string freeAddress()
+    {
+        boost::asio::io_context io;
+        const boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0"));
+        return toString(acceptor.local_endpoint());
+    }
+
     /// \brief Runs \a function on the thread of the stand-ins.
     template<class Function>
     decltype(auto) onStandins(Function function)
@@ -170,14 +178,6 @@
     }
 
 private:
-    /// \brief Returns an address whose port was free at the time of the call.
-    static std::string freeAddress()
-    {
-        boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0"));
-        return toString(acceptor.local_endpoint());
-    }
-
     static bool canConnect(const std::string &address)
     {
         boost::asio::io_context io;
