--- a/tests/process/orderstest.cpp
+++ b/tests/process/orderstest.cpp
@@ -84,6 +84,12 @@
     return result;
 }
 
+/// \brief Starts the agent of `engine-1` and waits until it knows the scopes of its engine; before that it refuses every order as `unknown-scope`.
+void startAgentWithScopes(TestFleet &fleet)
+{
+    fleet.startAgent("engine-1", "longest_order_lifetime = \"500ms\"\n").waitForOutput("ConfigurationAccepted");
+}
+
 std::vector<std::string> orderedRoles(TestFleet &fleet)
 {
     std::vector<std::string> roles;
@@ -101,7 +107,7 @@
     fleet.addEngine("engine-1", {"--checks-fencing", checksFencing, "--order-ms", "50"});
     fleet.addCustomer("parkland", "100%", "30s");
     fleet.publish();
-    fleet.startAgent("engine-1", "longest_order_lifetime = \"500ms\"\n");
+    startAgentWithScopes(fleet);
     const std::string &address = fleet.agentAddress("engine-1");
 
     const Epoch first = acquireLease(fleet, "entry-1");
@@ -132,7 +138,7 @@
     fleet.addEngine("engine-1", {"--order-ms", "50"});
     fleet.addCustomer("parkland", "100%", "30s");
     fleet.publish();
-    fleet.startAgent("engine-1", "longest_order_lifetime = \"500ms\"\n");
+    startAgentWithScopes(fleet);
     const Epoch epoch = acquireLease(fleet, "entry-1");
     CHECK(orderUntilDecided(fleet.agentAddress("engine-1"), epoch, "decode") == "accepted");
     fleet.controlLog({{"down", true}});
