Share an endpoint's request limit among the gateways

Cause: no gateway applied the limit. The class of fault is a limit of an endpoint over all processes that decide alone: applied by each process in full it would have been exceeded as well.

Change: a gateway paces all its requests to a limited endpoint (prefill calls, generations, plain calls, retries, orders) at the limit divided by the number of gateways. The number of gateways comes from the peers' heartbeats: silent peers count for half a minute, a started process takes the count of its first peer. A call keeps its place at the decode engine during its prefill. A call that no endpoint may get is refused at once with a time to return that follows the limit. Engines without a limit are preferred for prefixes.

--- a/include/mimosatally/membership/peertable.h
+++ b/include/mimosatally/membership/peertable.h
@@ -58,11 +58,28 @@
 
     [[nodiscard]] std::size_t size() const;
 
+    /// \brief Returns the number of processes that may send to the same endpoints, this one included, so that each keeps to its part of a limit.
+    ///
+    /// Counts peers that became silent less than SILENT_PEER_HOLD ago: a peer that is only cut off from this process still sends. Before the
+    /// first datagram of a peer it counts the seeds. Counts that peers have reported go before a lower own one, so a process that has just
+    /// started does not have to meet all others first.
+    [[nodiscard]] int processCount(Time now) const;
+
+    /// \brief Returns the count without those that peers have reported; this is the count to report to them.
+    [[nodiscard]] int ownProcessCount(Time now) const;
+
+    /// \brief Records the number of processes that the peer at \a address knows; ignored for unknown peers.
+    void recordProcessCount(const boost::asio::ip::udp::endpoint &address, int count);
+
+    static constexpr Duration SILENT_PEER_HOLD = Duration(30'000);
+
 private:
     struct Peer {
         RegionId region;
         Time lastReceived = Time::min();
         Time introducedAt = Time::min();
+        /// \brief Processes that the peer knows, itself included.
+        int processCount = 0;
     };
 
     [[nodiscard]] std::vector<boost::asio::ip::udp::endpoint> activePeers(bool inOwnRegion) const;
@@ -73,6 +90,8 @@
     std::map<boost::asio::ip::udp::endpoint, Peer> peers_;
     Time lastReceived_ = Time::min();
     std::size_t introductionCursor_ = 0;
+    /// \brief Removed peers with the time of their last datagram.
+    std::map<boost::asio::ip::udp::endpoint, Time> silentPeers_;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -62,7 +62,8 @@
     /// \brief Engine from which the engine doing the prefill fetches a longer prefix than it has itself.
     std::optional<EndpointId> cacheSource;
     std::string_view reason = "no-endpoint";
-    /// \brief Time until the first endpoint accepts calls again; set if there is no endpoint only because all have asked for a pause.
+    /// \brief Time until an endpoint is expected to take this call; set if there is no endpoint only because of pauses that endpoints have asked for
+    /// or limits that they have named.
     std::optional<Duration> retryAfter;
 };
 
@@ -80,6 +81,8 @@
     RequestRate limit;
     /// \brief Time since an answer last named the limit.
     Duration age = Duration(0);
+    /// \brief Part of the limit that this process may use, in requests per second.
+    double ownPerSecond = 0;
     /// \brief Own prefill calls and other own calls of the last four seconds.
     int prefills = 0;
     int runs = 0;
@@ -191,6 +194,16 @@
     /// \brief Chooses the decode engine again after the prefill on \a prefillEngine, which may have taken seconds.
     [[nodiscard]] Placement placeDecode(const PlacementRequest &request, const EndpointId &prefillEngine, Time now) const;
 
+    /// \brief Sets the number of processes that place calls on the same endpoints, this one included; they share the endpoints' request limits.
+    void setProcessCount(int count, Time now);
+
+    /// \brief Counts a request to \a endpoint against its request limit, if it has one: an order, or a call that is going to be sent after its
+    /// prefill elsewhere. \return whether the endpoint has a limit.
+    bool reserveRequest(const EndpointId &endpoint, Time now);
+
+    /// \brief Takes back a reservation made at \a reservedAt, immediately before the call is placed again and sent, or if it is not sent.
+    void returnRequest(const EndpointId &endpoint, Time reservedAt, Time now);
+
     /// \brief Registers an attempt that is being sent.
     Ticket begin(const AttemptPlan &plan, const PlacementRequest &request, Time now);
 
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -35,6 +35,41 @@
 {
     return std::to_string(static_cast<long>(milliseconds));
 }
+
+/// \brief Counts a call against the request limit of its decode engine during the prefill, so that other calls do not use up the limit meanwhile.
+class RequestReservation
+{
+public:
+    RequestReservation(PhaseRouter &router, EndpointId endpoint)
+        : router_(router)
+        , endpoint_(std::move(endpoint))
+        , reservedAt_(MilliClock::now())
+        , active_(router.reserveRequest(endpoint_, reservedAt_))
+    {
+    }
+
+    ~RequestReservation()
+    {
+        end();
+    }
+
+    RequestReservation(const RequestReservation &) = delete;
+    RequestReservation &operator=(const RequestReservation &) = delete;
+
+    void end()
+    {
+        if (active_) {
+            router_.returnRequest(endpoint_, reservedAt_, MilliClock::now());
+            active_ = false;
+        }
+    }
+
+private:
+    PhaseRouter &router_;
+    EndpointId endpoint_;
+    Time reservedAt_;
+    bool active_;
+};
 } // namespace
 
 CallFlow::CallFlow(
@@ -113,6 +148,7 @@
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
         if (attempts_ == 0) {
+            lastFailure_ = placement.retryAfter ? "endpoints are paused or take no more requests" : "";
             co_await refuse(placement.retryAfter.value_or(DEFAULT_RETRY_AFTER), "no-endpoint");
         } else {
             co_await giveUp();
@@ -237,7 +273,9 @@
     AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
     if (placement.prefill) {
         const EndpointId prefillEngine = *placement.prefill;
+        RequestReservation reservation(gateway_.router, endpoint);
         prompt = co_await prefill(prefillEngine, timeout);
+        reservation.end();
         if (!prompt) {
             placementRequest_.excluded.push_back(prefillEngine);
             co_return NextStep::RetryNotRun;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -58,6 +58,15 @@
     return result;
 }
 
+/// \brief Number of gateways according to the settings, this one included.
+int configuredProcessCount(const GatewaySettings &settings)
+{
+    const auto others = std::ranges::count_if(settings.peers, [&settings](const std::string &peer) {
+        return peer != settings.peerListen;
+    });
+    return 1 + static_cast<int>(others);
+}
+
 /// \brief One gateway process from its start to its graceful shutdown.
 class GatewayProcess
 {
@@ -179,6 +188,9 @@
             const Time now = MilliClock::now();
             gateway_.connections.closeExpired(now);
             gateway_.applyEndpoints(now);
+            if (!noticeExchange_) {
+                gateway_.router.setProcessCount(configuredProcessCount(gateway_.settings), now);
+            }
             if (gateway_.configuration && gateway_.configuration->version != limitsVersion) {
                 limitsVersion = gateway_.configuration->version;
                 callerServer_.setLimits(limitsOf(gateway_.settings, gateway_.configuration->limits));
--- a/src/gateway/limitreport.cpp
+++ b/src/gateway/limitreport.cpp
@@ -9,6 +9,7 @@
 {
 constexpr Duration MIN_CHANGE_LINE_INTERVAL = Duration(1000);
 constexpr const char *LIMIT_METRIC = "mimosatally_endpoint_limit_per_second";
+constexpr const char *SHARE_METRIC = "mimosatally_endpoint_limit_own_per_second";
 constexpr const char *SENT_METRIC = "mimosatally_endpoint_limit_sent_4s";
 
 std::string_view changeName(LimitChange change)
@@ -77,6 +78,7 @@
                  {{"endpoint", use.endpoint},
                   {"limit_per_s", requestsPerSecond(use.limit)},
                   {"age_ms", use.age},
+                  {"own_per_s", use.ownPerSecond},
                   {"prefills_4s", use.prefills},
                   {"runs_4s", use.runs}});
         setMetrics(use);
@@ -87,6 +89,7 @@
 {
     const std::string label = labelOf(use.endpoint);
     metrics_.set(LIMIT_METRIC, label, requestsPerSecond(use.limit));
+    metrics_.set(SHARE_METRIC, label, use.ownPerSecond);
     metrics_.set(SENT_METRIC, label, use.prefills + use.runs);
     if (std::ranges::find(withMetrics_, use.endpoint) == withMetrics_.end()) {
         withMetrics_.push_back(use.endpoint);
@@ -97,6 +100,7 @@
 {
     const std::string label = labelOf(endpoint);
     metrics_.removeGauge(LIMIT_METRIC, label);
+    metrics_.removeGauge(SHARE_METRIC, label);
     metrics_.removeGauge(SENT_METRIC, label);
 }
 
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -74,10 +74,11 @@
         }
         lastSend_ = now;
         sendNotices(now);
+        gateway_.router.setProcessCount(peers_.processCount(now), now);
         if (now >= nextHeartbeat_) {
             peers_.setSeeds(seedsOf(gateway_.settings));
             peers_.expire(now);
-            sendHeartbeat();
+            sendHeartbeat(now);
             nextHeartbeat_ = now + peers_.heartbeatInterval();
         }
         running = co_await context.sleep(interval());
@@ -109,10 +110,11 @@
     }
 }
 
-void NoticeExchange::sendHeartbeat()
+void NoticeExchange::sendHeartbeat(Time now)
 {
     PeerDatagram datagram;
     datagram.region = region_;
+    datagram.processCount = peers_.ownProcessCount(now);
     datagram.peers = peers_.introductions(MAX_PEERS_PER_DATAGRAM);
     sendTo(peers_.heartbeatTargets(), datagram);
     gateway_.metrics.set("mimosatally_peers", {}, static_cast<double>(peers_.size()));
@@ -151,6 +153,9 @@
     try {
         const PeerDatagram datagram = decodeDatagram(bytes);
         peers_.recordDatagram({sender, datagram.region}, now);
+        if (datagram.processCount > 0) {
+            peers_.recordProcessCount(sender, datagram.processCount);
+        }
         for (const PeerAddress &peer : datagram.peers) {
             peers_.introduce(peer, now);
         }
--- a/src/gateway/noticeexchange.h
+++ b/src/gateway/noticeexchange.h
@@ -32,7 +32,7 @@
 private:
     [[nodiscard]] Duration interval() const;
     void sendNotices(Time now);
-    void sendHeartbeat();
+    void sendHeartbeat(Time now);
     void sendTo(const std::vector<boost::asio::ip::udp::endpoint> &targets, const PeerDatagram &datagram);
     void sendPrefillNotices(const std::vector<boost::asio::ip::udp::endpoint> &targets, const std::vector<PrefillNotice> &prefillNotices);
     void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &sender, Time now);
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -163,6 +163,7 @@
 
 awaitable<bool> OrderController::sendOrder(HttpClient &client, PhaseChange change, std::string &result)
 {
+    gateway_.router.reserveRequest(change.engine, MilliClock::now());
     HttpRequest reportRequest = platform::reportRequest();
     const HttpResponse reportResponse = co_await client.send(std::move(reportRequest), ORDER_TIMEOUT);
     const platform::EngineReport report = platform::decodeReport(reportResponse);
@@ -178,6 +179,7 @@
     order.expectedOrders = report.ordersAccepted;
     logEvent(LogEvent::PhaseOrderSent,
              {{"endpoint", change.engine}, {"phase", phaseName(change.phase)}, {"generation", generation_}, {"expected_orders", order.expectedOrders}});
+    gateway_.router.reserveRequest(change.engine, MilliClock::now());
     HttpRequest request = platform::encodeOrder(order);
     const HttpResponse response = co_await client.send(std::move(request), ORDER_TIMEOUT);
     const platform::OrderAnswer answer = platform::decodeOrderAnswer(response);
--- a/src/gateway/peerdatagram.cpp
+++ b/src/gateway/peerdatagram.cpp
@@ -18,6 +18,7 @@
 {
 constexpr double MAX_PREFILL_MS = 60'000;
 constexpr std::uint32_t MAX_AGE_MS = 60'000;
+constexpr std::uint32_t MAX_PROCESS_COUNT = 100'000;
 
 udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &address)
 {
@@ -69,6 +70,7 @@
 {
     PeerDatagram datagram;
     datagram.region = RegionId(message.getRegion().cStr());
+    datagram.processCount = static_cast<int>(std::min<std::uint32_t>(message.getProcessCount(), MAX_PROCESS_COUNT));
     if (message.getPeers().size() > MAX_PEERS_PER_DATAGRAM || message.getReadings().size() > MAX_NOTICES_PER_DATAGRAM) {
         throw MalformedInputError("a datagram has too many peers or prefill notices");
     }
@@ -87,6 +89,7 @@
     capnp::MallocMessageBuilder builder;
     auto message = builder.initRoot<schema::PeerDatagram>();
     message.setRegion(datagram.region.value());
+    message.setProcessCount(static_cast<std::uint32_t>(std::max(0, datagram.processCount)));
     auto peers = message.initPeers(static_cast<unsigned>(datagram.peers.size()));
     for (unsigned i = 0; i < peers.size(); ++i) {
         peers[i].setAddress(addressText(datagram.peers[i].address));
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -16,6 +16,8 @@
     /// \brief Some gateways that the sender knows.
     std::vector<PeerAddress> peers;
     std::vector<PrefillNotice> prefillNotices;
+    /// \brief Gateways that the sender knows, itself included; zero in datagrams that are no heartbeat.
+    int processCount = 0;
 };
 
 /// \brief Maximum size of a datagram, small enough that none is fragmented.
--- a/src/membership/peertable.cpp
+++ b/src/membership/peertable.cpp
@@ -34,6 +34,7 @@
     if (peer.address == self_ || (peers_.size() >= MAX_PEERS && !peers_.contains(peer.address))) {
         return;
     }
+    silentPeers_.erase(peer.address);
     Peer &known = peers_[peer.address];
     known.region = peer.region;
     known.lastReceived = now;
@@ -55,8 +56,16 @@
 void PeerTable::expire(Time now)
 {
     const Duration lifetime = heartbeatInterval() * PEER_LIFETIME_IN_HEARTBEATS;
-    std::erase_if(peers_, [now, lifetime](const auto &entry) {
-        return now - std::max(entry.second.lastReceived, entry.second.introducedAt) >= lifetime;
+    std::erase_if(peers_, [this, now, lifetime](const auto &entry) {
+        const Peer &peer = entry.second;
+        const bool expired = now - std::max(peer.lastReceived, peer.introducedAt) >= lifetime;
+        if (expired && peer.lastReceived != Time::min() && silentPeers_.size() < MAX_PEERS) {
+            silentPeers_[entry.first] = peer.lastReceived;
+        }
+        return expired;
+    });
+    std::erase_if(silentPeers_, [now](const auto &entry) {
+        return now - entry.second >= SILENT_PEER_HOLD;
     });
 }
 
@@ -126,4 +135,32 @@
     return peers_.size();
 }
 
+int PeerTable::ownProcessCount(Time now) const
+{
+    if (lastReceived_ == Time::min()) {
+        return 1 + static_cast<int>(seeds_.size());
+    }
+    const auto silent = std::ranges::count_if(silentPeers_, [now](const auto &entry) {
+        return now - entry.second < SILENT_PEER_HOLD;
+    });
+    return 1 + static_cast<int>(peers_.size()) + static_cast<int>(silent);
+}
+
+int PeerTable::processCount(Time now) const
+{
+    int count = ownProcessCount(now);
+    for (const auto &[address, peer] : peers_) {
+        count = std::max(count, peer.processCount);
+    }
+    return count;
+}
+
+void PeerTable::recordProcessCount(const udp::endpoint &address, int count)
+{
+    const auto found = peers_.find(address);
+    if (found != peers_.end()) {
+        found->second.processCount = std::clamp(count, 0, static_cast<int>(MAX_PEERS) + 1);
+    }
+}
+
 } // namespace mimosatally
--- a/src/routing/endpointlimit.cpp
+++ b/src/routing/endpointlimit.cpp
@@ -1,8 +1,16 @@
 #include "endpointlimit.h"
 
+#include <algorithm>
+
 namespace mimosatally::internal
 {
 
+namespace
+{
+/// \brief Lowest rate of all processes together. Without any request, no answer could say that a limit of zero has ended.
+constexpr double MIN_PER_SECOND = 0.25;
+} // namespace
+
 std::int64_t RecentSends::bucketNumber(Time time)
 {
     return time.time_since_epoch() / BUCKET;
@@ -28,21 +36,27 @@
     return sends;
 }
 
-LimitChange EndpointLimit::recordAnswer(const EndpointAnswer &answer, Time sentAt, Time now)
+LimitChange EndpointLimit::recordAnswer(const EndpointAnswer &answer, Time sentAt, double phase, Time now)
 {
     if (answer.requestLimit) {
         const std::optional<RequestRate> previous = rate_;
         rate_ = answer.requestLimit;
         namedAt_ = now;
         if (!previous) {
+            pacer_.emplace(sharePerSecond(), phase, now);
             return LimitChange::Named;
         }
-        return previous == rate_ ? LimitChange::None : LimitChange::Changed;
+        if (previous == rate_) {
+            return LimitChange::None;
+        }
+        pacer_->setRate(sharePerSecond(), now);
+        return LimitChange::Changed;
     }
     if (!rate_ || answer.requestLimitUnreadable || sentAt < namedAt_) {
         return LimitChange::None;
     }
     rate_.reset();
+    pacer_.reset();
     return LimitChange::Ended;
 }
 
@@ -56,4 +70,46 @@
     return namedAt_;
 }
 
+double EndpointLimit::sharePerSecond() const
+{
+    return std::max(requestsPerSecond(*rate_), MIN_PER_SECOND) / processCount_;
+}
+
+void EndpointLimit::setProcessCount(int count, Time now)
+{
+    processCount_ = std::max(1, count);
+    if (pacer_) {
+        pacer_->setRate(sharePerSecond(), now);
+    }
+}
+
+double EndpointLimit::ownPerSecond() const
+{
+    return pacer_ ? pacer_->perSecond() : 0;
+}
+
+bool EndpointLimit::permits(Time now) const
+{
+    return !pacer_ || pacer_->hasPermit(now);
+}
+
+Duration EndpointLimit::timeToPermit(Time now) const
+{
+    return pacer_ ? pacer_->timeToPermit(now) : Duration(0);
+}
+
+void EndpointLimit::take(Time now)
+{
+    if (pacer_) {
+        pacer_->take(now);
+    }
+}
+
+void EndpointLimit::giveBack(Time takenAt, Time now)
+{
+    if (pacer_) {
+        pacer_->giveBack(takenAt, now);
+    }
+}
+
 } // namespace mimosatally::internal
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -2,6 +2,7 @@
 #include "phasetimes.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace mimosatally
@@ -25,6 +26,8 @@
 constexpr Duration MAX_PAUSE = Duration(60'000);
 /// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
 constexpr std::size_t MAX_NOTICES = 1000;
+/// \brief Latest time of return for calls that are refused because of request limits; later ones would find other limits.
+constexpr Duration MAX_RETURN_TIME = Duration(2000);
 /// \brief Interval between reports of unreadable limits of one endpoint.
 constexpr Duration FINDING_INTERVAL = Duration(10'000);
 constexpr double MIN_SLOWNESS = 0.3;
@@ -53,7 +56,7 @@
 PhaseRouter::PhaseRouter(PhaseRouter &&) noexcept = default;
 PhaseRouter &PhaseRouter::operator=(PhaseRouter &&) noexcept = default;
 
-void PhaseRouter::setEndpoints(const std::map<EndpointId, EndpointRecord> &endpoints, const ServingConfiguration &configuration, Time)
+void PhaseRouter::setEndpoints(const std::map<EndpointId, EndpointRecord> &endpoints, const ServingConfiguration &configuration, Time now)
 {
     Impl &impl = *impl_;
     for (auto &[id, endpoint] : impl.endpoints) {
@@ -76,6 +79,7 @@
             impl.endpointOfCacheIndex.emplace(found->second.cacheIndex, id);
         }
         Impl::Endpoint &endpoint = found->second;
+        endpoint.limit.setProcessCount(impl.processCount, now);
         endpoint.record = record;
         endpoint.listed = true;
         impl.endpointOfHash[internal::hashOf(id)] = &endpoint;
@@ -97,6 +101,9 @@
     std::erase_if(impl.meanLoads, [&impl](const auto &entry) {
         return !impl.services.contains(entry.first.first);
     });
+    std::erase_if(impl.lastReturn, [&impl](const auto &entry) {
+        return !impl.services.contains(entry.first);
+    });
     std::erase_if(impl.delays, [&impl](const auto &entry) {
         return !impl.services.contains(entry.first.first);
     });
@@ -139,6 +146,40 @@
     return times;
 }
 
+void PhaseRouter::setProcessCount(int count, Time now)
+{
+    if (count == impl_->processCount) {
+        return;
+    }
+    impl_->processCount = count;
+    for (auto &[id, endpoint] : impl_->endpoints) {
+        endpoint.limit.setProcessCount(count, now);
+    }
+}
+
+double PhaseRouter::Impl::limitPhase(const Endpoint &endpoint) const
+{
+    return static_cast<double>(internal::mix(seed ^ internal::hashOf(endpoint.record.id))) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+bool PhaseRouter::reserveRequest(const EndpointId &endpoint, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end() || !found->second.limit.rate()) {
+        return false;
+    }
+    found->second.limit.take(now);
+    return true;
+}
+
+void PhaseRouter::returnRequest(const EndpointId &endpoint, Time reservedAt, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found != impl_->endpoints.end()) {
+        found->second.limit.giveBack(reservedAt, now);
+    }
+}
+
 std::optional<RequestLimitUse> PhaseRouter::requestLimit(const EndpointId &endpoint, Time now) const
 {
     const auto found = impl_->endpoints.find(endpoint);
@@ -146,7 +187,8 @@
         return std::nullopt;
     }
     const Impl::Endpoint &state = found->second;
-    return RequestLimitUse {endpoint, *state.limit.rate(), now - state.limit.namedAt(), state.sentPrefills.count(now), state.sentRuns.count(now)};
+    return RequestLimitUse {
+        endpoint, *state.limit.rate(), now - state.limit.namedAt(), state.limit.ownPerSecond(), state.sentPrefills.count(now), state.sentRuns.count(now)};
 }
 
 std::vector<RequestLimitUse> PhaseRouter::requestLimits(Time now) const
@@ -166,32 +208,54 @@
     return found == impl_->endpoints.end() ? nullptr : &found->second.record;
 }
 
-bool PhaseRouter::Impl::canAcceptCalls(const Endpoint &endpoint, Time now)
+bool PhaseRouter::Impl::acceptsCalls(const Endpoint &endpoint, Time now)
 {
     return endpoint.listed && !endpoint.record.leaving && !endpoint.announcedLeaving && now >= endpoint.pausedUntil;
 }
 
+bool PhaseRouter::Impl::isExcluded(const Endpoint &endpoint, const PlacementRequest &request)
+{
+    return std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
+}
+
 bool PhaseRouter::Impl::canServe(const Endpoint &endpoint, const PlacementRequest &request, Time now)
 {
-    const bool excluded = std::ranges::find(request.excluded, endpoint.record.id) != request.excluded.end();
-    return canAcceptCalls(endpoint, now) && !excluded;
+    return acceptsCalls(endpoint, now) && endpoint.limit.permits(now) && !isExcluded(endpoint, request);
 }
 
-std::optional<Duration> PhaseRouter::Impl::shortestPause(const ServiceFleet &fleet, Time now)
+std::optional<Duration> PhaseRouter::Impl::timeToAcceptance(const ServiceFleet &fleet, Time now)
 {
     std::optional<Duration> shortest;
     for (const auto *part : {&fleet.near, &fleet.far}) {
         for (const Endpoint *endpoint : *part) {
-            const Duration remaining = endpoint->pausedUntil - now;
-            const bool remainsInService = !endpoint->record.leaving && !endpoint->announcedLeaving;
-            if (remainsInService && now < endpoint->pausedUntil && (!shortest || remaining < *shortest)) {
-                shortest = remaining;
+            const Duration wait = std::max(endpoint->pausedUntil == Time::min() ? Duration(0) : endpoint->pausedUntil - now, endpoint->limit.timeToPermit(now));
+            const bool remainsInService = !endpoint->record.leaving && !endpoint->announcedLeaving && endpoint->record.phase != EnginePhase::Prefill;
+            if (remainsInService && wait > Duration(0) && (!shortest || wait < *shortest)) {
+                shortest = wait;
             }
         }
     }
     return shortest;
 }
 
+std::optional<Duration> PhaseRouter::Impl::returnTime(const ServiceId &service, const ServiceFleet &fleet, Time now)
+{
+    const std::optional<Duration> wait = timeToAcceptance(fleet, now);
+    double perSecond = 0;
+    for (const auto *part : {&fleet.near, &fleet.far}) {
+        for (const Endpoint *endpoint : *part) {
+            perSecond += endpoint->record.phase == EnginePhase::Prefill ? 0 : endpoint->limit.ownPerSecond();
+        }
+    }
+    if (!wait || perSecond <= 0) {
+        return wait;
+    }
+    const Duration interval = Duration(static_cast<Duration::rep>(toMs(std::chrono::seconds(1)) / perSecond));
+    Time &last = lastReturn[service];
+    last = std::clamp(last + interval, now + *wait, now + std::max(*wait, MAX_RETURN_TIME));
+    return last - now;
+}
+
 PhaseRouter::Impl::Endpoint *PhaseRouter::Impl::targetOf(const Attempt &attempt)
 {
     const auto found = endpoints.find(attempt.endpoint);
@@ -247,7 +311,7 @@
     }
     Placement placement = impl_->engineProfiles.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
     if (!placement.run) {
-        placement.retryAfter = Impl::shortestPause(fleet, now);
+        placement.retryAfter = impl_->returnTime(request.service, fleet, now);
     }
     return placement;
 }
@@ -309,6 +373,7 @@
     if (attempt.workMs > 0) {
         impl_->addNotice(attempt, target, request, now);
     }
+    target.limit.take(now);
     (plan.work == AttemptWork::Prefill ? target.sentPrefills : target.sentRuns).add(now);
     ++target.ownAttempts;
     ++target.ownUnanswered;
@@ -470,7 +535,7 @@
     }
     update.newlyLeaving = answer.leaving && !endpoint->announcedLeaving && !endpoint->record.leaving;
     endpoint->announcedLeaving = endpoint->announcedLeaving || answer.leaving;
-    update.limitChange = endpoint->limit.recordAnswer(answer, found->second.beganAt, now);
+    update.limitChange = endpoint->limit.recordAnswer(answer, found->second.beganAt, impl_->limitPhase(*endpoint), now);
     if (answer.requestLimitUnreadable
         && (endpoint->unreadableLimitReportedAt == Time::min() || now - endpoint->unreadableLimitReportedAt >= FINDING_INTERVAL)) {
         endpoint->unreadableLimitReportedAt = now;
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -194,13 +194,17 @@
 
     [[nodiscard]] internal::Distance distanceTo(const DataCentreId &dataCentre) const;
     [[nodiscard]] internal::Distance distanceBetween(const DataCentreId &first, const DataCentreId &second) const;
-    /// \brief Returns true if new calls may be sent to the endpoint at all.
-    [[nodiscard]] static bool canAcceptCalls(const Endpoint &endpoint, Time now);
+    /// \brief Returns true if the endpoint takes new calls apart from its request limit.
+    [[nodiscard]] static bool acceptsCalls(const Endpoint &endpoint, Time now);
+    [[nodiscard]] static bool isExcluded(const Endpoint &endpoint, const PlacementRequest &request);
     [[nodiscard]] static bool canServe(const Endpoint &endpoint, const PlacementRequest &request, Time now);
     /// \brief Returns the endpoint of an attempt; null if it has been removed or replaced by another incarnation.
     [[nodiscard]] Endpoint *targetOf(const Attempt &attempt);
-    /// \brief Returns the shortest remaining pause of the endpoints of \a fleet that are not leaving; empty if none of them is paused.
-    [[nodiscard]] static std::optional<Duration> shortestPause(const ServiceFleet &fleet, Time now);
+    /// \brief Returns the time until the first endpoint of \a fleet that is not leaving takes a call; empty if none is paused or limited.
+    [[nodiscard]] static std::optional<Duration> timeToAcceptance(const ServiceFleet &fleet, Time now);
+    /// \brief Returns the time after which a call that no endpoint of the service may get now should come back. Calls that are refused one after
+    /// the other get later times, at the rate at which the limited endpoints take calls from this process.
+    [[nodiscard]] std::optional<Duration> returnTime(const ServiceId &service, const ServiceFleet &fleet, Time now);
     [[nodiscard]] static bool isHealthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &prefixHashes) const;
     [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
@@ -245,6 +249,9 @@
     /// \brief Chooses the best of \a candidates for the decode after the prefill on \a source.
     [[nodiscard]] Placement placeOnDecodeEngine(const std::vector<const Endpoint *> &candidates, const Endpoint &source, Tokens tokens, Time now) const;
 
+    /// \brief Returns the phase in which this process paces its calls to \a endpoint; see RequestPacer.
+    [[nodiscard]] double limitPhase(const Endpoint &endpoint) const;
+
     /// \brief Removes profiles and models of services without any endpoint.
     void pruneEngineModels();
     void addNotice(const Attempt &attempt, const Endpoint &target, const PlacementRequest &request, Time now);
@@ -272,6 +279,9 @@
     std::deque<std::pair<Time, PrefillNotice>> notices;
     Time lastPeerDatagram = Time::min();
     std::unordered_map<Ticket, Attempt> attempts;
+    int processCount = 1;
+    /// \brief Time of return that was last given to a refused call of each service.
+    std::map<ServiceId, Time> lastReturn;
     Ticket nextTicket = 1;
     /// \brief Mean time of a plain call at an endpoint without a queue.
     std::map<ServiceId, double> plainCallMs;
--- a/src/routing/promptprefix.cpp
+++ b/src/routing/promptprefix.cpp
@@ -47,19 +47,21 @@
         context.sharedTokens += request.promptParts[i].tokens;
     }
     const std::uint64_t prefix = context.prefixHashes[context.prefixHashes.size() - 2];
-    // Rendezvous hashing: processes with the same list of engines choose the same engine for a prefix.
-    std::uint64_t bestFleetWeight = 0;
+    // Rendezvous hashing: processes with the same list of engines choose the same engine for a prefix. An engine without a request limit goes before
+    // a limited one, which cannot take all calls of the prefix.
+    std::pair<bool, std::uint64_t> bestOfFleet;
     for (const auto &[regionId, prefillEngines] : fleet.prefillEngines) {
-        std::uint64_t bestWeight = 0;
+        std::pair<bool, std::uint64_t> bestOfRegion;
         for (const PrefillEngine &engine : prefillEngines) {
-            const std::uint64_t weight = mix(prefix ^ engine.hash);
-            if (weight >= bestWeight && canServe(*engine.endpoint, request, now) && isHealthy(*engine.endpoint, now)) {
-                bestWeight = weight;
-                context.regionAffinityEngines[regionId] = engine.endpoint;
+            const Endpoint &endpoint = *engine.endpoint;
+            const std::pair rank(!endpoint.limit.rate(), mix(prefix ^ engine.hash));
+            if (rank >= bestOfRegion && acceptsCalls(endpoint, now) && !isExcluded(endpoint, request) && isHealthy(endpoint, now)) {
+                bestOfRegion = rank;
+                context.regionAffinityEngines[regionId] = &endpoint;
             }
         }
-        if (bestWeight > bestFleetWeight) {
-            bestFleetWeight = bestWeight;
+        if (bestOfRegion > bestOfFleet) {
+            bestOfFleet = bestOfRegion;
             context.fleetAffinityEngine = context.regionAffinityEngines[regionId];
         }
     }
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -187,4 +187,6 @@
   peers @1 :List(PeerAddress);
   # Some peers of the sender.
   readings @2 :List(ReadingNotice);
+  processCount @3 :UInt32;
+  # Gateways that the sender knows, itself included; zero if the datagram is no heartbeat.
 }
--- a/tests/unit/endpointlimittest.cpp
+++ b/tests/unit/endpointlimittest.cpp
@@ -24,12 +24,12 @@
 TEST_CASE("An answer without a limit ends it only if its request was sent after the limit was named", "[limit]")
 {
     EndpointLimit limit;
-    CHECK(limit.recordAnswer(EndpointAnswer(), at(0), at(5)) == LimitChange::None);
-    CHECK(limit.recordAnswer(naming(20), at(0), at(10)) == LimitChange::Named);
-    CHECK(limit.recordAnswer(EndpointAnswer(), at(5), at(20)) == LimitChange::None);
+    CHECK(limit.recordAnswer(EndpointAnswer(), at(0), 0, at(5)) == LimitChange::None);
+    CHECK(limit.recordAnswer(naming(20), at(0), 0, at(10)) == LimitChange::Named);
+    CHECK(limit.recordAnswer(EndpointAnswer(), at(5), 0, at(20)) == LimitChange::None);
     CHECK(limit.rate() == RequestRate(20'000));
-    CHECK(limit.recordAnswer(naming(10), at(12), at(30)) == LimitChange::Changed);
-    CHECK(limit.recordAnswer(EndpointAnswer(), at(31), at(40)) == LimitChange::Ended);
+    CHECK(limit.recordAnswer(naming(10), at(12), 0, at(30)) == LimitChange::Changed);
+    CHECK(limit.recordAnswer(EndpointAnswer(), at(31), 0, at(40)) == LimitChange::Ended);
     CHECK_FALSE(limit.rate());
 }
 
@@ -37,10 +37,10 @@
 TEST_CASE("An unreadable limit leaves the last one in force", "[limit]")
 {
     EndpointLimit limit;
-    limit.recordAnswer(naming(20), at(0), at(10));
+    limit.recordAnswer(naming(20), at(0), 0, at(10));
     EndpointAnswer unreadable;
     unreadable.requestLimitUnreadable = true;
-    CHECK(limit.recordAnswer(unreadable, at(20), at(30)) == LimitChange::None);
+    CHECK(limit.recordAnswer(unreadable, at(20), 0, at(30)) == LimitChange::None);
     CHECK(limit.rate() == RequestRate(20'000));
 }
 
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -160,3 +160,36 @@
         CHECK_THROWS_AS(internal::decodeDatagram(internal::encodeDatagram(datagram)), MalformedInputError);
     }
 }
+
+// Guards against a process that takes the part of peers from which it is cut off, while they still send to the same endpoint.
+TEST_CASE("A silent peer counts among the processes for half a minute, and a restarted one once", "[peers]")
+{
+    PeerTable table(address(1), OWN_REGION, {address(2)});
+    CHECK(table.processCount(at(0)) == 2);
+    table.recordDatagram({address(2), OWN_REGION}, at(0));
+    table.recordDatagram({address(3), OWN_REGION}, at(0));
+    CHECK(table.processCount(at(100)) == 3);
+    table.recordDatagram({address(2), OWN_REGION}, at(4000));
+    table.expire(at(4000));
+    CHECK(table.size() == 1);
+    CHECK(table.processCount(at(4000)) == 3);
+    table.recordDatagram({address(3), OWN_REGION}, at(5000));
+    CHECK(table.processCount(at(5000)) == 3);
+    table.recordDatagram({address(2), OWN_REGION}, at(40'000));
+    table.expire(at(40'000));
+    CHECK(table.processCount(at(40'000)) == 2);
+}
+
+// Guards against a process that takes too large a part of a limit in its first seconds, before it has met all others.
+TEST_CASE("A process that has just started counts the processes that its first peer knows", "[peers]")
+{
+    PeerTable table(address(1), OWN_REGION, {address(2)});
+    table.recordDatagram({address(2), OWN_REGION}, at(0));
+    table.recordProcessCount(address(2), 68);
+    CHECK(table.processCount(at(0)) == 68);
+    CHECK(table.ownProcessCount(at(0)) == 2);
+    table.recordProcessCount(address(9), 500);
+    CHECK(table.processCount(at(0)) == 68);
+    table.recordProcessCount(address(2), 1'000'000);
+    CHECK(table.processCount(at(0)) <= static_cast<int>(PeerTable::MAX_PEERS) + 1);
+}
