Give each test process its own loopback host for addresses chosen in advance

A test chooses the addresses of agents and gateways before they start. On the shared host 127.0.0.1 another program, or an outgoing connection, could take the port in between: 2 of 576 runs of the tests of orders, 16 at a time, ended with "mimosatally agent: bind: Address already in use" in the agent's log and a time-out of the test. The address now has a host that belongs to the test process, and the three copies of the function are one.

--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -38,14 +38,6 @@
     GatewayFixture(const GatewayFixture &) = delete;
     GatewayFixture &operator=(const GatewayFixture &) = delete;
 
-    /// \brief Returns an address whose port was free at the time of the call.
-    static std::string freeAddress()
-    {
-        boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0"));
-        return toString(acceptor.local_endpoint());
-    }
-
     /// \brief Runs \a function on the thread of the stand-ins.
     template<class Function>
     decltype(auto) onStandins(Function function)
--- a/tests/gateway/gatewaygroup.h
+++ b/tests/gateway/gatewaygroup.h
@@ -56,23 +56,23 @@
 
     static std::string freePort()
     {
-        const std::string address = GatewayFixture::freeAddress();
+        const std::string address = freeAddress();
         return address.substr(address.rfind(':') + 1);
     }
 
     void start(GatewayFixture &fixture, int number, int count)
     {
         const std::string name = std::string(BINARY_DIRECTORY) + "/gateway-" + std::to_string(getpid()) + "-" + std::to_string(number);
-        callerAddresses_.push_back(GatewayFixture::freeAddress());
-        metricsAddresses_.push_back(GatewayFixture::freeAddress());
+        callerAddresses_.push_back(freeAddress());
+        metricsAddresses_.push_back(freeAddress());
         std::string peers;
         for (int i = 1; i <= std::min(count, MAX_SEEDS); ++i) {
             peers += (peers.empty() ? "\"" : ", \"") + hostOf(i) + ":1\"";
         }
         std::ofstream(name + ".toml") << "process = \"g" << number << "\"\ndata_centre = \"here\"\nlisten = \"" << callerAddresses_.back()
-                                      << "\"\nreadiness = \"" << GatewayFixture::freeAddress() << "\"\nmetrics = \"" << metricsAddresses_.back()
-                                      << "\"\nstore = \"" << fixture.store().address() << "\"\nnotices = \"" << hostOf(number) << ":" << noticePort_
-                                      << "\"\npeers = [" << peers << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
+                                      << "\"\nreadiness = \"" << freeAddress() << "\"\nmetrics = \"" << metricsAddresses_.back() << "\"\nstore = \""
+                                      << fixture.store().address() << "\"\nnotices = \"" << hostOf(number) << ":" << noticePort_ << "\"\npeers = [" << peers
+                                      << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
         gateways_.push_back(
             std::make_unique<TestProgram>(std::string(BINARY_DIRECTORY) + "/mimosatally", std::vector<std::string> {"gateway", name + ".toml"}, name + ".log"));
     }
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -208,14 +208,6 @@
         return name;
     }
 
-    /// \brief Loopback address with a port that was free when it was chosen, for processes whose address the configuration lists before they start.
-    static std::string freeAddress()
-    {
-        boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        return toString(acceptor.local_endpoint());
-    }
-
     std::unique_ptr<TestProgram> startProgram(const std::string &binary, const std::string &name, std::vector<std::string> arguments)
     {
         return std::make_unique<TestProgram>(BINARY_DIRECTORY "/" + binary, std::move(arguments), (directory_ / (name + ".log")).string());
--- a/tests/process/testprogram.h
+++ b/tests/process/testprogram.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <mimosatally/Core>
+#include <mimosatally/Http>
+
+#include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
 #include <csignal>
@@ -32,6 +35,19 @@
     }
 }
 
+/// \brief Returns a loopback address with a port that is free now, for programs whose address is known before they start.
+///
+/// Its host belongs to this test process alone: on a shared host, another program could take the port before it is used.
+inline std::string freeAddress()
+{
+    const auto process = static_cast<std::uint32_t>(getpid());
+    constexpr std::uint32_t firstOwnHost = 0x7f010000;
+    constexpr std::uint32_t hostMask = 0x3fffff;
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4(firstOwnHost + (process & hostMask)), 0});
+    return toString(acceptor.local_endpoint());
+}
+
 /// \brief Child process of the test; the destructor kills it by its process id if it still runs.
 class TestProgram
 {
--- a/tests/soak/soakfixture.h
+++ b/tests/soak/soakfixture.h
@@ -182,13 +182,6 @@
                + R"(","timeoutMs":2000,"targetLatencyMs":500,"service":"plain","maxAttempts":2,"resumable":true})";
     }
 
-    static std::string freeAddress()
-    {
-        boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(io, parseAddress("127.0.0.1:0"));
-        return toString(acceptor.local_endpoint());
-    }
-
     /// \brief Returns an endpoint's answer to a request, which counts as executed unless it is rejected.
     AnswerSteps answer(const HttpRequest &request, std::mt19937_64 &random)
     {
