Split the router's sources, and give one name to one type

The bench's EngineModel is EngineSimulation, since the router's model of engine times has that name; the entry's AttemptOutcome is SubmitOutcome, since the router has one. The stand-ins share one namespace. Removed, as nothing calls them: LeaseTable::pruneBefore, PeerTable::hasReceivedWithin, AnswerRelay::bufferedBody.

--- a/bench/policy/agentmodel.cpp
+++ b/bench/policy/agentmodel.cpp
@@ -96,7 +96,7 @@
     refuseExpired(step, now);
     dispatch(now);
     const bool wasChanging = engine_.isChangingRole();
-    EngineModel::Events events = engine_.advance(tick);
+    EngineSimulation::Events events = engine_.advance(tick);
     step.roleChangeCompleted = wasChanging && !engine_.isChangingRole();
     step.started = std::move(events.started);
     step.stored = std::move(events.stored);
--- a/bench/policy/agentmodel.h
+++ b/bench/policy/agentmodel.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "enginemodel.h"
+#include "enginesimulation.h"
 
 #include <mimosatally/Queueing>
 
@@ -48,7 +48,7 @@
     {
         return engine_.role();
     }
-    [[nodiscard]] const EngineModel::Totals &totals() const
+    [[nodiscard]] const EngineSimulation::Totals &totals() const
     {
         return engine_.totals();
     }
@@ -88,7 +88,7 @@
 
     std::size_t slots_;
     std::optional<Scheduler> scheduler_;
-    EngineModel engine_;
+    EngineSimulation engine_;
     bool withdrawn_ = false;
     /// \brief Waiting requests in order of arrival; used by the baselines.
     std::deque<RequestId> fifo_;
--- a/bench/policy/enginesimulation.h
+++ b/bench/policy/enginesimulation.h
@@ -39,7 +39,7 @@
 /// Prefill is served in order of arrival, decode in one batch. A full decode batch gets half of the engine's time while there is
 /// prefill work, a smaller batch proportionally less. A request holds the blocks of its prompt and output while it runs. A finished
 /// request leaves its prompt blocks in the prefix cache, which evicts the least recently used block first.
-class EngineModel
+class EngineSimulation
 {
 public:
     struct Events {
@@ -61,7 +61,7 @@
         double smallBatchSeconds = 0;
     };
 
-    EngineModel(EngineSettings settings, EngineRole role)
+    EngineSimulation(EngineSettings settings, EngineRole role)
         : settings_(settings)
         , role_(role)
     {
--- a/bench/policy/foresight.h
+++ b/bench/policy/foresight.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "enginemodel.h"
+#include "enginesimulation.h"
 #include "trace.h"
 
 namespace mimosatally::bench
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -62,7 +62,7 @@
     std::vector<RequestOutcome> requests;
     int roleChanges = 0;
     /// \brief Sums over all engines.
-    EngineModel::Totals engineTotals;
+    EngineSimulation::Totals engineTotals;
     std::int64_t crossRegionBytes = 0;
     /// \brief By second, then by customer.
     std::vector<std::vector<CustomerSecond>> seconds;
--- a/include/mimosatally/authority/leasetable.h
+++ b/include/mimosatally/authority/leasetable.h
@@ -34,9 +34,6 @@
     /// \brief The newest lease of \a scope; empty if it was never acquired.
     [[nodiscard]] std::optional<LeaseState> find(const LeaseScope &scope) const;
 
-    /// \brief Drops the ids of records below \a firstKept, which the log no longer retains; leases stay.
-    void pruneBefore(Offset firstKept);
-
 private:
     bool applyRecord(Offset offset, const AcquireRecord &record);
     bool applyRecord(Offset offset, const RenewRecord &record);
--- a/include/mimosatally/membership/peertable.h
+++ b/include/mimosatally/membership/peertable.h
@@ -50,9 +50,6 @@
     /// successive calls.
     std::vector<PeerAddress> introductions(std::size_t count);
 
-    /// \brief Returns whether any datagram was received within \a age.
-    [[nodiscard]] bool hasReceivedWithin(Duration age, Time now) const;
-
     /// \brief Returns the time between heartbeats. It grows with the number of peers, which bounds the datagrams that a process sends.
     [[nodiscard]] Duration heartbeatInterval() const;
 
--- a/src/authority/leasetable.cpp
+++ b/src/authority/leasetable.cpp
@@ -62,11 +62,4 @@
     return found != leases_.end() ? std::optional(found->second) : std::nullopt;
 }
 
-void LeaseTable::pruneBefore(Offset firstKept)
-{
-    std::erase_if(seenIds_, [&](const auto &seen) {
-        return seen.second < firstKept;
-    });
-}
-
 } // namespace mimosatally
--- a/src/entry/answerrelay.cpp
+++ b/src/entry/answerrelay.cpp
@@ -230,11 +230,6 @@
     return bytes_;
 }
 
-const std::string &AnswerRelay::bufferedBody() const
-{
-    return buffered_;
-}
-
 Time AnswerRelay::firstChunkAt() const
 {
     return firstChunkAt_;
--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -86,9 +86,6 @@
     [[nodiscard]] const std::string &contentType() const;
     [[nodiscard]] std::int64_t bytes() const;
 
-    /// \brief Buffered answer; empty if it was relayed as it arrived.
-    [[nodiscard]] const std::string &bufferedBody() const;
-
     /// \brief Arrival time of the first chunk; for an event stream, that of the first token.
     [[nodiscard]] Time firstChunkAt() const;
 
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -19,9 +19,9 @@
 /// and load reports by then.
 constexpr Duration LOST_ATTEMPT_RETRY_AFTER = Duration(1000);
 
-AttemptOutcome makeOutcome(AttemptOutcome::Kind kind, std::string reason)
+SubmitOutcome makeOutcome(SubmitOutcome::Kind kind, std::string reason)
 {
-    AttemptOutcome outcome;
+    SubmitOutcome outcome;
     outcome.kind = kind;
     outcome.reason = std::move(reason);
     return outcome;
@@ -89,12 +89,12 @@
             co_await refuse(refusal_);
             co_return;
         }
-        const AttemptOutcome outcome = co_await attempt(*chosen, std::nullopt);
-        if (outcome.kind == AttemptOutcome::Kind::Answered) {
+        const SubmitOutcome outcome = co_await attempt(*chosen, std::nullopt);
+        if (outcome.kind == SubmitOutcome::Kind::Answered) {
             co_await finishAnswer(chosen->endpoint, outcome);
             co_return;
         }
-        if (outcome.kind == AttemptOutcome::Kind::CallerDisconnected) {
+        if (outcome.kind == SubmitOutcome::Kind::CallerDisconnected) {
             exchange_.abort();
             co_return;
         }
@@ -123,15 +123,15 @@
     }
 }
 
-awaitable<AttemptOutcome> CallRunner::attempt(const ChosenRoute &chosen, std::optional<ClaimPosition> claimPosition)
+awaitable<SubmitOutcome> CallRunner::attempt(const ChosenRoute &chosen, std::optional<ClaimPosition> claimPosition)
 {
     if (!chosen.link->isConnected()) {
-        co_return makeOutcome(AttemptOutcome::Kind::NotRun, "not-connected");
+        co_return makeOutcome(SubmitOutcome::Kind::NotRun, "not-connected");
     }
     const IncarnationId incarnation = chosen.link->incarnation();
     receipt_ = entry_.decisions.recordRouted(call_, chosen.decision, incarnation, ++attemptCount_);
     entry_.router.recordDispatch(chosen.endpoint, routeRequest(), MilliClock::now());
-    AttemptOutcome outcome;
+    SubmitOutcome outcome;
     std::exception_ptr failure;
     try {
         outcome = co_await submit(*chosen.link, claimPosition, relay_->startAttempt());
@@ -147,7 +147,7 @@
     co_return outcome;
 }
 
-awaitable<AttemptOutcome> CallRunner::submit(AgentLink &link, std::optional<ClaimPosition> claimPosition, int relayAttempt)
+awaitable<SubmitOutcome> CallRunner::submit(AgentLink &link, std::optional<ClaimPosition> claimPosition, int relayAttempt)
 {
     schema::Agent::Client agent = link.agent();
     const IncarnationId incarnation = link.incarnation();
@@ -161,20 +161,20 @@
     const std::optional<SubmitResponse> response = co_await awaitOrFailure(entry_.io, sent.exclusiveJoin(watch_->whenCancelled()), failure);
     if (call_.mayRepeat && (watch_->isCallerDisconnected() || relay_->isCallerDisconnected())) {
         co_await cancelAtAgent(agent, incarnation);
-        co_return makeOutcome(AttemptOutcome::Kind::CallerDisconnected, "caller-gone");
+        co_return makeOutcome(SubmitOutcome::Kind::CallerDisconnected, "caller-gone");
     }
     if (!response) {
         logEvent(LogEvent::AttemptLost, {{"request", call_.id}, {"endpoint", link.endpoint().id}, {"error", failure}});
         // An immediate heartbeat exchange shows whether the connection still works.
         entry_.fleet.exchangeNow(link.endpoint().id);
-        co_return makeOutcome(AttemptOutcome::Kind::Lost, "endpoint-lost");
+        co_return makeOutcome(SubmitOutcome::Kind::Lost, "endpoint-lost");
     }
     co_return co_await readOutcome(response->getOutcome());
 }
 
-awaitable<AttemptOutcome> CallRunner::readOutcome(schema::Outcome::Reader message)
+awaitable<SubmitOutcome> CallRunner::readOutcome(schema::Outcome::Reader message)
 {
-    AttemptOutcome outcome;
+    SubmitOutcome outcome;
     outcome.reason = message.getReason().cStr();
     outcome.usage = {Tokens(message.getPromptTokens()), Tokens(message.getOutputTokens())};
     if (message.getRetryAfterMs() >= 0) {
@@ -182,18 +182,18 @@
     }
     switch (message.getKind()) {
     case schema::OutcomeKind::ANSWERED:
-        outcome.kind = AttemptOutcome::Kind::Answered;
+        outcome.kind = SubmitOutcome::Kind::Answered;
         if (!co_await relay_->awaitBytes(message.getAnswerBytes(), FINAL_CHUNK_TIMEOUT)) {
-            outcome.kind = call_.mayRepeat && relay_->isCallerDisconnected() ? AttemptOutcome::Kind::CallerDisconnected : AttemptOutcome::Kind::Lost;
+            outcome.kind = call_.mayRepeat && relay_->isCallerDisconnected() ? SubmitOutcome::Kind::CallerDisconnected : SubmitOutcome::Kind::Lost;
             outcome.reason = "answer-incomplete";
         }
         break;
     case schema::OutcomeKind::NOT_RUN:
         // An agent that sent part of an answer has run the call, regardless of the outcome that it reports.
-        outcome.kind = relay_->hasBegun() ? AttemptOutcome::Kind::Lost : AttemptOutcome::Kind::NotRun;
+        outcome.kind = relay_->hasBegun() ? SubmitOutcome::Kind::Lost : SubmitOutcome::Kind::NotRun;
         break;
     case schema::OutcomeKind::UNKNOWN:
-        outcome.kind = AttemptOutcome::Kind::Lost;
+        outcome.kind = SubmitOutcome::Kind::Lost;
         break;
     }
     co_return outcome;
@@ -225,30 +225,30 @@
     request.setAttempt(static_cast<unsigned>(attemptCount_));
 }
 
-void CallRunner::recordOutcome(const EndpointId &endpoint, const IncarnationId &incarnation, const AttemptOutcome &outcome)
+void CallRunner::recordOutcome(const EndpointId &endpoint, const IncarnationId &incarnation, const SubmitOutcome &outcome)
 {
     constexpr unsigned firstServerError = 500;
     AttemptResult result = AttemptResult::Failed;
-    if (outcome.kind == AttemptOutcome::Kind::NotRun) {
+    if (outcome.kind == SubmitOutcome::Kind::NotRun) {
         result = AttemptResult::NotRun;
-    } else if (outcome.kind == AttemptOutcome::Kind::CallerDisconnected
-               || (outcome.kind == AttemptOutcome::Kind::Answered && relay_->status() < firstServerError)) {
+    } else if (outcome.kind == SubmitOutcome::Kind::CallerDisconnected
+               || (outcome.kind == SubmitOutcome::Kind::Answered && relay_->status() < firstServerError)) {
         result = AttemptResult::Answered;
     }
-    if (outcome.kind == AttemptOutcome::Kind::NotRun && outcome.reason == toString(RefusalReason::Leaving)) {
+    if (outcome.kind == SubmitOutcome::Kind::NotRun && outcome.reason == toString(RefusalReason::Leaving)) {
         entry_.endpointDirectory.observeLeaving(endpoint, incarnation);
         entry_.fleet.refreshAvailability(endpoint);
     }
     entry_.router.recordResult(endpoint, call_.id, result, outcome.usage.output, MilliClock::now());
     triedEndpoints_.push_back(endpoint);
-    mayHaveRun_ = mayHaveRun_ || outcome.kind == AttemptOutcome::Kind::Lost;
+    mayHaveRun_ = mayHaveRun_ || outcome.kind == SubmitOutcome::Kind::Lost;
 }
 
-bool CallRunner::prepareRetry(const AttemptOutcome &outcome)
+bool CallRunner::prepareRetry(const SubmitOutcome &outcome)
 {
     refusal_ = refusalAfter(outcome);
     const Time now = MilliClock::now();
-    const bool cannotSucceed = outcome.kind == AttemptOutcome::Kind::NotRun && outcome.reason == toString(RefusalReason::UnknownCustomer);
+    const bool cannotSucceed = outcome.kind == SubmitOutcome::Kind::NotRun && outcome.reason == toString(RefusalReason::UnknownCustomer);
     if (relay_->hasRelayed() || cannotSucceed || now >= call_.startDeadline || !entry_.retryBudget.tryRetry(call_.customer, now)) {
         return false;
     }
@@ -267,7 +267,7 @@
     return refusedNotRun(decision.reason, decision.retryAfter.value_or(LOST_ATTEMPT_RETRY_AFTER));
 }
 
-CallRefusal CallRunner::refusalAfter(const AttemptOutcome &outcome) const
+CallRefusal CallRunner::refusalAfter(const SubmitOutcome &outcome) const
 {
     if (!mayHaveRun_) {
         return refusedNotRun(outcome.reason, outcome.retryAfter);
@@ -279,7 +279,7 @@
     return refusal;
 }
 
-awaitable<void> CallRunner::finishAnswer(const EndpointId &endpoint, const AttemptOutcome &outcome)
+awaitable<void> CallRunner::finishAnswer(const EndpointId &endpoint, const SubmitOutcome &outcome)
 {
     AnswerSummary summary;
     summary.endpoint = endpoint;
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -14,7 +14,7 @@
 {
 
 /// \brief Outcome of one attempt at one endpoint.
-struct AttemptOutcome {
+struct SubmitOutcome {
     enum class Kind {
         Answered,
         /// \brief The agent states that the call was not run and will not be.
@@ -63,17 +63,17 @@
 
     /// \brief Chooses a connected endpoint. \return empty if there is none; refusal_ then states the reason.
     std::optional<ChosenRoute> chooseRoute();
-    boost::asio::awaitable<AttemptOutcome> attempt(const ChosenRoute &chosen, std::optional<ClaimPosition> claimPosition);
-    boost::asio::awaitable<AttemptOutcome> submit(AgentLink &link, std::optional<ClaimPosition> claimPosition, int relayAttempt);
-    boost::asio::awaitable<AttemptOutcome> readOutcome(schema::Outcome::Reader message);
+    boost::asio::awaitable<SubmitOutcome> attempt(const ChosenRoute &chosen, std::optional<ClaimPosition> claimPosition);
+    boost::asio::awaitable<SubmitOutcome> submit(AgentLink &link, std::optional<ClaimPosition> claimPosition, int relayAttempt);
+    boost::asio::awaitable<SubmitOutcome> readOutcome(schema::Outcome::Reader message);
     void fillRequest(schema::Request::Builder request, const AgentLink &link, std::optional<ClaimPosition> claimPosition) const;
-    void recordOutcome(const EndpointId &endpoint, const IncarnationId &incarnation, const AttemptOutcome &outcome);
+    void recordOutcome(const EndpointId &endpoint, const IncarnationId &incarnation, const SubmitOutcome &outcome);
     /// \brief Charges the retry budget and returns true if another attempt is allowed after \a outcome. Otherwise refusal_ is to be sent.
-    bool prepareRetry(const AttemptOutcome &outcome);
+    bool prepareRetry(const SubmitOutcome &outcome);
     [[nodiscard]] CallRefusal refusalWithoutRoute(const RouteDecision &decision) const;
-    [[nodiscard]] CallRefusal refusalAfter(const AttemptOutcome &outcome) const;
+    [[nodiscard]] CallRefusal refusalAfter(const SubmitOutcome &outcome) const;
 
-    boost::asio::awaitable<void> finishAnswer(const EndpointId &endpoint, const AttemptOutcome &outcome);
+    boost::asio::awaitable<void> finishAnswer(const EndpointId &endpoint, const SubmitOutcome &outcome);
     boost::asio::awaitable<void> refuse(const CallRefusal &refusal);
     boost::asio::awaitable<void> cancelAtAgent(schema::Agent::Client agent, IncarnationId incarnation);
     [[nodiscard]] RouteRequest routeRequest() const;
--- a/src/entry/claimedcall.cpp
+++ b/src/entry/claimedcall.cpp
@@ -83,12 +83,12 @@
     }
     relay_->ignoreCallerDisconnect();
     const ClaimPosition position {claim.partition, claim.claim};
-    const AttemptOutcome outcome = co_await attempt(chosen, position);
-    if (outcome.kind == AttemptOutcome::Kind::Answered) {
+    const SubmitOutcome outcome = co_await attempt(chosen, position);
+    if (outcome.kind == SubmitOutcome::Kind::Answered) {
         co_await finishAnswer(record.endpoint, outcome);
         co_return;
     }
-    if (outcome.kind == AttemptOutcome::Kind::NotRun) {
+    if (outcome.kind == SubmitOutcome::Kind::NotRun) {
         entry_.claims.voidClaim(record);
     }
     co_await refuse(refusalAfter(outcome));
--- a/src/membership/peertable.cpp
+++ b/src/membership/peertable.cpp
@@ -120,11 +120,6 @@
     return result;
 }
 
-bool PeerTable::hasReceivedWithin(Duration age, Time now) const
-{
-    return lastReceived_ != Time::min() && now - lastReceived_ <= age;
-}
-
 Duration PeerTable::heartbeatInterval() const
 {
     return std::max(MIN_HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL_PER_PEER * static_cast<Duration::rep>(peers_.size()));
--- /dev/null
+++ b/src/routing/phaserouterattempts.cpp
@@ -0,0 +1,271 @@
+#include "phaserouterimpl.h"
+#include "phasetimes.h"
+
+#include <algorithm>
+
+namespace mimosatally
+{
+
+using internal::INITIAL_PLAIN_CALL_MS;
+using internal::prefixHashesOf;
+using internal::roundTripMs;
+using internal::toMs;
+using internal::updateMean;
+
+namespace
+{
+constexpr Duration MIN_REJECTION_BACKOFF = Duration(100);
+constexpr Duration MAX_REJECTION_BACKOFF = Duration(800);
+/// \brief Upper bound for the pause that an endpoint asks for, so that a wrong answer cannot take it out of service for longer.
+constexpr Duration MAX_PAUSE = Duration(60'000);
+/// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
+constexpr std::size_t MAX_NOTICES = 1000;
+/// \brief Interval between reports of unreadable limits of one endpoint.
+constexpr Duration FINDING_INTERVAL = Duration(10'000);
+constexpr double MIN_SLOWNESS = 0.3;
+constexpr double MAX_SLOWNESS = 8;
+} // namespace
+
+PhaseRouter::Impl::Endpoint *PhaseRouter::Impl::targetOf(const Attempt &attempt)
+{
+    const auto found = endpoints.find(attempt.endpoint);
+    return found == endpoints.end() || found->second.record.startedAt != attempt.startedAt ? nullptr : &found->second;
+}
+
+PhaseRouter::Ticket PhaseRouter::begin(const AttemptPlan &plan, const PlacementRequest &request, Time now)
+{
+    const Ticket ticket = impl_->nextTicket++;
+    const auto found = impl_->endpoints.find(plan.endpoint);
+    if (found == impl_->endpoints.end()) {
+        return ticket;
+    }
+    Impl::Endpoint &target = found->second;
+    Impl::Attempt attempt;
+    attempt.endpoint = plan.endpoint;
+    attempt.startedAt = target.record.startedAt;
+    attempt.work = plan.work;
+    attempt.beganAt = now;
+    if (target.model != nullptr) {
+        internal::EngineModel &model = impl_->engineModels[target.record.service];
+        attempt.prefixHashes = prefixHashesOf(request.promptParts);
+        attempt.prompt = request.promptTokens;
+        attempt.cache = plan.cache;
+        attempt.workMs = Impl::expectedPrefillMs(target, plan.work, request.promptTokens, plan.cache, 0);
+        attempt.queueMs = plan.work == AttemptWork::Prefill ? 0 : impl_->slotWaitMs(target, now);
+        attempt.queueMs += plan.work == AttemptWork::Run ? 0 : impl_->queueMs(target, now);
+        attempt.backlogCorrections = target.prefillBacklog.corrections();
+        attempt.delayMs = impl_->delayMs(target.record.service, plan.work, now);
+        attempt.predictedMs = roundTripMs(target.distance) + attempt.queueMs + attempt.delayMs + attempt.workMs + model.firstByteMs(plan.work);
+        model.recordPrefillStart(target.record.phase.value_or(EnginePhase::Decode), attempt.workMs);
+        for (std::size_t part = 0; part < attempt.prefixHashes.size(); ++part) {
+            impl_->cache.store(target.cacheIndex, attempt.prefixHashes[part], static_cast<std::size_t>(request.promptParts[part].tokens.count()));
+        }
+    } else {
+        const auto mean = impl_->plainCallMs.find(request.service);
+        attempt.predictedMs = roundTripMs(target.distance) + (mean == impl_->plainCallMs.end() ? INITIAL_PLAIN_CALL_MS : mean->second);
+    }
+    const auto source = impl_->endpoints.find(plan.promptSource);
+    if (source != impl_->endpoints.end()) {
+        attempt.promptSource = plan.promptSource;
+        attempt.transferMs = impl_->transferMs(source->second, target, request.promptTokens);
+        attempt.queueMs += target.transferBacklogMs;
+        attempt.predictedMs += target.transferBacklogMs + attempt.transferMs;
+        source->second.transferBacklogMs += attempt.transferMs;
+        target.transferBacklogMs += attempt.transferMs;
+    }
+    target.prefillBacklog.add(attempt.workMs * target.slowness, now);
+    if (attempt.workMs > 0) {
+        impl_->addNotice(attempt, target, request, now);
+    }
+    target.limit.take(now);
+    (plan.work == AttemptWork::Prefill ? target.sentPrefills : target.sentRuns).add(now);
+    ++target.ownAttempts;
+    ++target.ownUnanswered;
+    if (!target.unansweredSince) {
+        target.unansweredSince = now;
+    }
+    impl_->attempts.emplace(ticket, std::move(attempt));
+    return ticket;
+}
+
+void PhaseRouter::Impl::addNotice(const Attempt &attempt, const Endpoint &target, const PlacementRequest &request, Time now)
+{
+    PrefillNotice notice;
+    notice.endpoint = internal::hashOf(target.record.id);
+    notice.startedAt = target.record.startedAt;
+    notice.prefillMs = attempt.workMs * target.slowness;
+    for (std::size_t part = 0; part < attempt.prefixHashes.size(); ++part) {
+        notice.prefixes.push_back({attempt.prefixHashes[part], request.promptParts[part].tokens});
+    }
+    notices.emplace_back(now, std::move(notice));
+    if (notices.size() > MAX_NOTICES) {
+        notices.pop_front();
+    }
+}
+
+std::vector<PrefillNotice> PhaseRouter::takePrefillNotices(Time now)
+{
+    std::vector<PrefillNotice> result;
+    for (auto &[beganAt, notice] : impl_->notices) {
+        notice.age = now - beganAt;
+        result.push_back(std::move(notice));
+    }
+    impl_->notices.clear();
+    return result;
+}
+
+void PhaseRouter::recordPrefillNotice(const PrefillNotice &notice, Time now)
+{
+    const auto found = impl_->endpointOfHash.find(notice.endpoint);
+    if (found == impl_->endpointOfHash.end() || found->second->record.startedAt != notice.startedAt) {
+        return;
+    }
+    Impl::Endpoint &endpoint = *found->second;
+    // If the engine was idle in the meantime, it has already done a part of the prefill.
+    const double idleMs = std::max(0.0, toMs(notice.age) - endpoint.prefillBacklog.remainingMs(now));
+    endpoint.prefillBacklog.add(std::max(0.0, notice.prefillMs - idleMs), now);
+    for (const PromptPrefix &prefix : notice.prefixes) {
+        impl_->cache.store(endpoint.cacheIndex, prefix.hash, static_cast<std::size_t>(prefix.tokens.count()));
+    }
+}
+
+void PhaseRouter::recordPeerDatagram(Time now)
+{
+    impl_->lastPeerDatagram = now;
+}
+
+void PhaseRouter::Impl::endTransfer(const Attempt &attempt)
+{
+    for (const EndpointId &id : {attempt.endpoint, attempt.promptSource}) {
+        const auto found = endpoints.find(id);
+        if (found != endpoints.end()) {
+            found->second.transferBacklogMs = std::max(0.0, found->second.transferBacklogMs - attempt.transferMs);
+        }
+    }
+}
+
+void PhaseRouter::recordFirstByte(Ticket ticket, Time now)
+{
+    const auto found = impl_->attempts.find(ticket);
+    if (found == impl_->attempts.end() || !found->second.awaitingFirstByte) {
+        return;
+    }
+    Impl::Attempt &attempt = found->second;
+    attempt.awaitingFirstByte = false;
+    impl_->endTransfer(attempt);
+    Impl::Endpoint *target = impl_->targetOf(attempt);
+    if (target == nullptr) {
+        return;
+    }
+    Impl::Endpoint &endpoint = *target;
+    --endpoint.ownUnanswered;
+    attempt.answeredAt = now;
+    endpoint.unansweredSince = endpoint.ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
+    if (!attempt.prefixHashes.empty()) {
+        const double measuredMs = toMs(now - attempt.beganAt);
+        const double unexplainedMs = measuredMs - (attempt.predictedMs - attempt.delayMs + attempt.workMs * (endpoint.slowness - 1));
+        impl_->recordDelay(attempt, endpoint, unexplainedMs, now);
+        if (attempt.work == AttemptWork::Prefill) {
+            endpoint.prefillBacklog.correct(unexplainedMs, attempt.backlogCorrections, now);
+        }
+        updateMean(endpoint.slowness, std::clamp(measuredMs / attempt.predictedMs, MIN_SLOWNESS, MAX_SLOWNESS));
+        const double netMs = std::max(0.0, measuredMs - roundTripMs(endpoint.distance));
+        impl_->engineModels[endpoint.record.service].recordFirstByte({attempt.work, attempt.prompt, attempt.cache, attempt.transferMs, attempt.queueMs, netMs});
+    }
+}
+
+void PhaseRouter::end(Ticket ticket, AttemptOutcome result, Time now)
+{
+    const auto found = impl_->attempts.find(ticket);
+    if (found == impl_->attempts.end()) {
+        return;
+    }
+    Impl::Endpoint *target = impl_->targetOf(found->second);
+    if (target == nullptr) {
+        if (found->second.awaitingFirstByte) {
+            impl_->endTransfer(found->second);
+        }
+        impl_->attempts.erase(found);
+        return;
+    }
+    Impl::Endpoint &endpoint = *target;
+    if (result == AttemptOutcome::Answered || result == AttemptOutcome::Rejected || result == AttemptOutcome::AnsweredFailure) {
+        recordFirstByte(ticket, now);
+        endpoint.health.recordSuccess(now);
+    }
+    if (result == AttemptOutcome::Rejected) {
+        // An engine that changes its phase rejects all calls for seconds, and its heartbeat reports the change late.
+        endpoint.rejectionBackoff = std::clamp(endpoint.rejectionBackoff * 2, MIN_REJECTION_BACKOFF, MAX_REJECTION_BACKOFF);
+        endpoint.avoidedUntil = std::max(endpoint.avoidedUntil, now + endpoint.rejectionBackoff);
+    } else if (result == AttemptOutcome::Answered) {
+        endpoint.rejectionBackoff = Duration(0);
+    }
+    if (result != AttemptOutcome::Abandoned && result != AttemptOutcome::Rejected) {
+        updateMean(endpoint.failureShare, result == AttemptOutcome::Answered ? 0 : 1);
+    }
+    const Impl::Attempt attempt = std::move(found->second);
+    if (attempt.awaitingFirstByte) {
+        impl_->endTransfer(attempt);
+        --endpoint.ownUnanswered;
+    }
+    impl_->attempts.erase(ticket);
+    --endpoint.ownAttempts;
+    if (endpoint.ownAttempts == 0) {
+        endpoint.transferBacklogMs = 0;
+        endpoint.unansweredSince.reset();
+    }
+    if (result == AttemptOutcome::Failed || result == AttemptOutcome::TimedOut) {
+        endpoint.health.recordFailure(now);
+    }
+    if (result == AttemptOutcome::Answered && !attempt.prefixHashes.empty() && attempt.work != AttemptWork::Prefill && attempt.answeredAt != Time::min()) {
+        impl_->engineModels[endpoint.record.service].recordGeneration(toMs(now - attempt.answeredAt));
+    }
+    if (result == AttemptOutcome::Answered && attempt.prefixHashes.empty() && attempt.work == AttemptWork::Run) {
+        auto &mean = impl_->plainCallMs.emplace(endpoint.record.service, INITIAL_PLAIN_CALL_MS).first->second;
+        updateMean(mean, std::max(1.0, toMs(now - attempt.beganAt) - roundTripMs(endpoint.distance)));
+    }
+}
+
+EndpointUpdate PhaseRouter::observeAnswer(Ticket ticket, const EndpointAnswer &answer, Time now)
+{
+    EndpointUpdate update;
+    const auto found = impl_->attempts.find(ticket);
+    Impl::Endpoint *endpoint = found == impl_->attempts.end() ? nullptr : impl_->targetOf(found->second);
+    if (endpoint == nullptr) {
+        return update;
+    }
+    if (answer.load) {
+        reportLoad(endpoint->record.id, *answer.load, now);
+    }
+    update.newlyLeaving = answer.leaving && !endpoint->announcedLeaving && !endpoint->record.leaving;
+    endpoint->announcedLeaving = endpoint->announcedLeaving || answer.leaving;
+    update.limitChange = endpoint->limit.recordAnswer(answer, found->second.beganAt, impl_->limitPhase(*endpoint), now);
+    if (answer.requestLimitUnreadable
+        && (endpoint->unreadableLimitReportedAt == Time::min() || now - endpoint->unreadableLimitReportedAt >= FINDING_INTERVAL)) {
+        endpoint->unreadableLimitReportedAt = now;
+        update.limitUnreadable = true;
+    }
+    if (answer.retryAfter) {
+        update.pause = std::min(*answer.retryAfter, MAX_PAUSE);
+        endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + *update.pause);
+    }
+    return update;
+}
+
+void PhaseRouter::reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found == impl_->endpoints.end()) {
+        return;
+    }
+    Impl::Endpoint &state = found->second;
+    state.foreign.requests = std::max(0, load.running + load.waiting - state.ownAttempts);
+    state.foreign.waiting = std::max(0, load.waiting - state.ownUnanswered);
+    state.reportedAt = now;
+    internal::MeanLoad &mean = impl_->meanLoads[{state.record.service, state.record.phase}];
+    updateMean(mean.load.requests, state.foreign.requests);
+    updateMean(mean.load.waiting, state.foreign.waiting);
+    mean.reportedAt = now;
+}
+
+} // namespace mimosatally
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -252,6 +252,12 @@
     /// \brief Returns the phase in which this process paces its calls to \a endpoint; see RequestPacer.
     [[nodiscard]] double limitPhase(const Endpoint &endpoint) const;
 
+    /// \brief Returns the state of an endpoint, which is new for a new endpoint or incarnation.
+    [[nodiscard]] Endpoint &findOrAddEndpoint(const EndpointRecord &record);
+    void setEngineProfile(Endpoint &endpoint, const ServingConfiguration &configuration);
+    void addToFleet(Endpoint &endpoint);
+    /// \brief Removes the state of services without endpoints and of endpoints that are no longer listed and have no open attempt.
+    void removeUnusedState();
     /// \brief Removes profiles and models of services without any endpoint.
     void pruneEngineModels();
     void addNotice(const Attempt &attempt, const Endpoint &target, const PlacementRequest &request, Time now);
--- a/tests/standins/logstore.h
+++ b/tests/standins/logstore.h
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace mimosatally::standins
+namespace mimosatally::standin
 {
 
 /// \brief In-memory streams with offsets and retention by count, in the JSON format of the Kafka REST proxy, version 1.
@@ -89,4 +89,4 @@
     std::uint64_t appendCount_ = 0;
 };
 
-} // namespace mimosatally::standins
+} // namespace mimosatally::standin
--- a/tests/standins/platformstandin.h
+++ b/tests/standins/platformstandin.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosatally::standins
+namespace mimosatally::standin
 {
 
 using Arguments = std::map<std::string, docopt::value>;
@@ -81,4 +81,4 @@
     }
 }
 
-} // namespace mimosatally::standins
+} // namespace mimosatally::standin
--- a/tests/standins/standin_instances.cpp
+++ b/tests/standins/standin_instances.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 using namespace mimosatally;
-using namespace mimosatally::standins;
+using namespace mimosatally::standin;
 using boost::asio::awaitable;
 
 namespace
--- a/tests/standins/standin_log.cpp
+++ b/tests/standins/standin_log.cpp
@@ -4,7 +4,7 @@
 #include "platformstandin.h"
 
 using namespace mimosatally;
-using namespace mimosatally::standins;
+using namespace mimosatally::standin;
 using boost::asio::awaitable;
 
 namespace
@@ -46,7 +46,7 @@
             co_await control(exchange);
             co_return;
         }
-        co_await standins::sleepFor(io_, answerDelay_);
+        co_await standin::sleepFor(io_, answerDelay_);
         if (down_) {
             co_await exchange.respond(makeHttpResponse(503, CONTENT_TYPE, R"({"error_code":50300,"message":"down"})"));
         } else if (exchange.request().method() == boost::beast::http::verb::post) {
--- a/tests/unit/configurationfollowertest.cpp
+++ b/tests/unit/configurationfollowertest.cpp
@@ -24,10 +24,10 @@
 
     void append(const std::string &payload)
     {
-        store.append("configuration", {{"records", {{{"value", standins::LogStore::Json::parse(payload)}}}}});
+        store.append("configuration", {{"records", {{{"value", standin::LogStore::Json::parse(payload)}}}}});
     }
 
-    standins::LogStore store = standins::LogStore(0);
+    standin::LogStore store = standin::LogStore(0);
     bool isDown = false;
     std::size_t requests = 0;
     HttpServer server;
@@ -42,10 +42,9 @@
         }
         const HttpRequest &request = exchange.request();
         const bool isRead = request.method() == boost::beast::http::verb::get;
-        const standins::LogStore::Json answer =
-            isRead
-                ? store.read("configuration", std::stoll(standins::queryParameter(request, "offset")), std::stoll(standins::queryParameter(request, "count")))
-                : store.append("configuration", standins::LogStore::Json::parse(request.body()));
+        const standin::LogStore::Json answer =
+            isRead ? store.read("configuration", std::stoll(standin::queryParameter(request, "offset")), std::stoll(standin::queryParameter(request, "count")))
+                   : store.append("configuration", standin::LogStore::Json::parse(request.body()));
         co_await exchange.respond(makeHttpResponse(200, "application/json", answer.dump()));
     }
 };
--- a/tests/unit/enginesimulationtest.cpp
+++ b/tests/unit/enginesimulationtest.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "../bench/policy/enginemodel.h"
+#include "../bench/policy/enginesimulation.h"
 
 using namespace mimosatally;
 using namespace mimosatally::bench;
@@ -10,7 +10,7 @@
 constexpr Duration TICK = Duration(5);
 
 /// \brief Returns the milliseconds until \a request has finished; -1 if it does not finish within a minute.
-std::int64_t runUntilFinished(EngineModel &engine, std::size_t request)
+std::int64_t runUntilFinished(EngineSimulation &engine, std::size_t request)
 {
     for (std::int64_t elapsed = TICK.count(); elapsed < 60'000; elapsed += TICK.count()) {
         const auto events = engine.advance(TICK);
@@ -25,13 +25,13 @@
 // Guards against results of bench_policy that are based on wrong speeds: 8000 prompt tokens and 600 output tokens per second are expected.
 TEST_CASE("The engine model prefills and decodes at the speeds of its role", "[enginemodel]")
 {
-    EngineModel prefill(EngineSettings(), EngineRole::Prefill);
+    EngineSimulation prefill(EngineSettings(), EngineRole::Prefill);
     prefill.submit({0, 8000, 1, {}});
     CHECK(runUntilFinished(prefill, 0) == Approx(1010).margin(15));
-    EngineModel mixed(EngineSettings(), EngineRole::Mixed);
+    EngineSimulation mixed(EngineSettings(), EngineRole::Mixed);
     mixed.submit({0, 8000, 1, {}});
     CHECK(runUntilFinished(mixed, 0) == Approx(1000 / 0.85 + 10).margin(15));
-    EngineModel decode(EngineSettings(), EngineRole::Decode);
+    EngineSimulation decode(EngineSettings(), EngineRole::Decode);
     for (std::size_t i = 0; i < 4; ++i) {
         decode.submit({i, 1, 150, {}});
     }
@@ -43,7 +43,7 @@
 {
     EngineSettings settings;
     settings.cacheBlocks = 4;
-    EngineModel engine(settings, EngineRole::Prefill);
+    EngineSimulation engine(settings, EngineRole::Prefill);
     engine.submit({0, 8000, 1, {1, 2, 3, 4}});
     CHECK(runUntilFinished(engine, 0) > 1000);
     engine.submit({1, 4000, 1, {1, 2}});
@@ -62,7 +62,7 @@
 // Guards against role changes that abort running requests or take no time.
 TEST_CASE("The engine model finishes its requests before a role change, which takes five seconds", "[enginemodel]")
 {
-    EngineModel engine(EngineSettings(), EngineRole::Mixed);
+    EngineSimulation engine(EngineSettings(), EngineRole::Mixed);
     engine.submit({0, 1000, 10, {}});
     engine.changeRole(EngineRole::Prefill);
     CHECK(runUntilFinished(engine, 0) > 0);
