Return no test address twice

A test that starts a hundred gateways failed: one of them could not bind its address, since two calls of freeAddress() had returned the same one.

--- a/tests/process/testprogram.h
+++ b/tests/process/testprogram.h
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/wait.h>
@@ -37,15 +38,21 @@
 
 /// \brief Returns a loopback address with a port that is free now, for programs whose address is known before they start.
 ///
-/// Its host belongs to this test process alone: on a shared host, another program could take the port before it is used.
+/// Its host belongs to this test process alone, and no address is returned twice: otherwise another program could take the port before it is
+/// used.
 inline std::string freeAddress()
 {
     const auto process = static_cast<std::uint32_t>(getpid());
     constexpr std::uint32_t firstOwnHost = 0x7f010000;
     constexpr std::uint32_t hostMask = 0x3fffff;
+    static std::set<std::string> returned;
     boost::asio::io_context io;
-    const boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4(firstOwnHost + (process & hostMask)), 0});
-    return toString(acceptor.local_endpoint());
+    std::string address;
+    do {
+        const boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4(firstOwnHost + (process & hostMask)), 0});
+        address = toString(acceptor.local_endpoint());
+    } while (!returned.insert(address).second);
+    return address;
 }
 
 /// \brief Child process of the test; the destructor kills it by its process id if it still runs.
