Keep only a part of an endpoint's connections idle at each gateway

Callers could see new connections reset: each gateway kept up to 48 idle connections to an endpoint as if it were the only one, so 68 gateways could hold 3,264 where the endpoint accepts 470 to 500 from all callers.

A gateway now keeps at most the service's maximum divided by the number of gateways, and one at least. Connections in use have no bound over all gateways yet.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -54,8 +54,10 @@
 void ConnectionPool::put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now)
 {
     const Duration idleTimeout = keepAlive.value_or(DEFAULT_IDLE_TIMEOUT) - IDLE_TIMEOUT_MARGIN;
+    const auto limit = idleLimits_.find(connection->address);
+    const std::size_t maxIdle = limit == idleLimits_.end() ? MAX_IDLE_PER_ENDPOINT : std::min(limit->second, MAX_IDLE_PER_ENDPOINT);
     auto &idle = idle_[connection->address];
-    if (idleTimeout <= Duration(0) || idle.size() >= MAX_IDLE_PER_ENDPOINT) {
+    if (idleTimeout <= Duration(0) || idle.size() >= maxIdle) {
         return;
     }
     connection->expiresAt = now + idleTimeout;
@@ -63,6 +65,11 @@
     idle.push_back(std::move(connection));
 }
 
+void ConnectionPool::setIdleLimits(std::map<tcp::endpoint, std::size_t> limits)
+{
+    idleLimits_ = std::move(limits);
+}
+
 void ConnectionPool::closeExpired(Time now)
 {
     for (auto &[address, idle] : idle_) {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -37,6 +37,9 @@
     /// \brief Keeps a connection whose last answer is complete. \param keepAlive idle timeout that the endpoint stated, if any.
     void put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now);
 
+    /// \brief Sets how many idle connections to each address are kept; a connection above the limit is closed when its call ends.
+    void setIdleLimits(std::map<boost::asio::ip::tcp::endpoint, std::size_t> limits);
+
     /// \brief Closes connections whose idle timeout has passed.
     void closeExpired(Time now);
 
@@ -48,6 +51,7 @@
 private:
     boost::asio::io_context &io_;
     std::map<boost::asio::ip::tcp::endpoint, std::deque<std::unique_ptr<EndpointConnection>>> idle_;
+    std::map<boost::asio::ip::tcp::endpoint, std::size_t> idleLimits_;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -189,7 +189,7 @@
             gateway_.connections.closeExpired(now);
             gateway_.applyEndpoints(now);
             if (!noticeExchange_) {
-                gateway_.router.setProcessCount(configuredProcessCount(gateway_.settings), now);
+                gateway_.setProcessCount(configuredProcessCount(gateway_.settings), now);
             }
             if (gateway_.configuration && gateway_.configuration->version != limitsVersion) {
                 limitsVersion = gateway_.configuration->version;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -1,5 +1,6 @@
 #include "gatewaystate.h"
 
+#include <algorithm>
 #include <limits>
 #include <mimosatally/Http>
 
@@ -58,6 +59,7 @@
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
+    limitIdleConnections();
     logEvent(LogEvent::ServingConfigurationInForce,
              {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"services", configuration->services.size()}});
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
@@ -73,6 +75,32 @@
     appliedChanges_ = registry.changeCount();
     logEndpointChanges();
     router.setEndpoints(registry.endpoints(), *configuration, now);
+    limitIdleConnections();
+}
+
+void GatewayState::setProcessCount(int count, Time now)
+{
+    if (count == processCount_) {
+        return;
+    }
+    processCount_ = count;
+    router.setProcessCount(count, now);
+    limitIdleConnections();
+}
+
+void GatewayState::limitIdleConnections()
+{
+    if (!configuration) {
+        return;
+    }
+    std::map<boost::asio::ip::tcp::endpoint, std::size_t> limits;
+    for (const auto &[id, record] : registry.endpoints()) {
+        const auto service = configuration->services.find(record.service);
+        if (service != configuration->services.end()) {
+            limits[record.address] = static_cast<std::size_t>(std::max(1, service->second.maxConnections / processCount_));
+        }
+    }
+    connections.setIdleLimits(std::move(limits));
 }
 
 void GatewayState::logEndpointChanges()
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -25,6 +25,9 @@
     /// \brief Passes changes of the endpoint registry on to the router.
     void applyEndpoints(Time now);
 
+    /// \brief Sets the number of gateways, this one included, that share the limits of the endpoints.
+    void setProcessCount(int count, Time now);
+
     /// \brief Returns true if a configuration and at least one endpoint are known.
     [[nodiscard]] bool canServe() const;
 
@@ -55,11 +58,14 @@
 
 private:
     void logEndpointChanges();
+    /// \brief Keeps no more idle connections to an endpoint than this gateway's part of those that it accepts from all callers.
+    void limitIdleConnections();
 
     /// \brief Endpoints at the last update, to log the differences.
     std::map<EndpointId, EndpointRecord> loggedEndpoints_;
     std::mt19937_64 random_;
     std::uint64_t appliedChanges_ = 0;
+    int processCount_ = 1;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -74,7 +74,7 @@
         }
         lastSend_ = now;
         sendNotices(now);
-        gateway_.router.setProcessCount(peers_.processCount(now), now);
+        gateway_.setProcessCount(peers_.processCount(now), now);
         if (now >= nextHeartbeat_) {
             peers_.setSeeds(seedsOf(gateway_.settings));
             peers_.expire(now);
