Name the line of the first outcome in a finding of audit verify

An auditor was sent to the wrong line: "already ended at line N" named a later placement of the call, as placements and outcomes shared one line number. The new test failed with line 4 instead of line 3.

--- a/src/audit/lineverifier.cpp
+++ b/src/audit/lineverifier.cpp
@@ -23,7 +23,8 @@
 
 /// \brief State of one call according to the lines read so far.
 struct CallState {
-    int lastLine = 0;
+    /// \brief Line of the outcome.
+    int endLine = 0;
     bool hasEnded = false;
     bool mayHaveRun = false;
     bool atMostOnce = false;
@@ -131,7 +132,6 @@
     if (call.mayHaveRun && call.atMostOnce) {
         addFinding(lineNumber, "call " + id + " may run once only but was retried after an attempt that may have run");
     }
-    call.lastLine = lineNumber;
     call.atMostOnce = line.field("repeat") == "once";
 }
 
@@ -147,13 +147,13 @@
     const std::string id = line.field("request");
     CallState &call = process.calls[id];
     if (call.hasEnded) {
-        addFinding(lineNumber, "call " + id + " already ended at line " + std::to_string(call.lastLine));
+        addFinding(lineNumber, "call " + id + " already ended at line " + std::to_string(call.endLine));
     }
     if (line.is(LogEvent::GatewayCallRefused) && call.mayHaveRun) {
         addFinding(lineNumber, "call " + id + " was refused as not run after an attempt that may have run");
     }
     call.hasEnded = true;
-    call.lastLine = lineNumber;
+    call.endLine = lineNumber;
     report.answered += line.is(LogEvent::GatewayCallAnswered) ? 1 : 0;
     report.refused += line.is(LogEvent::GatewayCallRefused) ? 1 : 0;
     report.failed += line.is(LogEvent::GatewayCallFailed) ? 1 : 0;
--- a/tests/unit/lineverifiertest.cpp
+++ b/tests/unit/lineverifiertest.cpp
@@ -166,3 +166,14 @@
     CHECK(report.findings.empty());
     CHECK(report.dropped == 7);
 }
+
+// Guards against a finding that sends the reader to a later placement instead of the line with the first outcome.
+TEST_CASE("A second outcome of a call is reported with the line of the first one", "[lines]")
+{
+    GatewayLines log("g1");
+    log.addCall("r1");
+    log.addCall("r1");
+    const LineReport report = verify(log.lines);
+    REQUIRE(report.findings.size() == 1);
+    CHECK(report.findings[0].message == "call r1 already ended at line 3");
+}
