Test a limit while processes join, and show its use under uneven load

Six processes, of which two join and are counted by the others a second later: the limit holds with five seeds.

--- a/tests/unit/sharedlimittest.cpp
+++ b/tests/unit/sharedlimittest.cpp
@@ -203,3 +203,36 @@
     simulation.router(0).setProcessCount(5, simulation.now());
     CHECK(simulation.router(0).requestLimit(LIMITED, simulation.now())->ownPerSecond == Approx(2));
 }
+
+// Guards against a limit that is exceeded while processes that join are not yet known to all others.
+TEST_CASE("A limit holds while processes join that the others count a second later", "[limit]")
+{
+    const auto seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    constexpr std::size_t processes = 6;
+    const RequestRate limit(18'300);
+    SharedLimitSimulation simulation(processes, seed);
+    const auto setCounts = [&](std::size_t first, std::size_t last, int count) {
+        for (std::size_t i = first; i < last; ++i) {
+            simulation.router(i).setProcessCount(count, simulation.now());
+        }
+    };
+    simulation.setLimit(limit);
+    setCounts(0, 4, 4);
+    simulation.run(Duration(6000), {100, 100, 100, 100, 0, 0});
+    simulation.run(Duration(1000), std::vector<double>(processes, 100));
+    setCounts(0, 4, processes);
+    simulation.run(Duration(6000), std::vector<double>(processes, 100));
+    CHECK(static_cast<double>(simulation.mostInWindow()) <= allowedInWindow(limit));
+}
+
+// By hand: shows how far below its limit an endpoint stays if some processes send it little or nothing.
+TEST_CASE("Use of a limit under uneven load", "[.][uneven]")
+{
+    for (const auto &load : {std::vector<double> {100, 100, 100}, std::vector<double> {200, 5, 0}, std::vector<double> {200, 0, 0}}) {
+        SharedLimitSimulation simulation(load.size(), 1);
+        simulation.setLimit(RequestRate(18'300));
+        simulation.run(Duration(12'000), load);
+        const double perSecond = static_cast<double>(simulation.arrivalsSince(simulation.now() - Duration(8000))) / 8;
+        WARN(load[0] << ", " << load[1] << ", " << load[2] << " calls a second: the limited endpoint gets " << perSecond << " of 18.3");
+    }
+}
