Count recent sends only for endpoints with a request limit

Each gateway counted the sends of the last second of every endpoint ten times a second, also without any limit. Found by reading; not measured. Two comments say what the constants of a limit are.

--- a/src/routing/endpointlimit.h
+++ b/src/routing/endpointlimit.h
@@ -43,19 +43,21 @@
 class EndpointLimit
 {
 public:
+    /// \brief Age up to which a report of an unused part is used.
+    static constexpr Duration LOAN_TIME = Duration(1000);
+    /// \brief Time for which a limit that only a peer has told is kept after the peer's last notice.
+    static constexpr Duration PEER_LIMIT_TIME = Duration(3000);
+
     /// \brief Records what an answer says. An answer without a limit ends the limit only if its request was sent after the last answer that named
     /// one: answers on different connections may overtake each other.
     /// \param phase see RequestPacer.
     LimitChange recordAnswer(const EndpointAnswer &answer, Time sentAt, double phase, Time now);
 
-    static constexpr Duration LOAN_TIME = Duration(1000);
-    static constexpr Duration PEER_LIMIT_TIME = Duration(3000);
-
     /// \brief Sets the number of processes that share the limit, this one included, and applies the loans of others.
     /// \param ownSends own requests of the last second.
     void update(int processCount, int ownSends, Time now);
 
-    /// \brief Returns the part of this process that it does not use; parts below one request per second are not lent.
+    /// \brief Returns what this process does not use of its part; zero if the part is too small to be lent.
     [[nodiscard]] RequestRate unused(int ownSends) const;
 
     /// \brief Records the notice of another process. If no answer has told this process of the limit since, it keeps the limit for
--- a/src/routing/phaserouterfleet.cpp
+++ b/src/routing/phaserouterfleet.cpp
@@ -19,7 +19,7 @@
         endpoint.record = record;
         endpoint.listed = true;
         endpoint.distance = impl.distanceTo(record.dataCentre);
-        endpoint.limit.update(impl.processCount, Impl::sendsOfLastSecond(endpoint, now), now);
+        Impl::updateLimit(endpoint, impl.processCount, now);
         impl.setEngineProfile(endpoint, configuration);
         impl.addToFleet(endpoint);
     }
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -249,6 +249,7 @@
     /// \brief Chooses the best of \a candidates for the decode after the prefill on \a source.
     [[nodiscard]] Placement placeOnDecodeEngine(const std::vector<const Endpoint *> &candidates, const Endpoint &source, Tokens tokens, Time now) const;
 
+    static void updateLimit(Endpoint &endpoint, int processCount, Time now);
     [[nodiscard]] static int sendsOfLastSecond(const Endpoint &endpoint, Time now);
     /// \brief Returns the phase in which this process paces its calls to \a endpoint; see RequestPacer.
     [[nodiscard]] double limitPhase(const Endpoint &endpoint) const;
--- a/src/routing/phaserouterlimits.cpp
+++ b/src/routing/phaserouterlimits.cpp
@@ -24,10 +24,16 @@
     impl_->processCount = count;
     impl_->limitsUpdatedAt = now;
     for (auto &[id, endpoint] : impl_->endpoints) {
-        endpoint.limit.update(count, Impl::sendsOfLastSecond(endpoint, now), now);
+        Impl::updateLimit(endpoint, count, now);
     }
 }
 
+void PhaseRouter::Impl::updateLimit(Endpoint &endpoint, int processCount, Time now)
+{
+    const int sends = endpoint.limit.rate() ? sendsOfLastSecond(endpoint, now) : 0;
+    endpoint.limit.update(processCount, sends, now);
+}
+
 int PhaseRouter::Impl::sendsOfLastSecond(const Endpoint &endpoint, Time now)
 {
     return endpoint.sentPrefills.countOfLastSecond(now) + endpoint.sentRuns.countOfLastSecond(now);
