Log how the answer of an endpoint was framed and how it ended

MT5002 and MT5005 now state framing, body_bytes, partial_event_bytes and ended. Nothing else changes.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -24,8 +24,10 @@
 }
 } // namespace
 
-void CallFlow::logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load)
+void CallFlow::logAnswered(const EndpointId &endpoint, const EndpointCall &call)
 {
+    const unsigned status = call.answer().status;
+    const ReportedLoad load = call.answer().load.value_or(ReportedLoad());
     const Duration total = MilliClock::now() - arrived_;
     logEvent(LogEvent::GatewayCallAnswered,
              {{"request", call_.id},
@@ -36,6 +38,10 @@
               {"total_ms", total},
               {"running", load.running},
               {"waiting", load.waiting},
+              {"framing", toString(call.framing())},
+              {"body_bytes", call.bodyBytes()},
+              {"partial_event_bytes", partialEventBytes_},
+              {"ended", toString(call.bodyEnd())},
               {"attempts", attempts_}});
     gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
     constexpr double millisecondsPerSecond = 1000;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -164,7 +164,7 @@
         co_return NextStep::RetryOutcomeUnknown;
     }
     gateway_.router.end(ticket, success ? AttemptOutcome::Answered : AttemptOutcome::AnsweredFailure, MilliClock::now());
-    logAnswered(endpoint, answer.status, answer.load.value_or(ReportedLoad()));
+    logAnswered(endpoint, call);
     co_return NextStep::Finished;
 }
 
@@ -195,6 +195,10 @@
               {"may_have_run", mayHaveRun ? "true" : "false"},
               {"stopped", guard_->stopReason() == StopReason::None ? "false" : "true"},
               {"error", call.failure()},
+              {"framing", toString(call.framing())},
+              {"body_bytes", call.bodyBytes()},
+              {"partial_event_bytes", partialEventBytes_},
+              {"ended", toString(call.bodyEnd())},
               {"prefill_ms", prefillTime_},
               {"after_ms", MilliClock::now() - arrived_}});
     gateway_.metrics.increment("mimosatally_attempts_failed_total", std::string("phase=\"") + phase + '"');
@@ -233,6 +237,7 @@
             co_await writeEvents(call, std::move(events));
         }
     }
+    partialEventBytes_ = framer_.partialBytes();
     if (!call.isComplete()) {
         framer_.dropPartialEvent();
         co_return false;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -78,7 +78,7 @@
     [[nodiscard]] Duration attemptTimeout(double predictedMs) const;
     [[nodiscard]] ServiceId chooseService();
     void logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
-    void logAnswered(const EndpointId &endpoint, unsigned status, const ReportedLoad &load);
+    void logAnswered(const EndpointId &endpoint, const EndpointCall &call);
     void logFailed(unsigned status, const char *reason);
 
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
@@ -116,6 +116,8 @@
     /// \brief Time from arrival until another engine had prefilled the prompt; zero if none has.
     Duration prefillTime_ = Duration(0);
     std::string lastFailure_;
+    /// \brief Bytes of a partial event with which the last stream ended.
+    std::size_t partialEventBytes_ = 0;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -110,7 +110,10 @@
         fail("read", error);
         co_return false;
     }
+    framing_ = bodyFraming(*parser_);
+    bodyBytes_ = 0;
     complete_ = parser_->is_done();
+    bodyEnd_ = complete_ ? BodyEnd::Framing : BodyEnd::NotReached;
     co_return true;
 }
 
@@ -131,10 +134,12 @@
     boost::system::error_code error;
     co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
     const std::size_t count = data_.size() - parser_->get().body().size;
+    bodyBytes_ += count;
     if (error && error != http::error::need_buffer) {
         fail("read", error);
     } else if (parser_->is_done()) {
         complete_ = true;
+        bodyEnd_ = framing_ == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing;
     }
     co_return std::string_view(data_.data(), count);
 }
@@ -159,6 +164,21 @@
     return parser_->get().base();
 }
 
+BodyFraming EndpointCall::framing() const
+{
+    return framing_;
+}
+
+BodyEnd EndpointCall::bodyEnd() const
+{
+    return bodyEnd_;
+}
+
+std::size_t EndpointCall::bodyBytes() const
+{
+    return bodyBytes_;
+}
+
 const std::string &EndpointCall::failure() const
 {
     return failure_;
@@ -167,6 +187,7 @@
 void EndpointCall::fail(const char *step, const boost::system::error_code &error)
 {
     failure_ = std::string(step) + ": " + error.message();
+    bodyEnd_ = bodyEndAfter(error);
     broken_ = true;
 }
 
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -3,6 +3,8 @@
 #include "callguard.h"
 #include "connectionpool.h"
 
+#include <mimosatally/Http>
+
 #include <platform/callcodec.h>
 
 #include <array>
@@ -55,6 +57,12 @@
     [[nodiscard]] const EndpointAnswer &answer() const;
     [[nodiscard]] const boost::beast::http::response_header<> &header() const;
 
+    /// \brief Returns how the answer states where its body ends; NoBody before its head was received.
+    [[nodiscard]] BodyFraming framing() const;
+    [[nodiscard]] BodyEnd bodyEnd() const;
+    /// \brief Returns the number of bytes of the body that were read.
+    [[nodiscard]] std::size_t bodyBytes() const;
+
     /// \brief Returns the cause of a failed attempt, for the log.
     [[nodiscard]] const std::string &failure() const;
 
@@ -73,6 +81,9 @@
     std::unique_ptr<Parser> parser_;
     EndpointAnswer answer_;
     std::string failure_;
+    BodyFraming framing_ = BodyFraming::NoBody;
+    BodyEnd bodyEnd_ = BodyEnd::NotReached;
+    std::size_t bodyBytes_ = 0;
     bool complete_ = false;
     bool broken_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
--- a/src/gateway/eventframer.cpp
+++ b/src/gateway/eventframer.cpp
@@ -59,6 +59,11 @@
     scanned_ = 0;
 }
 
+std::size_t EventFramer::partialBytes() const
+{
+    return pending_.size();
+}
+
 const std::string &EventFramer::lastEventId() const
 {
     return lastEventId_;
--- a/src/gateway/eventframer.h
+++ b/src/gateway/eventframer.h
@@ -21,6 +21,9 @@
     /// \brief Drops the partial event at the end of a stream that was cut off.
     void dropPartialEvent();
 
+    /// \brief Returns the number of bytes of the partial event at the end of the stream.
+    [[nodiscard]] std::size_t partialBytes() const;
+
     /// \brief Returns the id of the last event that was taken; empty if the events have none.
     [[nodiscard]] const std::string &lastEventId() const;
 
