--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
         Reset,
         /// \brief Waits until the gateway closes the connection.
         AwaitClose,
+        /// \brief Closes all connections normally and stops accepting new ones, as the end of the process does.
+        Crash,
     };
 
     Kind kind = Kind::Bytes;
@@ -90,6 +93,7 @@
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, int number)
     {
+        const OpenSocket registration(sockets_, socket);
         boost::beast::flat_buffer buffer;
         boost::system::error_code error;
         bool open = true;
@@ -132,6 +136,10 @@
             ++abandoned_;
             co_return false;
         }
+        if (step.kind == AnswerStep::Kind::Crash) {
+            crash();
+            co_return false;
+        }
         if (step.kind == AnswerStep::Kind::Reset) {
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         }
@@ -139,7 +147,41 @@
         co_return false;
     }
 
+    /// \brief Keeps a socket in the set of those that a crash closes.
+    class OpenSocket
+    {
+    public:
+        OpenSocket(std::set<boost::asio::ip::tcp::socket *> &sockets, boost::asio::ip::tcp::socket &socket)
+            : sockets_(sockets)
+            , socket_(socket)
+        {
+            sockets_.insert(&socket_);
+        }
+
+        ~OpenSocket()
+        {
+            sockets_.erase(&socket_);
+        }
+
+        OpenSocket(const OpenSocket &) = delete;
+        OpenSocket &operator=(const OpenSocket &) = delete;
+
+    private:
+        std::set<boost::asio::ip::tcp::socket *> &sockets_;
+        boost::asio::ip::tcp::socket &socket_;
+    };
+
+    void crash()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (boost::asio::ip::tcp::socket *socket : sockets_) {
+            socket->close(ignored);
+        }
+    }
+
     boost::asio::io_context &io_;
+    std::set<boost::asio::ip::tcp::socket *> sockets_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Script script_;
     mutable std::mutex mutex_;
@@ -174,6 +216,13 @@
            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/// \brief Response head of an event stream with neither a length nor chunks, which ends with its connection.
+inline std::string unframedStreamHead(const std::string &requestId, const std::string &seal = "seal")
+{
+    return "HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nX-Mimosatally-Response-Seal: " + seal
+           + "\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
 inline std::string chunk(const std::string &data)
 {
     std::ostringstream size;
@@ -206,6 +255,11 @@
     return {AnswerStep::Kind::Reset, {}, 0};
 }
 
+inline AnswerStep crashing()
+{
+    return {AnswerStep::Kind::Crash, {}, 0};
+}
+
 inline AnswerStep untilClosed()
 {
     return {AnswerStep::Kind::AwaitClose, {}, 0};
