Judge in one place whether an answer is whole

What callers saw: streams that their endpoint had not finished, delivered with a last chunk, the last event cut in the middle.

Cause: an answer with neither a length nor chunks counted as complete as soon as its connection ended, and what followed its last event was passed on. The end of a crashed process closes a connection just as the end of an answer does.

Ruled out: a second run (one attempt each), a last chunk of the endpoint itself, and a reset taken for an end (resets are recognised).

Class of fault: the end of the transport taken for the end of the message.

Change: completenessOf() is the one rule, from framing, end of the connection and content. A stream that ends within an event is cut off, however it is framed. An unframed answer whose content does not show its end is unproven; the gateway then opens another connection to the endpoint, which it keeps for later calls. A process that accepts it has ended the answer itself; otherwise the answer counts as cut off: a stream is resumed or cut, another call is answered with 502. The prefill's handle, plain answers and streams use the same rule. EventFramer moves to module http, reads lines that end with CR, LF or CRLF, and reports a resumed stream that starts again instead of joining two runs. MT5002 and MT5005 state events and proof.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -42,6 +42,8 @@
               {"body_bytes", call.bodyBytes()},
               {"partial_event_bytes", partialEventBytes_},
               {"ended", toString(call.bodyEnd())},
+              {"events", framer_.takenEvents()},
+              {"proof", call.proof()},
               {"attempts", attempts_}});
     gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
     constexpr double millisecondsPerSecond = 1000;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -62,7 +62,7 @@
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedPrefills_ += progress == CallProgress::NotConnected ? 0 : 1;
     std::string body;
-    while (progress == CallProgress::HeadReceived && !call.isComplete() && !call.isBroken()) {
+    while (progress == CallProgress::HeadReceived && !call.hasEnded() && body.size() <= MAX_BUFFERED_ANSWER_BYTES) {
         const std::string_view data = co_await call.read();
         body.append(data);
     }
@@ -70,8 +70,12 @@
     if (progress == CallProgress::HeadReceived) {
         observe(routerAttempt.ticket(), endpoint, call.answer());
     }
-    const bool answered = progress == CallProgress::HeadReceived && call.isComplete() && call.answer().status == STATUS_OK;
-    const std::optional<std::string> handle = answered ? platform::decodePrefillHandle(body) : std::nullopt;
+    std::optional<std::string> handle;
+    if (progress == CallProgress::HeadReceived && call.answer().status == STATUS_OK) {
+        handle = platform::decodePrefillHandle(body);
+        const bool whole = co_await call.confirmWhole(handle ? ContentEnd::Reached : ContentEnd::Within);
+        handle = whole ? handle : std::nullopt;
+    }
     call.release();
     if (!handle) {
         const bool rejected = progress == CallProgress::HeadReceived && call.answer().notExecuted;
@@ -199,6 +203,8 @@
               {"body_bytes", call.bodyBytes()},
               {"partial_event_bytes", partialEventBytes_},
               {"ended", toString(call.bodyEnd())},
+              {"events", framer_.takenEvents()},
+              {"proof", call.proof()},
               {"prefill_ms", prefillTime_},
               {"after_ms", MilliClock::now() - arrived_}});
     gateway_.metrics.increment("mimosatally_attempts_failed_total", std::string("phase=\"") + phase + '"');
@@ -207,14 +213,15 @@
 awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call)
 {
     std::string body;
-    while (!call.isComplete() && !call.isBroken()) {
+    while (!call.hasEnded()) {
         const std::string_view data = co_await call.read();
         body.append(data);
         if (body.size() > MAX_BUFFERED_ANSWER_BYTES) {
             co_return false;
         }
     }
-    if (!call.isComplete()) {
+    const bool whole = co_await call.confirmWhole(ContentEnd::Opaque);
+    if (!whole) {
         co_return false;
     }
     HttpResponse response;
@@ -228,7 +235,7 @@
 
 awaitable<bool> CallFlow::deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket)
 {
-    while (!call.isComplete() && !call.isBroken()) {
+    while (!call.hasEnded() && !framer_.repeatsEvents() && framer_.partialBytes() <= MAX_BUFFERED_ANSWER_BYTES) {
         const std::string_view data = co_await call.read();
         framer_.append(data);
         std::string events = framer_.takeCompleteEvents();
@@ -238,8 +245,10 @@
         }
     }
     partialEventBytes_ = framer_.partialBytes();
-    if (!call.isComplete()) {
-        framer_.dropPartialEvent();
+    const ContentEnd content = framer_.repeatsEvents() ? ContentEnd::Within : framer_.contentEnd();
+    const bool whole = co_await call.confirmWhole(content);
+    if (!whole) {
+        framer_.resumeAfterCut();
         co_return false;
     }
     std::string remainder = framer_.takeRemainder();
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -2,7 +2,6 @@
 
 #include "callguard.h"
 #include "endpointcall.h"
-#include "eventframer.h"
 #include "gatewaystate.h"
 
 #include <mimosatally/Http>
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -48,6 +48,11 @@
             return connection;
         }
     }
+    return make(address);
+}
+
+std::unique_ptr<EndpointConnection> ConnectionPool::make(const tcp::endpoint &address)
+{
     return std::make_unique<EndpointConnection>(io_, address);
 }
 
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -34,6 +34,9 @@
     /// \brief Returns an idle connection without unread data, or a new one that is not connected yet.
     std::unique_ptr<EndpointConnection> take(const boost::asio::ip::tcp::endpoint &address, Time now);
 
+    /// \brief Returns a new connection that is not connected yet.
+    std::unique_ptr<EndpointConnection> make(const boost::asio::ip::tcp::endpoint &address);
+
     /// \brief Keeps a connection whose last answer is complete. \param keepAlive idle timeout that the endpoint stated, if any.
     void put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now);
 
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -144,14 +144,53 @@
     co_return std::string_view(data_.data(), count);
 }
 
-bool EndpointCall::isComplete() const
+bool EndpointCall::hasEnded() const
 {
-    return complete_;
+    return complete_ || broken_;
 }
 
-bool EndpointCall::isBroken() const
+awaitable<bool> EndpointCall::confirmWhole(ContentEnd content)
 {
-    return broken_;
+    switch (completenessOf(framing_, bodyEnd_, content)) {
+    case Completeness::Whole:
+        proof_ = framing_ == BodyFraming::ConnectionEnd ? "content" : "framing";
+        co_return true;
+    case Completeness::CutOff:
+        proof_ = content == ContentEnd::Within ? "cut-within" : "cut";
+        break;
+    case Completeness::Unproven: {
+        const bool alive = co_await acceptsConnection();
+        // An endpoint that has announced that it leaves may exit after its last answer.
+        if (alive || answer_.leaving) {
+            proof_ = alive ? "endpoint-accepts" : "endpoint-leaves";
+            co_return true;
+        }
+        proof_ = "endpoint-ended";
+        break;
+    }
+    }
+    if (failure_.empty()) {
+        failure_ = std::string("answer cut off: ") + std::string(toString(content));
+    }
+    broken_ = true;
+    co_return false;
+}
+
+awaitable<bool> EndpointCall::acceptsConnection()
+{
+    const Time now = MilliClock::now();
+    std::unique_ptr<EndpointConnection> connection = pool_.make(connection_->address);
+    boost::system::error_code error;
+    connection->socket.open(connection->address.protocol(), error);
+    connection->socket.set_option(tcp::no_delay(true), error);
+    guard_.beginAttempt(connection->socket, now + CONNECT_TIMEOUT);
+    co_await connection->socket.async_connect(connection->address, redirect_error(use_awaitable, error));
+    guard_.endAttempt();
+    if (error) {
+        co_return false;
+    }
+    pool_.put(std::move(connection), answer_.keepAlive, MilliClock::now());
+    co_return true;
 }
 
 const EndpointAnswer &EndpointCall::answer() const
@@ -179,6 +218,11 @@
     return bodyBytes_;
 }
 
+std::string_view EndpointCall::proof() const
+{
+    return proof_;
+}
+
 const std::string &EndpointCall::failure() const
 {
     return failure_;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -30,7 +30,7 @@
 
 /// \brief One call over one connection to an endpoint.
 ///
-/// Call open(), then read() until the body is complete or broken. The guard closes the connection to cancel the call.
+/// Call open(), then read() until the body has ended, then confirmWhole(). The guard closes the connection to cancel the call.
 class EndpointCall
 {
 public:
@@ -42,17 +42,19 @@
     /// \brief Sends \a request and reads the head of its answer. Answers to other requests are skipped.
     boost::asio::awaitable<CallProgress> open(boost::asio::ip::tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time attemptDeadline);
 
-    /// \brief Reads the next piece of the body; the view is valid until the next call. It may be empty although the body is neither
-    /// complete nor broken.
+    /// \brief Reads the next piece of the body; the view is valid until the next call. It may be empty although the body has not
+    /// ended.
     boost::asio::awaitable<std::string_view> read();
 
     /// \brief Ends the attempt; keeps the connection if the answer is complete.
     void release();
 
-    /// \brief Returns whether the whole body has been read.
-    [[nodiscard]] bool isComplete() const;
-    /// \brief Returns whether the connection failed or ended before the body was complete.
-    [[nodiscard]] bool isBroken() const;
+    /// \brief Returns whether reading of the body has ended, whether or not the answer is whole.
+    [[nodiscard]] bool hasEnded() const;
+
+    /// \brief Returns whether the answer is whole (see completenessOf()). For an answer that is unproven the endpoint is asked for another connection: a
+    /// process that accepts one has not ended the answer by its own end. The connection is kept for later calls.
+    boost::asio::awaitable<bool> confirmWhole(ContentEnd content);
 
     [[nodiscard]] const EndpointAnswer &answer() const;
     [[nodiscard]] const boost::beast::http::response_header<> &header() const;
@@ -63,6 +65,9 @@
     /// \brief Returns the number of bytes of the body that were read.
     [[nodiscard]] std::size_t bodyBytes() const;
 
+    /// \brief Returns what shows that the answer is whole or not, for the log; empty before confirmWhole().
+    [[nodiscard]] std::string_view proof() const;
+
     /// \brief Returns the cause of a failed attempt, for the log.
     [[nodiscard]] const std::string &failure() const;
 
@@ -73,6 +78,8 @@
     boost::asio::awaitable<bool> readHead(const RequestId &id);
     boost::asio::awaitable<bool> readOneHead();
     boost::asio::awaitable<bool> skipBody();
+    /// \brief Returns whether the endpoint accepts a connection.
+    boost::asio::awaitable<bool> acceptsConnection();
     void fail(const char *step, const boost::system::error_code &error);
 
     ConnectionPool &pool_;
@@ -84,6 +91,8 @@
     BodyFraming framing_ = BodyFraming::NoBody;
     BodyEnd bodyEnd_ = BodyEnd::NotReached;
     std::size_t bodyBytes_ = 0;
+    std::string_view proof_;
+    /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
     bool broken_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
--- a/tests/gateway/completenesstest.cpp
+++ b/tests/gateway/completenesstest.cpp
@@ -54,3 +54,121 @@
     CHECK_FALSE(looksComplete(answer));
     CHECK((answer.find("HTTP/1.1 200") != 0 || target == "/stream/x"));
 }
+
+namespace
+{
+/// \brief Bytes that a caller gets for a request to the only endpoint, which answers by \a steps.
+std::string answerBytes(const std::string &target, std::function<AnswerSteps(const std::string &)> steps)
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [steps](const HttpRequest &request) -> AnswerSteps {
+        return steps(requestIdOf(request));
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    return fixture.start(closingRequest(target, "r1"))->readUntilClosed();
+}
+
+constexpr const char *TWO_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+} // namespace
+
+// Guards against whole answers that are cut: an endpoint that is still there has ended its unframed answer itself.
+TEST_CASE("An unframed stream of an endpoint that is still there is delivered as complete", "[gateway][completeness]")
+{
+    const std::string answer = answerBytes("/stream/x", [](const std::string &id) -> AnswerSteps {
+        return {bytes(unframedStreamHead(id) + TWO_EVENTS), pauseFor(50), closing()};
+    });
+    CHECK(answer.find("data: b") != std::string::npos);
+    CHECK(looksComplete(answer));
+}
+
+// Guards against the same for the last event that the format promises, and for an endpoint that leaves with its last answer.
+TEST_CASE("An unframed stream with its end mark, or of an endpoint that leaves, is complete although the endpoint ends", "[gateway][completeness]")
+{
+    const auto leaving = GENERATE(false, true);
+    const std::string answer = answerBytes("/stream/x", [leaving](const std::string &id) -> AnswerSteps {
+        const std::string last = leaving ? "" : "data: [DONE]\n\n";
+        std::string head = unframedStreamHead(id);
+        if (leaving) {
+            head.insert(head.size() - 2, "Server-Leaving: 1\r\n");
+        }
+        return {bytes(head + TWO_EVENTS + last), pauseFor(50), crashing()};
+    });
+    CHECK(looksComplete(answer));
+}
+
+// Guards against a stream whose endpoint ends the framing within an event, and against an unframed stream without any event.
+TEST_CASE("A stream that ends within an event or before its first one is not delivered as complete", "[gateway][completeness]")
+{
+    const auto framedWithin = GENERATE(true, false);
+    const std::string answer = answerBytes("/stream/x", [framedWithin](const std::string &id) -> AnswerSteps {
+        if (framedWithin) {
+            return {bytes(streamHead(id) + chunk("id: 1\ndata: a\n\nid: 2\nda") + lastChunk())};
+        }
+        return {bytes(unframedStreamHead(id)), pauseFor(50), closing()};
+    });
+    CHECK_FALSE(looksComplete(answer));
+    CHECK(answer.find("id: 2") == std::string::npos);
+}
+
+// Guards against a resumed stream that misses events or begins within one: the unframed stream continues at another endpoint.
+TEST_CASE("An unframed stream of an endpoint that crashes resumes at another endpoint", "[gateway][completeness]")
+{
+    const auto within = GENERATE(true, false);
+    GatewayFixture fixture;
+    std::atomic<int> arrived = 0;
+    std::string resumedAfter;
+    for (const char *id : {"i-1", "i-2"}) {
+        fixture.addEndpoint(id, "plain", [&, within](const HttpRequest &request) -> AnswerSteps {
+            const std::string requestId = requestIdOf(request);
+            if (++arrived == 1) {
+                return {bytes(unframedStreamHead(requestId) + "id: 1\ndata: a\n\n" + (within ? "id: 2\nda" : "")), pauseFor(50), crashing()};
+            }
+            resumedAfter = headerValue(request, "Last-Event-Id");
+            return {bytes(streamHead(requestId) + chunk("id: 2\ndata: b\n\n") + lastChunk())};
+        });
+    }
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    CHECK(fixture.call(GatewayFixture::request(http::verb::post, "/resume/x", "r1")).body() == TWO_EVENTS);
+    CHECK(resumedAfter == "1");
+}
+
+// Guards against an error's text within a stream, against a stream that ends as complete after a failed resumption, and against events of another
+// run: the next endpoint answers with an error, is not the addressed one, starts the stream again, or sends something else.
+TEST_CASE("A stream that broke off and cannot be continued is cut after its last complete event", "[gateway][completeness]")
+{
+    const auto next = GENERATE(as<std::string>(), "error", "rejection", "restart", "unsealed", "nonsense");
+    GatewayFixture fixture;
+    std::atomic<int> arrived = 0;
+    for (const char *id : {"i-1", "i-2"}) {
+        fixture.addEndpoint(id, "plain", [&, next](const HttpRequest &request) -> AnswerSteps {
+            const std::string requestId = requestIdOf(request);
+            if (++arrived == 1) {
+                return {bytes(streamHead(requestId) + chunk("id: 1\ndata: a\n\nid: 2\nda")), pauseFor(50), closing()};
+            }
+            if (next == "error") {
+                return {bytes(wholeAnswer(requestId, "the engine failed", 500))};
+            }
+            if (next == "rejection") {
+                return {bytes(rejection())};
+            }
+            if (next == "restart") {
+                return {bytes(streamHead(requestId) + chunk("id: 1\ndata: other\n\n") + lastChunk())};
+            }
+            if (next == "unsealed") {
+                return {bytes("HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestId + "\r\nContent-Length: 5\r\n\r\nother")};
+            }
+            return {bytes("nothing of the protocol\r\n\r\n"), closing()};
+        });
+    }
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    const std::string answer = fixture.start(closingRequest("/resume/x", "r1"))->readUntilClosed();
+    CHECK(answer.ends_with("id: 1\ndata: a\n\n\r\n"));
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(arrived >= 2);
+}
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <atomic>
+#include <fcntl.h>
 #include <functional>
 #include <mutex>
 #include <set>
@@ -61,6 +62,8 @@
         , acceptor_(io, parseAddress("127.0.0.1:0"))
         , script_(std::move(script))
     {
+        // Programs that the test starts later must not keep the listening socket open after a crash.
+        fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
         boost::asio::co_spawn(io_, accept(), boost::asio::detached);
     }
 
--- /dev/null
+++ b/tests/unit/completenesstest.cpp
@@ -0,0 +1,97 @@
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Http>
+
+using namespace mimosatally;
+
+// Guards against a second opinion on completeness at one of the readers: this is the whole rule.
+TEST_CASE("An answer is whole only if its framing, its content or a living peer shows it", "[completeness]")
+{
+    using enum BodyEnd;
+    const auto content = GENERATE(ContentEnd::Opaque, ContentEnd::Reached, ContentEnd::BetweenEvents, ContentEnd::BeforeFirstEvent);
+    for (const BodyFraming framing : {BodyFraming::NoBody, BodyFraming::Length, BodyFraming::Chunked}) {
+        CHECK(completenessOf(framing, Framing, content) == Completeness::Whole);
+        CHECK(completenessOf(framing, Framing, ContentEnd::Within) == Completeness::CutOff);
+        for (const BodyEnd end : {NotReached, ConnectionClosed, ConnectionReset, Stopped, Failed}) {
+            CHECK(completenessOf(framing, end, content) == Completeness::CutOff);
+        }
+    }
+    for (const BodyEnd end : {NotReached, ConnectionReset, Stopped, Failed}) {
+        CHECK(completenessOf(BodyFraming::ConnectionEnd, end, content) == Completeness::CutOff);
+    }
+    CHECK(completenessOf(BodyFraming::ConnectionEnd, ConnectionClosed, ContentEnd::Within) == Completeness::CutOff);
+    CHECK(completenessOf(BodyFraming::ConnectionEnd, ConnectionClosed, ContentEnd::BeforeFirstEvent) == Completeness::CutOff);
+    CHECK(completenessOf(BodyFraming::ConnectionEnd, ConnectionClosed, ContentEnd::Reached) == Completeness::Whole);
+    CHECK(completenessOf(BodyFraming::ConnectionEnd, ConnectionClosed, ContentEnd::BetweenEvents) == Completeness::Unproven);
+    CHECK(completenessOf(BodyFraming::ConnectionEnd, ConnectionClosed, ContentEnd::Opaque) == Completeness::Unproven);
+}
+
+// Guards against a stream that is judged by the place at which its bytes happen to be cut into reads.
+TEST_CASE("Events are found at the same places however the stream is cut into reads", "[events]")
+{
+    const auto lineEnd = GENERATE(as<std::string>(), "\n", "\r\n", "\r");
+    const std::string stream =
+        ": hello" + lineEnd + lineEnd + "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd + "id: 2" + lineEnd + "data: b" + lineEnd + lineEnd;
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        EventFramer framer;
+        framer.append(stream.substr(0, cut));
+        std::string taken = framer.takeCompleteEvents();
+        framer.append(stream.substr(cut));
+        taken += framer.takeCompleteEvents();
+        CHECK(taken == stream);
+        CHECK(framer.takenEvents() == 2);
+        CHECK(framer.lastEventId() == "2");
+        CHECK(framer.contentEnd() == ContentEnd::BetweenEvents);
+    }
+}
+
+// Guards against a partial event that counts as the end of a stream, and against a whole stream that counts as partial.
+TEST_CASE("The end of a stream of events is judged by its last lines", "[events]")
+{
+    const auto contentEndOf = [](const std::string &stream) {
+        EventFramer framer;
+        framer.append(stream);
+        framer.takeCompleteEvents();
+        return framer.contentEnd();
+    };
+    CHECK(contentEndOf("") == ContentEnd::BeforeFirstEvent);
+    CHECK(contentEndOf(": comment\n\n") == ContentEnd::BeforeFirstEvent);
+    CHECK(contentEndOf("data: a") == ContentEnd::Within);
+    CHECK(contentEndOf("data: a\n") == ContentEnd::Within);
+    CHECK(contentEndOf("data: a\r\n\r") == ContentEnd::BetweenEvents);
+    CHECK(contentEndOf("data: a\n\nd") == ContentEnd::Within);
+    CHECK(contentEndOf("data: a\n\n: comment\n") == ContentEnd::BetweenEvents);
+    CHECK(contentEndOf("data: a\n\n: comment") == ContentEnd::Within);
+    CHECK(contentEndOf("data: a\n\n: comment\n\n") == ContentEnd::BetweenEvents);
+    CHECK(contentEndOf("data: a\n\ndata: [DONE]\n\n") == ContentEnd::Reached);
+    CHECK(contentEndOf("data: a\n\ndata: [DONE]\n") == ContentEnd::Within);
+    CHECK(contentEndOf("data: [DONE]\n\ndata: a\n\n") == ContentEnd::BetweenEvents);
+}
+
+// Guards against joining the output of two runs: an endpoint that does not continue the stream starts it again.
+TEST_CASE("A continued stream that begins with an event that was delivered is recognised", "[events]")
+{
+    EventFramer framer;
+    framer.append("id: 7\ndata: a\n\nid: 8\nda");
+    CHECK(framer.takeCompleteEvents() == "id: 7\ndata: a\n\n");
+    framer.resumeAfterCut();
+    SECTION("an id again")
+    {
+        framer.append("id: 7\ndata: a\n\n");
+        CHECK(framer.takeCompleteEvents().empty());
+        CHECK(framer.repeatsEvents());
+        CHECK(framer.lastEventId() == "7");
+    }
+    SECTION("an earlier id")
+    {
+        framer.append("id: 1\ndata: x\n\nid: 8\ndata: y\n\n");
+        CHECK(framer.takeCompleteEvents().empty());
+        CHECK(framer.repeatsEvents());
+    }
+    SECTION("the next id")
+    {
+        framer.append("id: 8\ndata: b\n\n");
+        CHECK(framer.takeCompleteEvents() == "id: 8\ndata: b\n\n");
+        CHECK_FALSE(framer.repeatsEvents());
+    }
+}
--- a/tests/unit/gatewaycorestest.cpp
+++ b/tests/unit/gatewaycorestest.cpp
@@ -1,12 +1,12 @@
 #include "../../src/gateway/admission.h"
 #include "../../src/gateway/engineorder.h"
-#include "../../src/gateway/eventframer.h"
 #include "../../src/gateway/loopmonitor.h"
 
 #include <catch2/catch.hpp>
 
 #include <mimosatally/Core>
 #include <mimosatally/Gateway>
+#include <mimosatally/Http>
 #include <mimosatally/Serving>
 
 #include <fcntl.h>
@@ -80,7 +80,7 @@
     EventFramer framer;
     framer.append("id: 41\ndata: x\n\nid: 42\nda");
     framer.takeCompleteEvents();
-    framer.dropPartialEvent();
+    framer.resumeAfterCut();
     framer.append("id: 42\ndata: y\n\n");
     CHECK(framer.takeCompleteEvents() == "id: 42\ndata: y\n\n");
     CHECK(framer.lastEventId() == "42");
