Read the answer to HEAD without a body

What callers saw: a HEAD request whose endpoint states the length of the body it would send got no answer until the deadline, since the gateway waited for the body. Cause: the parser did not know the request's method. The new test fails without the change (the call ends at its deadline with 504) and passes with it.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -43,6 +43,7 @@
     if (!connected) {
         co_return CallProgress::NotConnected;
     }
+    headRequest_ = request.method() == http::verb::head;
     boost::system::error_code error;
     co_await http::async_write(connection_->socket, request, redirect_error(use_awaitable, error));
     if (error) {
@@ -102,6 +103,8 @@
 {
     parser_ = std::make_unique<Parser>();
     parser_->header_limit(MAX_HEADER_BYTES);
+    // The answer to HEAD has no body, whatever length it states.
+    parser_->skip(headRequest_);
     // Without a body limit, Beast 1.74 rejects every Content-Length as too long.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     boost::system::error_code error;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -95,6 +95,7 @@
     /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
     bool broken_ = false;
+    bool headRequest_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
     std::array<char, READ_BYTES> data_;
 };
--- a/tests/gateway/completenesstest.cpp
+++ b/tests/gateway/completenesstest.cpp
@@ -172,3 +172,19 @@
     CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
     CHECK(arrived >= 2);
 }
+
+// Guards against an answer to HEAD that waits for a body, which its length only describes.
+TEST_CASE("The answer to HEAD is complete without a body", "[gateway][completeness]")
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [](const HttpRequest &request) -> AnswerSteps {
+        return {
+            bytes("HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestIdOf(request) + "\r\nX-Mimosatally-Response-Seal: s\r\nContent-Length: 50\r\n\r\n")};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    HttpRequest request = GatewayFixture::request(http::verb::head, "/safe/x", "r1");
+    request.keep_alive(false);
+    CHECK(fixture.start(request)->readUntilClosed().starts_with("HTTP/1.1 200"));
+}
