Judge answers at the agent by the same rule, and hold back partial events at the entry

What callers saw: an engine that ends within an unframed stream counted as having answered, and its outcome was recorded so; after a break within an event, the entry ended that event itself before the error event, so that callers took the first half of it for an event.

Change: the agent judges each answer with completenessOf() and asks the endpoint for a connection if an answer is unproven; one that is cut off has an unknown outcome. The entry relays complete events only.

--- a/include/mimosatally/http/httpclient.h
+++ b/include/mimosatally/http/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bodyend.h"
 #include "httpmessage.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -23,7 +24,13 @@
     using UnreachableError::UnreachableError;
 };
 
-/// \brief HTTP/1.1 client of one server; keeps idle connections for reuse.
+/// \brief Framing and end of a streamed body; completenessOf() judges them.
+struct StreamedBody {
+    BodyFraming framing = BodyFraming::NoBody;
+    BodyEnd end = BodyEnd::NotReached;
+};
+
+/// rief HTTP/1.1 client of one server; keeps idle connections for reuse.
 ///
 /// A request is never resent: a failure after the first byte was written is reported to the caller.
 class HttpClient
@@ -51,12 +58,17 @@
     /// \brief Sends a request and passes the response to the handlers as it arrives.
     /// \param idleTimeout maximum time without data. \throws UnreachableError as send().
     /// An exception of a handler closes the connection and propagates to the caller.
-    boost::asio::awaitable<void> stream(HttpRequest request, Duration idleTimeout, HeadHandler onHead, DataHandler onData);
+    /// \return how the body ended; one that ends with its connection may have been cut off.
+    boost::asio::awaitable<StreamedBody> stream(HttpRequest request, Duration idleTimeout, HeadHandler onHead, DataHandler onData);
+
+    /// \brief Returns whether the server accepts a new connection, which is kept for reuse.
+    boost::asio::awaitable<bool> acceptsConnection();
 
 private:
     using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
     boost::asio::awaitable<Stream> acquire();
+    boost::asio::awaitable<Stream> connect();
     void release(Stream stream);
     void prepare(HttpRequest &request) const;
 
--- a/src/agent/dispatch.cpp
+++ b/src/agent/dispatch.cpp
@@ -36,7 +36,7 @@
         co_return RequestOutcome::unknown("cancelled");
     }
     try {
-        co_await endpoint_.dispatch(
+        const StreamedBody body = co_await endpoint_.dispatch(
             *request_,
             [this](const HttpResponse &head) {
                 return handleHead(head);
@@ -44,9 +44,13 @@
             [this](std::string_view data) {
                 return handleData(data);
             });
-        outcome.kind = OutcomeKind::Answered;
+        const bool whole = co_await isWhole(body);
         if (rejected_) {
             outcome = RequestOutcome::notRun("endpoint-busy", ENDPOINT_RETRY_AFTER);
+        } else if (whole) {
+            outcome.kind = OutcomeKind::Answered;
+        } else {
+            outcome = RequestOutcome::unknown("answer-cut-off");
         }
     } catch (const ConnectError &error) {
         logEvent(LogEvent::EndpointUnreachable, {{"request", request_->id}, {"error", error.what()}});
@@ -68,6 +72,21 @@
     co_return outcome;
 }
 
+awaitable<bool> Dispatch::isWhole(StreamedBody body)
+{
+    const ContentEnd content = eventStream_ ? framer_.contentEnd() : ContentEnd::Opaque;
+    const Completeness completeness = completenessOf(body.framing, body.end, content);
+    bool whole = completeness == Completeness::Whole;
+    if (completeness == Completeness::Unproven) {
+        whole = co_await endpoint_.acceptsConnection();
+    }
+    if (!whole) {
+        const std::string detail = std::string(toString(body.framing)) + ", " + std::string(toString(content));
+        logEvent(LogEvent::EndpointFailed, {{"request", request_->id}, {"error", "answer cut off: " + detail}});
+    }
+    co_return whole;
+}
+
 void Dispatch::fillOutcome(RequestOutcome &outcome) const
 {
     if (outcome.kind != OutcomeKind::NotRun) {
@@ -81,6 +100,7 @@
 {
     status_ = head.result_int();
     contentType_ = headerValue(head, "Content-Type");
+    eventStream_ = contentType_.starts_with("text/event-stream");
     // An engine that answers with 429 or 503 has not run the request; a service's answer is forwarded unchanged.
     rejected_ = request_->mayRepeat && !request_->model.empty() && (status_ == STATUS_UNAVAILABLE || status_ == STATUS_TOO_MANY_REQUESTS);
     if (!buffering_ && !rejected_) {
@@ -119,6 +139,10 @@
         co_return;
     }
     meter_.add(data);
+    if (eventStream_) {
+        framer_.append(data);
+        framer_.takeCompleteEvents();
+    }
     if (buffering_ && buffer_.size() + data.size() <= MAX_BUFFERED_BYTES) {
         buffer_.append(data);
         co_return;
--- a/src/agent/dispatch.h
+++ b/src/agent/dispatch.h
@@ -32,6 +32,8 @@
     boost::asio::awaitable<void> handleHead(const HttpResponse &head);
     boost::asio::awaitable<void> handleData(std::string_view data);
     boost::asio::awaitable<void> beginAnswer();
+    /// \brief Returns whether the answer is whole (see completenessOf()).
+    boost::asio::awaitable<bool> isWhole(StreamedBody body);
     boost::asio::awaitable<void> send(std::string_view data);
     void throwIfDisconnected() const;
     void fillOutcome(RequestOutcome &outcome) const;
@@ -42,6 +44,9 @@
     UsageMeter meter_;
     unsigned status_ = 0;
     std::string contentType_;
+    /// \brief Reads the events of a stream to find whether it ends within one.
+    EventFramer framer_;
+    bool eventStream_ = false;
     std::string buffer_;
     bool buffering_;
     bool answerBegun_ = false;
--- a/src/agent/endpointclient.cpp
+++ b/src/agent/endpointclient.cpp
@@ -78,9 +78,16 @@
     co_return report;
 }
 
-awaitable<void> EndpointClient::dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData)
+awaitable<StreamedBody> EndpointClient::dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData)
 {
-    co_await client_.stream(toHttp(request), ENDPOINT_IDLE_TIMEOUT, std::move(onHead), std::move(onData));
+    const StreamedBody body = co_await client_.stream(toHttp(request), ENDPOINT_IDLE_TIMEOUT, std::move(onHead), std::move(onData));
+    co_return body;
+}
+
+awaitable<bool> EndpointClient::acceptsConnection()
+{
+    const bool accepts = co_await control_.acceptsConnection();
+    co_return accepts;
 }
 
 awaitable<void> EndpointClient::cancel(RequestId id)
--- a/src/agent/endpointclient.h
+++ b/src/agent/endpointclient.h
@@ -53,7 +53,10 @@
     boost::asio::awaitable<EndpointReport> report(Duration timeout);
 
     /// \brief Sends a request and passes its answer to the handlers. \throws UnreachableError, or ConnectError if it was not sent.
-    boost::asio::awaitable<void> dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData);
+    boost::asio::awaitable<StreamedBody> dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData);
+
+    /// \brief Returns whether the endpoint accepts a connection, so its process has not ended.
+    boost::asio::awaitable<bool> acceptsConnection();
 
     /// \brief Asks an engine to cancel a request; errors are only logged, since the end of the answer decides the outcome.
     boost::asio::awaitable<void> cancel(RequestId id);
--- a/src/entry/answerrelay.cpp
+++ b/src/entry/answerrelay.cpp
@@ -55,6 +55,7 @@
     status_ = 0;
     contentType_.clear();
     buffered_.clear();
+    framer_ = EventFramer();
     bytes_ = 0;
     eventStream_ = false;
     closed_ = false;
@@ -115,7 +116,15 @@
     }
     bytes_ += static_cast<std::int64_t>(data.size());
     hash_.add(data);
-    if (eventStream_ || relayed_) {
+    if (eventStream_) {
+        framer_.append(data);
+        const std::string events = framer_.takeCompleteEvents();
+        if (!events.empty()) {
+            co_await relay(events);
+        }
+        co_return;
+    }
+    if (relayed_) {
         co_await relay(data);
         co_return;
     }
@@ -189,8 +198,7 @@
         exchange_.abort();
         co_return;
     }
-    // The leading empty line terminates an event that may have been truncated.
-    const std::string event = "\n\nevent: error\ndata: " + std::string(errorBody) + "\n\n";
+    const std::string event = "event: error\ndata: " + std::string(errorBody) + "\n\n";
     co_await exchange_.writeChunk(event);
     co_await exchange_.endStream();
 }
--- a/src/entry/answerrelay.h
+++ b/src/entry/answerrelay.h
@@ -72,7 +72,8 @@
     /// \brief Sends the buffered answer, or ends the stream.
     boost::asio::awaitable<void> finish();
 
-    /// \brief Ends a partly relayed answer: an event stream with an error event unless its chunks failed, any other by closing the connection.
+    /// \brief Ends a partly relayed answer: an event stream with an error event after its last complete event unless its chunks failed, any other by
+    /// closing the connection.
     boost::asio::awaitable<void> fail(std::string_view errorBody);
 
     /// \brief Returns true if part of an answer has been sent to the caller.
@@ -104,6 +105,8 @@
     unsigned status_ = 0;
     std::string contentType_;
     std::string buffered_;
+    /// \brief Holds back the partial event of a stream.
+    EventFramer framer_;
     std::int64_t bytes_ = 0;
     Time firstChunkAt_;
     int attempt_ = 0;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -61,6 +61,12 @@
             co_return stream;
         }
     }
+    Stream stream = co_await connect();
+    co_return stream;
+}
+
+awaitable<HttpClient::Stream> HttpClient::connect()
+{
     auto stream = std::make_unique<boost::beast::tcp_stream>(io_);
     boost::system::error_code error;
     stream->expires_after(options_.connectTimeout);
@@ -72,6 +78,17 @@
     co_return stream;
 }
 
+awaitable<bool> HttpClient::acceptsConnection()
+{
+    try {
+        Stream stream = co_await connect();
+        release(std::move(stream));
+        co_return true;
+    } catch (const ConnectError &) {
+        co_return false;
+    }
+}
+
 void HttpClient::release(Stream stream)
 {
     if (idleConnections_.size() < options_.maxIdleConnections) {
@@ -111,7 +128,7 @@
     co_return response;
 }
 
-awaitable<void> HttpClient::stream(HttpRequest request, Duration idleTimeout, HeadHandler onHead, DataHandler onData)
+awaitable<StreamedBody> HttpClient::stream(HttpRequest request, Duration idleTimeout, HeadHandler onHead, DataHandler onData)
 {
     prepare(request);
     Stream stream = co_await acquire();
@@ -144,9 +161,11 @@
             co_await onData(std::string_view(data.data(), count));
         }
     }
-    if (parser.get().keep_alive()) {
+    const BodyFraming framing = bodyFraming(parser);
+    if (parser.get().keep_alive() && framing != BodyFraming::ConnectionEnd) {
         release(std::move(stream));
     }
+    co_return StreamedBody {framing, framing == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing};
 }
 
 } // namespace mimosatally
--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -1,5 +1,11 @@
+#include "agent/dispatch.h"
 #include "agentfixture.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
 using namespace mimosatally;
 using namespace mimosatally::internal;
 using boost::asio::awaitable;
@@ -210,3 +216,68 @@
     CHECK(report.openEnds.empty());
     CHECK(report.dispatchesReplayed == 7);
 }
+
+namespace
+{
+/// \brief Endpoint that sends fixed bytes as its answer and then closes the connection; it may stop accepting before.
+class UnframedEndpoint
+{
+public:
+    UnframedEndpoint(boost::asio::io_context &io, std::string body, bool endsWithAnswer)
+        : acceptor_(io, parseAddress("127.0.0.1:0"))
+        , answer_("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + std::move(body))
+        , endsWithAnswer_(endsWithAnswer)
+    {
+        boost::asio::co_spawn(io, accept(), boost::asio::detached);
+    }
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint address() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+private:
+    awaitable<void> accept()
+    {
+        boost::asio::ip::tcp::socket socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+        boost::beast::flat_buffer buffer;
+        HttpRequest request;
+        co_await boost::beast::http::async_read(socket, buffer, request, boost::asio::use_awaitable);
+        if (endsWithAnswer_) {
+            acceptor_.close();
+        }
+        co_await boost::asio::async_write(socket, boost::asio::buffer(answer_), boost::asio::use_awaitable);
+        socket.close();
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string answer_;
+    bool endsWithAnswer_;
+};
+} // namespace
+
+// Guards against an outcome "answered" for an answer that broke off: with neither a length nor chunks, the end of the connection was taken for the
+// end of the answer, also for one that is recorded and returned to later requests with the same key.
+TEST_CASE("An unframed answer counts as answered only if it is shown to be whole", "[agent]")
+{
+    GatedAgent agent;
+    const auto outcomeOf = [&agent](const std::string &id, const std::string &body, bool endpointEnds) {
+        UnframedEndpoint endpoint(agent.AgentFixture::io, body, endpointEnds);
+        EndpointClient client(agent.AgentFixture::io, endpoint.address(), 1);
+        auto writer = std::make_shared<AnswerWriter>(agent.AgentFixture::io, kj::heap<mimosatally::testing::RecordingSink>(agent.answers[id]));
+        std::optional<RequestOutcome> outcome;
+        Dispatch dispatch(client, agent.request(id), std::move(writer));
+        boost::asio::co_spawn(agent.AgentFixture::io, dispatch.run(), [&outcome](std::exception_ptr error, RequestOutcome result) {
+            REQUIRE_FALSE(error);
+            outcome = std::move(result);
+        });
+        agent.runUntil([&outcome] {
+            return outcome.has_value();
+        });
+        return outcome->kind;
+    };
+    CHECK(outcomeOf("within", "data: a\n\ndata: b", false) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("ended", "data: a\n\n", true) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("alive", "data: a\n\n", false) == OutcomeKind::Answered);
+    CHECK(outcomeOf("mark", "data: a\n\ndata: [DONE]\n\n", true) == OutcomeKind::Answered);
+}
