Let the connections of a test endpoint outlive it

A connection of an endpoint stand-in erased itself from the set of open sockets after the stand-in was gone, which ended one test run in the allocator ('unaligned fastbin chunk detected') at the end of a test. The set is shared now.

--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <fcntl.h>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -150,27 +151,29 @@
         co_return false;
     }
 
-    /// \brief Keeps a socket in the set of those that a crash closes.
+    using OpenSockets = std::set<boost::asio::ip::tcp::socket *>;
+
+    /// \brief Keeps a socket in the set of those that a crash closes. A connection can outlive its stand-in, so they share the set.
     class OpenSocket
     {
     public:
-        OpenSocket(std::set<boost::asio::ip::tcp::socket *> &sockets, boost::asio::ip::tcp::socket &socket)
-            : sockets_(sockets)
+        OpenSocket(std::shared_ptr<OpenSockets> sockets, boost::asio::ip::tcp::socket &socket)
+            : sockets_(std::move(sockets))
             , socket_(socket)
         {
-            sockets_.insert(&socket_);
+            sockets_->insert(&socket_);
         }
 
         ~OpenSocket()
         {
-            sockets_.erase(&socket_);
+            sockets_->erase(&socket_);
         }
 
         OpenSocket(const OpenSocket &) = delete;
         OpenSocket &operator=(const OpenSocket &) = delete;
 
     private:
-        std::set<boost::asio::ip::tcp::socket *> &sockets_;
+        std::shared_ptr<OpenSockets> sockets_;
         boost::asio::ip::tcp::socket &socket_;
     };
 
@@ -178,13 +181,13 @@
     {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
-        for (boost::asio::ip::tcp::socket *socket : sockets_) {
+        for (boost::asio::ip::tcp::socket *socket : *sockets_) {
             socket->close(ignored);
         }
     }
 
     boost::asio::io_context &io_;
-    std::set<boost::asio::ip::tcp::socket *> sockets_;
+    std::shared_ptr<OpenSockets> sockets_ = std::make_shared<OpenSockets>();
     boost::asio::ip::tcp::acceptor acceptor_;
     Script script_;
     mutable std::mutex mutex_;
