--- a/include/mimosatally/http/httpexchange.h
+++ b/include/mimosatally/http/httpexchange.h
@@ -30,7 +30,8 @@
     /// \brief Sends a complete response. \throws boost::system::system_error if the peer has disconnected or is too slow.
     boost::asio::awaitable<void> respond(HttpResponse response);
 
-    /// \brief Sends the header of a chunked response; \a header has status and fields, its body is ignored.
+    /// \brief Sends the header of a chunked response; \a header has status and fields, its body is ignored. A caller of HTTP/1.0 knows no chunks: its
+    /// response ends with the connection.
     boost::asio::awaitable<void> beginStream(HttpResponse header);
 
     /// \brief Sends one chunk; empty data is skipped, since an empty chunk would end the body.
@@ -39,7 +40,8 @@
     /// \brief Ends a chunked response.
     boost::asio::awaitable<void> endStream();
 
-    /// \brief Closes the connection without ending the response, so that the peer sees a truncated body.
+    /// \brief Closes the connection without ending the response, so that the peer sees a truncated body. A response that would end with the
+    /// connection is ended by a reset.
     void abort();
 
     /// \brief Calls \a callback once if the peer closes the connection before the exchange ends.
@@ -65,6 +67,7 @@
     const HttpLimits &limits_;
     std::shared_ptr<Watch> watch_;
     bool responded_ = false;
+    bool endsWithConnection_ = false;
     bool keepAlive_;
 };
 
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -72,9 +72,12 @@
 {
     responded_ = true;
     http::response<http::empty_body> head(header.base());
-    head.version(11);
+    constexpr unsigned firstVersionWithChunks = 11;
+    endsWithConnection_ = request_.version() < firstVersionWithChunks;
+    keepAlive_ = keepAlive_ && !endsWithConnection_;
+    head.version(request_.version());
     head.keep_alive(keepAlive_);
-    head.chunked(true);
+    head.chunked(!endsWithConnection_);
     http::response_serializer<http::empty_body> serializer(head);
     stream_.expires_after(limits_.transferTimeout);
     co_await http::async_write_header(stream_, serializer, use_awaitable);
@@ -86,11 +89,19 @@
         co_return;
     }
     stream_.expires_after(limits_.transferTimeout);
-    co_await boost::asio::async_write(stream_, http::make_chunk(boost::asio::buffer(data.data(), data.size())), use_awaitable);
+    const auto buffer = boost::asio::buffer(data.data(), data.size());
+    if (endsWithConnection_) {
+        co_await boost::asio::async_write(stream_, buffer, use_awaitable);
+        co_return;
+    }
+    co_await boost::asio::async_write(stream_, http::make_chunk(buffer), use_awaitable);
 }
 
 boost::asio::awaitable<void> HttpExchange::endStream()
 {
+    if (endsWithConnection_) {
+        co_return;
+    }
     stream_.expires_after(limits_.transferTimeout);
     co_await boost::asio::async_write(stream_, http::make_chunk_last(), use_awaitable);
 }
@@ -99,6 +110,10 @@
 {
     responded_ = true;
     keepAlive_ = false;
+    if (endsWithConnection_) {
+        boost::system::error_code ignored;
+        stream_.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     stream_.close();
 }
 
--- a/tests/gateway/callerconnection.h
+++ b/tests/gateway/callerconnection.h
@@ -48,6 +48,7 @@
             const std::size_t count = socket_.read_some(boost::asio::buffer(data), error);
             text.append(data.data(), count);
         }
+        wasReset_ = error == boost::asio::error::connection_reset;
         return text;
     }
 
@@ -63,6 +64,12 @@
         return text;
     }
 
+    /// \brief Returns whether readUntilClosed() ended with a reset of the connection.
+    [[nodiscard]] bool wasReset() const
+    {
+        return wasReset_;
+    }
+
     void close()
     {
         socket_.close();
@@ -72,6 +79,7 @@
     boost::asio::io_context io_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
+    bool wasReset_ = false;
 };
 
 } // namespace mimosatally::test
--- a/tests/gateway/completenesstest.cpp
+++ b/tests/gateway/completenesstest.cpp
@@ -188,3 +188,25 @@
     request.keep_alive(false);
     CHECK(fixture.start(request)->readUntilClosed().starts_with("HTTP/1.1 200"));
 }
+
+// Guards against chunks that a caller of HTTP/1.0 cannot read, and against a stream that breaks off and whose end such a caller takes for complete:
+// only a reset differs from the end of the answer.
+TEST_CASE("A caller of HTTP/1.0 gets a stream without chunks, and a reset if it breaks off", "[gateway][completeness]")
+{
+    const auto whole = GENERATE(true, false);
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [whole](const HttpRequest &request) -> AnswerSteps {
+        const std::string events = streamHead(requestIdOf(request)) + chunk("id: 1\ndata: a\n\n");
+        return {bytes(events + (whole ? lastChunk() : chunk("id: 2\nda"))), pauseFor(50), closing()};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    HttpRequest request = closingRequest("/stream/x", "r1");
+    request.version(10);
+    const auto caller = fixture.start(request);
+    const std::string answer = caller->readUntilClosed();
+    CHECK(answer.find("chunked") == std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\nid: 1\ndata: a\n\n"));
+    CHECK(caller->wasReset() != whole);
+}
