--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -37,6 +37,21 @@
     return std::to_string(static_cast<long>(milliseconds));
 }
 
+/// \brief Ids of the parts that a prompt shares with others, which are all but the last, in hexadecimal and in their order; `-` if there are none.
+std::string sharedPartsText(const std::vector<PromptPart> &parts)
+{
+    constexpr std::size_t maxParts = 6;
+    if (parts.size() < 2) {
+        return "-";
+    }
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i < std::min(parts.size() - 1, maxParts); ++i) {
+        text << (i == 0 ? "" : "/") << parts[i].id;
+    }
+    return text.str();
+}
+
 /// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
 /// its requests of the last four seconds; `-` if the endpoint has no limit.
 std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
@@ -275,6 +290,7 @@
               {"predicted_ms", truncatedMs(placement.firstByteMs)},
               {"queue_ms", truncatedMs(placement.queueMs)},
               {"prompt", placementRequest_.promptTokens},
+              {"parts", sharedPartsText(placementRequest_.promptParts)},
               {"cached", placement.cache.tokens},
               {"cache_belief", cacheEstimateName(placement.cache.estimate)},
               {"cache_source", placement.cacheSource.value_or(EndpointId("-"))},
