--- /dev/null
+++ b/tests/gateway/crashsuspecttest.cpp
@@ -0,0 +1,112 @@
+#include "gatewaygroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosatally;
+using namespace mimosatally::test;
+
+namespace
+{
+constexpr const char *FIRST_PART = "a1:100";
+constexpr const char *BAD_PART = "bad:50";
+
+/// \brief Endpoints that crash on a request with the bad part, and a new one for each that has ended.
+class CrashingEndpoints
+{
+public:
+    CrashingEndpoints(GatewayFixture &fixture, int count)
+        : fixture_(fixture)
+    {
+        for (int i = 0; i < count; ++i) {
+            add();
+        }
+    }
+
+    /// \brief Number of requests with the bad part that have reached endpoints.
+    [[nodiscard]] int badArrivals() const
+    {
+        return crashes_;
+    }
+
+    /// \brief Removes the entries of endpoints that have crashed, starts a new one, with a new id and address, for each, and waits until the gateways
+    /// can know them.
+    void replaceEnded()
+    {
+        const std::set<std::string> ended = fixture_.onStandins([this] {
+            return std::exchange(ended_, {});
+        });
+        for (const std::string &id : ended) {
+            fixture_.onStandins([&] {
+                fixture_.store().put("keyed.servers", id, "");
+            });
+            add();
+        }
+        constexpr auto noticeTime = std::chrono::milliseconds(1300);
+        std::this_thread::sleep_for(ended.empty() ? std::chrono::milliseconds(0) : noticeTime);
+    }
+
+    static constexpr int COUNT = 3;
+
+private:
+    void add()
+    {
+        const std::string id = "i-" + std::to_string(++started_);
+        fixture_.addEndpoint(id, "plain", [this, id](const HttpRequest &request) -> AnswerSteps {
+            if (headerValue(request, "X-Mimosatally-Prefix-Hash").find(BAD_PART) != std::string::npos) {
+                ++crashes_;
+                ended_.insert(id);
+                return {pauseFor(20), crashing()};
+            }
+            return {bytes(streamHead(requestIdOf(request)) + chunk("id: 1\ndata: a\n\n") + lastChunk())};
+        });
+    }
+
+    GatewayFixture &fixture_;
+    int started_ = 0;
+    /// \brief Crashed since the last replacement; used on the thread of the stand-ins.
+    std::set<std::string> ended_;
+    std::atomic<int> crashes_ = 0;
+};
+
+/// \brief Sends a streaming request whose prompt has the first part, \a part unless it is empty, and a part of its own.
+HttpResponse send(const GatewayGroup &group, const std::string &part, int number)
+{
+    HttpRequest request = GatewayFixture::request(http::verb::post, "/resume/x", "r" + std::to_string(number));
+    const std::string shared = std::string(FIRST_PART) + (part.empty() ? "" : "," + part);
+    request.set("X-Mimosatally-Prefix-Hash", shared + ",f" + std::to_string(number) + ":10");
+    CallerConnection connection(group.callerAddress(static_cast<std::size_t>(number) % group.size()));
+    connection.send(std::move(request));
+    return connection.response();
+}
+} // namespace
+
+// Guards against requests with one part in their prompts that end endpoint after endpoint: each gateway took a crash for the fault of the endpoint
+// and sent the next such request to the next one. Sound requests with the same first part go on.
+TEST_CASE("Requests with a part that crashes endpoints no longer reach them after five crashes", "[gateway][crash]")
+{
+    GatewayFixture fixture;
+    CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT);
+    fixture.configure();
+    GatewayGroup group(fixture, 2);
+    group.awaitPeers();
+    int number = 0;
+    for (int i = 0; i < 10; ++i) {
+        CHECK(send(group, "", ++number).result_int() == 200);
+    }
+    constexpr int maxCrashes = 5;
+    for (int i = 0; i < 10 && endpoints.badArrivals() < maxCrashes; ++i) {
+        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+    }
+    constexpr auto contact = std::chrono::milliseconds(4000);
+    std::this_thread::sleep_for(contact);
+    const int before = endpoints.badArrivals();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+        CHECK(send(group, "", ++number).result_int() == 200);
+    }
+    constexpr int allowedAfterContact = 3;
+    CHECK(endpoints.badArrivals() - before <= allowedAfterContact);
+    WARN(before << " requests with the part reached endpoints first, " << endpoints.badArrivals() - before << " later");
+}
