Stop calls with a part of the prompt that ends endpoints

Cause: a gateway took each crash for the fault of the endpoint, excluded it for this call and sent the call, and the next one with the part, to the next engine. Nobody counted crashes by part, and gateways told each other nothing of them.

Class of fault: blame stays with the place where a failure shows, while its cause travels with the request.

Change: CrashSuspects counts, for each part but the last, the different endpoint incarnations that ended before they sent anything for a call with it. A whole answer clears its parts. Three crashes block a part; of several, the one that the fewest calls have, and the crashes that it explains no longer count against the others. Gateways merge the crashes in datagrams, at once and with each heartbeat. A call that was in flight at a crash is not repeated while one of its parts is suspected. A crash is told from a cut connection by a new connection that is refused.

Simulated: batches of 1 to 64 calls, parts in 1% to 100% of the prompts, one or three bad parts, engines that end by themselves: at most 1% of the sound calls refused is checked.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -119,6 +119,9 @@
     }
     gateway_.router.end(routerAttempt.ticket(), failedAttemptOutcome(), MilliClock::now());
     logFailedAttempt(endpoint, "run", call, progress != CallProgress::NotConnected);
+    if (progress == CallProgress::OutcomeUnknown) {
+        co_await recordIfCrashed(call, endpoint);
+    }
     placementRequest_.excluded.push_back(endpoint);
     if (progress == CallProgress::NotConnected) {
         co_return NextStep::RetryNotReceived;
@@ -154,6 +157,7 @@
         placementRequest_.excluded.push_back(endpoint);
         co_return NextStep::RetryOutcomeUnknown;
     }
+    const std::size_t eventsBefore = framer_.takenEvents();
     const bool asEvents = success && route_.form == AnswerForm::Events;
     bool delivered = false;
     if (asEvents) {
@@ -165,13 +169,35 @@
         gateway_.router.end(ticket, failedAttemptOutcome(), MilliClock::now());
         logFailedAttempt(endpoint, "answer", call, true);
         placementRequest_.excluded.push_back(endpoint);
+        if (framer_.takenEvents() == eventsBefore) {
+            co_await recordIfCrashed(call, endpoint);
+        }
         co_return NextStep::RetryOutcomeUnknown;
     }
     gateway_.router.end(ticket, success ? AttemptOutcome::Answered : AttemptOutcome::AnsweredFailure, MilliClock::now());
     logAnswered(endpoint, call);
+    if (success) {
+        gateway_.crashWatch.recordAnswered(call_.id, placementRequest_.promptParts, MilliClock::now());
+    }
     co_return NextStep::Finished;
 }
 
+awaitable<void> CallFlow::recordIfCrashed(EndpointCall &call, EndpointId endpoint)
+{
+    const EndpointRecord *known = gateway_.router.record(endpoint);
+    const bool cut = call.bodyEnd() == BodyEnd::ConnectionClosed || call.bodyEnd() == BodyEnd::ConnectionReset;
+    // An endpoint that leaves ends on purpose, and the last part of a prompt is never suspected.
+    if (!cut || known == nullptr || known->leaving || call.answer().leaving || placementRequest_.promptParts.size() < 2) {
+        co_return;
+    }
+    const EndpointRecord record = *known;
+    const bool ended = co_await call.refusesConnection();
+    if (ended) {
+        crashed_ = true;
+        gateway_.crashWatch.recordCrash(call_.id, record, placementRequest_.promptParts, MilliClock::now());
+    }
+}
+
 void CallFlow::observe(PhaseRouter::Ticket ticket, const EndpointId &endpoint, const EndpointAnswer &answer)
 {
     const EndpointUpdate update = gateway_.router.observeAnswer(ticket, answer, MilliClock::now());
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -37,21 +37,6 @@
     return std::to_string(static_cast<long>(milliseconds));
 }
 
-/// \brief Ids of the parts that a prompt shares with others, which are all but the last, in hexadecimal and in their order; `-` if there are none.
-std::string sharedPartsText(const std::vector<PromptPart> &parts)
-{
-    constexpr std::size_t maxParts = 6;
-    if (parts.size() < 2) {
-        return "-";
-    }
-    std::ostringstream text;
-    text << std::hex;
-    for (std::size_t i = 0; i < std::min(parts.size() - 1, maxParts); ++i) {
-        text << (i == 0 ? "" : "/") << parts[i].id;
-    }
-    return text.str();
-}
-
 /// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
 /// its requests of the last four seconds; `-` if the endpoint has no limit.
 std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
@@ -146,6 +131,7 @@
 {
     ++gateway_.callsReceived;
     gateway_.retries.recordRequest(placementRequest_.service, arrived_);
+    gateway_.suspects.recordCall(placementRequest_.promptParts, arrived_);
     exchange_.onPeerClosed([weak = std::weak_ptr<CallGuard>(guard_)] {
         if (const auto guard = weak.lock()) {
             guard->callerDisconnected();
@@ -174,6 +160,10 @@
         co_await giveUp();
         co_return false;
     }
+    const bool blocked = co_await refuseBlockedPart(now);
+    if (blocked) {
+        co_return false;
+    }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
         if (attempts_ == 0) {
@@ -213,6 +203,23 @@
     co_return retry;
 }
 
+awaitable<bool> CallFlow::refuseBlockedPart(Time now)
+{
+    const bool hasBlockedPart = gateway_.suspects.isBlocked(placementRequest_.promptParts);
+    const std::optional<BlockedPart> blocked = gateway_.suspects.check(placementRequest_.promptParts, now);
+    if (!blocked) {
+        testsBlockedPart_ = hasBlockedPart;
+        co_return false;
+    }
+    lastFailure_ = "a part of the prompt ended " + std::to_string(blocked->crashes) + " endpoints: " + sharedPartsText(placementRequest_.promptParts);
+    if (mayHaveRun_ || streaming_) {
+        co_await giveUp();
+    } else {
+        co_await refuse(blocked->retryAfter, "crash-suspect");
+    }
+    co_return true;
+}
+
 awaitable<bool> CallFlow::retryOrGiveUp(NextStep next)
 {
     const StopReason stopReason = guard_->stopReason();
@@ -231,6 +238,10 @@
     if (attempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
         return false;
     }
+    // A repeat could end the next endpoint.
+    if (crashed_ && gateway_.suspects.isSuspected(placementRequest_.promptParts)) {
+        return false;
+    }
     if (next == NextStep::RetryOutcomeUnknown && route_.retryPolicy != RetryPolicy::Idempotent) {
         return false;
     }
@@ -313,6 +324,9 @@
             co_return NextStep::RetryNotRun;
         }
         work = AttemptWork::Run;
+        if (!testsBlockedPart_ && gateway_.suspects.isBlocked(placementRequest_.promptParts)) {
+            co_return NextStep::RetryNotRun;
+        }
         // The prefill may have taken seconds, during which engines can leave, fill up or fail.
         const Placement runPlacement = gateway_.router.placeDecode(placementRequest_, prefillEngine, MilliClock::now());
         if (!runPlacement.run) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -52,6 +52,10 @@
     };
 
     boost::asio::awaitable<bool> placeAndAttempt();
+    /// \brief Ends the call if its prompt has a part that is blocked because it ends endpoints. \return whether the call has ended.
+    boost::asio::awaitable<bool> refuseBlockedPart(Time now);
+    /// \brief Records a crash if \a endpoint has ended and not only its connection.
+    boost::asio::awaitable<void> recordIfCrashed(EndpointCall &call, EndpointId endpoint);
     /// \return whether another placement follows.
     boost::asio::awaitable<bool> retryOrGiveUp(NextStep next);
     boost::asio::awaitable<NextStep> attempt(EndpointId endpoint, Placement placement);
@@ -104,6 +108,10 @@
     int attempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
     bool mayHaveRun_ = false;
+    /// \brief An endpoint ended before it sent anything for the call.
+    bool crashed_ = false;
+    /// \brief The call tests whether a blocked part still ends endpoints.
+    bool testsBlockedPart_ = false;
     /// \brief The head of a stream was sent to the caller.
     bool streaming_ = false;
     /// \brief Run calls of this request that endpoints have received; later ones are retries. Prefill calls are counted separately.
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -162,7 +162,8 @@
         proof_ = content == ContentEnd::Within ? "cut-within" : "cut";
         break;
     case Completeness::Unproven: {
-        const bool alive = co_await acceptsConnection();
+        const boost::system::error_code error = co_await tryConnection();
+        const bool alive = !error;
         // An endpoint that has announced that it leaves may exit after its last answer.
         if (alive || answer_.leaving) {
             proof_ = alive ? "endpoint-accepts" : "endpoint-leaves";
@@ -179,7 +180,16 @@
     co_return false;
 }
 
-awaitable<bool> EndpointCall::acceptsConnection()
+awaitable<bool> EndpointCall::refusesConnection()
+{
+    if (!connection_) {
+        co_return false;
+    }
+    const boost::system::error_code error = co_await tryConnection();
+    co_return error == boost::asio::error::connection_refused;
+}
+
+awaitable<boost::system::error_code> EndpointCall::tryConnection()
 {
     const Time now = MilliClock::now();
     std::unique_ptr<EndpointConnection> connection = pool_.make(connection_->address);
@@ -189,11 +199,10 @@
     guard_.beginAttempt(connection->socket, now + CONNECT_TIMEOUT);
     co_await connection->socket.async_connect(connection->address, redirect_error(use_awaitable, error));
     guard_.endAttempt();
-    if (error) {
-        co_return false;
+    if (!error) {
+        pool_.put(std::move(connection), answer_.keepAlive, MilliClock::now());
     }
-    pool_.put(std::move(connection), answer_.keepAlive, MilliClock::now());
-    co_return true;
+    co_return error;
 }
 
 const EndpointAnswer &EndpointCall::answer() const
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -59,6 +59,9 @@
     [[nodiscard]] const EndpointAnswer &answer() const;
     [[nodiscard]] const boost::beast::http::response_header<> &header() const;
 
+    /// \brief Returns whether the endpoint refuses a connection: its process has ended, not only the connection of this call.
+    boost::asio::awaitable<bool> refusesConnection();
+
     /// \brief Returns how the answer states where its body ends; NoBody before its head was received.
     [[nodiscard]] BodyFraming framing() const;
     [[nodiscard]] BodyEnd bodyEnd() const;
@@ -78,8 +81,8 @@
     boost::asio::awaitable<bool> readHead(const RequestId &id);
     boost::asio::awaitable<bool> readOneHead();
     boost::asio::awaitable<bool> skipBody();
-    /// \brief Returns whether the endpoint accepts a connection.
-    boost::asio::awaitable<bool> acceptsConnection();
+    /// \brief Opens another connection to the endpoint, which is kept for later calls.
+    boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
 
     ConnectionPool &pool_;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -203,6 +203,7 @@
             if (now >= nextLimitReport) {
                 nextLimitReport = now + LIMIT_REPORT_INTERVAL;
                 gateway_.limitReport.update(now);
+                gateway_.crashWatch.update(now);
             }
             if (now >= nextEngineTimes) {
                 nextEngineTimes = now + ENGINE_TIMES_LOG_INTERVAL;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -45,6 +45,8 @@
     , settings(processSettings)
     , router(locationOf(processSettings), seedOf(processSettings))
     , limitReport(router, metrics)
+    , suspects(seedOf(settings))
+    , crashWatch(suspects, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , random_(seedOf(processSettings))
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "crashwatch.h"
 #include "limitreport.h"
 
 #include <mimosatally/Gateway>
@@ -45,6 +46,8 @@
     EndpointRegistry registry;
     PhaseRouter router;
     LimitReport limitReport;
+    CrashSuspects suspects;
+    CrashWatch crashWatch;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     /// \brief Set by the signal that stops the process.
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -81,10 +81,14 @@
         lastSend_ = now;
         sendNotices(now);
         gateway_.setProcessCount(peers_.processCount(now), now);
+        if (gateway_.suspects.takeChanged()) {
+            sendSuspectNotices(now);
+        }
         if (now >= nextHeartbeat_) {
             peers_.setSeeds(seedsOf(gateway_.settings));
             peers_.expire(now);
             sendHeartbeat(now);
+            sendSuspectNotices(now);
             nextHeartbeat_ = now + peers_.heartbeatInterval();
         }
         running = co_await context.sleep(interval());
@@ -131,6 +135,16 @@
     gateway_.metrics.set("mimosatally_peers", {}, static_cast<double>(peers_.size()));
 }
 
+void NoticeExchange::sendSuspectNotices(Time now)
+{
+    PeerDatagram datagram;
+    datagram.region = region_;
+    datagram.suspectNotices = gateway_.suspects.notices(MAX_SUSPECT_NOTICES_PER_DATAGRAM, now);
+    if (!datagram.suspectNotices.empty()) {
+        sendTo(peers_.heartbeatTargets(), datagram);
+    }
+}
+
 void NoticeExchange::sendTo(const std::vector<udp::endpoint> &targets, const PeerDatagram &datagram)
 {
     const std::string bytes = encodeDatagram(datagram);
@@ -175,6 +189,9 @@
             for (const PrefillNotice &notice : datagram.prefillNotices) {
                 gateway_.router.recordPrefillNotice(notice, now);
             }
+            for (const SuspectNotice &notice : datagram.suspectNotices) {
+                gateway_.crashWatch.recordNotice(notice, now);
+            }
             for (const LimitNotice &notice : datagram.limitNotices) {
                 gateway_.router.recordLimitNotice(peerKey(sender), notice, now);
             }
--- a/src/gateway/peerdatagram.cpp
+++ b/src/gateway/peerdatagram.cpp
@@ -19,6 +19,9 @@
 constexpr double MAX_PREFILL_MS = 60'000;
 constexpr std::uint32_t MAX_AGE_MS = 60'000;
 constexpr std::uint32_t MAX_PROCESS_COUNT = 100'000;
+/// \brief A longer time since a test call counts as this one: the next one is due then.
+constexpr Duration MAX_TIME_SINCE_PROBE = CrashSuspects::MAX_PROBE_INTERVAL * 2;
+constexpr int MAX_PROBES = 1000;
 constexpr std::int64_t MAX_REQUEST_RATE = 1'000'000'000;
 
 udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &address)
@@ -87,13 +90,54 @@
     return notice;
 }
 
+void writeSuspectNotice(const SuspectNotice &notice, schema::SuspectNotice::Builder message)
+{
+    message.setPart(notice.part);
+    message.setState(static_cast<schema::SuspectState>(notice.state));
+    message.setProbes(static_cast<std::uint16_t>(std::clamp(notice.probes, 0, MAX_PROBES)));
+    message.setSinceProbeMs(static_cast<std::uint32_t>(std::clamp(notice.sinceProbe, Duration(0), MAX_TIME_SINCE_PROBE).count()));
+    const std::size_t count = std::min(notice.crashes.size(), CrashSuspects::MAX_CRASHES_PER_PART);
+    auto crashes = message.initCrashes(static_cast<unsigned>(count));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        crashes.set(i, notice.crashes[i]);
+    }
+}
+
+SuspectNotice readSuspectNotice(schema::SuspectNotice::Reader message)
+{
+    SuspectNotice notice;
+    notice.part = message.getPart();
+    switch (message.getState()) {
+    case schema::SuspectState::SUSPECT:
+        notice.state = SuspectNotice::State::Suspect;
+        break;
+    case schema::SuspectState::BLOCKED:
+        notice.state = SuspectNotice::State::Blocked;
+        break;
+    case schema::SuspectState::CLEARED:
+        notice.state = SuspectNotice::State::Cleared;
+        break;
+    default:
+        throw MalformedInputError("a notice on a part has an unknown state");
+    }
+    if (message.getCrashes().size() > CrashSuspects::MAX_CRASHES_PER_PART) {
+        throw MalformedInputError("a notice on a part has too many crashes");
+    }
+    for (const CrashId crash : message.getCrashes()) {
+        notice.crashes.push_back(crash);
+    }
+    notice.probes = std::min<int>(message.getProbes(), MAX_PROBES);
+    notice.sinceProbe = std::min(Duration(message.getSinceProbeMs()), MAX_TIME_SINCE_PROBE);
+    return notice;
+}
+
 PeerDatagram readDatagram(schema::PeerDatagram::Reader message)
 {
     PeerDatagram datagram;
     datagram.region = RegionId(message.getRegion().cStr());
     datagram.processCount = static_cast<int>(std::min<std::uint32_t>(message.getProcessCount(), MAX_PROCESS_COUNT));
     if (message.getPeers().size() > MAX_PEERS_PER_DATAGRAM || message.getReadings().size() > MAX_NOTICES_PER_DATAGRAM
-        || message.getLimitNotices().size() > MAX_LIMIT_NOTICES_PER_DATAGRAM) {
+        || message.getLimitNotices().size() > MAX_LIMIT_NOTICES_PER_DATAGRAM || message.getSuspectNotices().size() > MAX_SUSPECT_NOTICES_PER_DATAGRAM) {
         throw MalformedInputError("a datagram has too many peers or notices");
     }
     for (const auto peer : message.getPeers()) {
@@ -105,6 +149,9 @@
     for (const auto limitNotice : message.getLimitNotices()) {
         datagram.limitNotices.push_back(readLimitNotice(limitNotice));
     }
+    for (const auto suspectNotice : message.getSuspectNotices()) {
+        datagram.suspectNotices.push_back(readSuspectNotice(suspectNotice));
+    }
     return datagram;
 }
 } // namespace
@@ -128,6 +175,10 @@
     for (unsigned i = 0; i < limitNotices.size(); ++i) {
         writeLimitNotice(datagram.limitNotices[i], limitNotices[i]);
     }
+    auto suspectNotices = message.initSuspectNotices(static_cast<unsigned>(datagram.suspectNotices.size()));
+    for (unsigned i = 0; i < suspectNotices.size(); ++i) {
+        writeSuspectNotice(datagram.suspectNotices[i], suspectNotices[i]);
+    }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const auto bytes = words.asChars();
     return {bytes.begin(), bytes.size()};
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -19,6 +19,7 @@
     /// \brief Gateways that the sender knows, itself included; zero in datagrams that are no heartbeat.
     int processCount = 0;
     std::vector<LimitNotice> limitNotices;
+    std::vector<SuspectNotice> suspectNotices;
 };
 
 /// \brief Maximum size of a datagram, small enough that none is fragmented.
@@ -31,6 +32,9 @@
 /// \brief Maximum number of limit notices in a heartbeat; with MAX_PEERS_PER_DATAGRAM peers, they fit into it.
 constexpr std::size_t MAX_LIMIT_NOTICES_PER_DATAGRAM = 24;
 
+/// \brief Maximum number of notices on suspected parts in one datagram; with all their crashes, they fit into it without other notices.
+constexpr std::size_t MAX_SUSPECT_NOTICES_PER_DATAGRAM = 8;
+
 std::string encodeDatagram(const PeerDatagram &datagram);
 
 /// \throws MalformedInputError if \a bytes are not a valid datagram.
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -194,6 +194,24 @@
   # Part that the sender does not use at present.
 }
 
+struct SuspectNotice {
+  # Part of prompts that may crash each engine that begins to answer it, as far as the sender knows.
+  part @0 :UInt64;
+  state @1 :SuspectState;
+  crashes @2 :List(UInt64);
+  # Hashes of the ids and starts of the endpoints that crashed.
+  probes @3 :UInt16;
+  # Test calls since the part was blocked.
+  sinceProbeMs @4 :UInt32;
+  # Time since the part was blocked or last tested.
+}
+
+enum SuspectState {
+  suspect @0;
+  blocked @1;
+  cleared @2;
+}
+
 struct PeerDatagram {
   # One datagram between gateways. It is not answered, and a lost one is not sent again.
   region @0 :Text;
@@ -204,4 +222,5 @@
   # Gateways that the sender knows, itself included; zero if the datagram is no heartbeat.
   limitNotices @4 :List(LimitNotice);
   # In a heartbeat: one for each request limit that the sender knows, also if it uses all of its part.
+  suspectNotices @5 :List(SuspectNotice);
 }
--- /dev/null
+++ b/tests/unit/crashsuspectstest.cpp
@@ -0,0 +1,232 @@
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Routing>
+
+#include <random>
+
+using namespace mimosatally;
+
+namespace
+{
+const Time START = Time(Duration(1'000'000));
+constexpr std::uint64_t FIRST = 0xa1;
+constexpr std::uint64_t BAD = 0xbad;
+
+std::vector<PromptPart> prompt(std::vector<std::uint64_t> shared)
+{
+    std::vector<PromptPart> parts;
+    for (const std::uint64_t id : shared) {
+        parts.push_back({id, Tokens(10)});
+    }
+    parts.push_back({0xffff, Tokens(1)});
+    return parts;
+}
+} // namespace
+
+// Guards against parts that are blocked by crashes that one incident causes, and against the last part, which others do not share.
+TEST_CASE("Three different crashes without an answer block a part", "[crash]")
+{
+    CrashSuspects suspects(0);
+    const auto parts = prompt({BAD});
+    suspects.recordCall(parts, START);
+    CHECK(suspects.recordCrash(1, parts, START).empty());
+    CHECK(suspects.recordCrash(1, parts, START).empty());
+    CHECK(suspects.recordCrash(2, parts, START).empty());
+    CHECK(suspects.isSuspected(parts));
+    CHECK_FALSE(suspects.check(parts, START));
+    CHECK(suspects.recordCrash(3, parts, START) == std::vector<std::uint64_t> {BAD});
+    const auto refused = suspects.check(parts, START);
+    REQUIRE(refused);
+    CHECK(refused->part == BAD);
+    CHECK(refused->crashes == 3);
+    CHECK(refused->retryAfter >= CrashSuspects::FIRST_PROBE_INTERVAL);
+    CHECK_FALSE(suspects.check(prompt({}), START));
+    CHECK_FALSE(suspects.check(prompt({0xffff - 1}), START));
+}
+
+// Guards against sound parts that are blocked because they are in all prompts.
+TEST_CASE("A part with a whole answer is not suspected, and an answer clears a blocked part", "[crash]")
+{
+    CrashSuspects suspects(0);
+    suspects.recordAnswered(prompt({FIRST}), START);
+    const auto parts = prompt({FIRST, BAD});
+    for (CrashId crash = 1; crash <= 20; ++crash) {
+        suspects.recordCall(parts, START);
+        suspects.recordCrash(crash, parts, START);
+    }
+    CHECK(suspects.check(parts, START)->part == BAD);
+    CHECK_FALSE(suspects.check(prompt({FIRST, 0xb}), START));
+    CHECK(suspects.crashesOf(FIRST) == 0);
+    CHECK(suspects.recordAnswered(parts, START) == std::vector<std::uint64_t> {BAD});
+    CHECK_FALSE(suspects.check(parts, START));
+}
+
+// Guards against a fleet that has just started and knows no answers: the part that all prompts share has the same crashes as the bad one.
+TEST_CASE("Of the parts with the same crashes, the rarest is blocked", "[crash]")
+{
+    CrashSuspects suspects(0);
+    for (CrashId crash = 1; crash <= 3; ++crash) {
+        suspects.recordCall(prompt({FIRST, 0xb + crash}), START);
+        suspects.recordCall(prompt({FIRST, BAD}), START);
+        suspects.recordCrash(crash, prompt({FIRST, BAD}), START);
+    }
+    CHECK(suspects.check(prompt({FIRST, BAD}), START)->part == BAD);
+    CHECK_FALSE(suspects.check(prompt({FIRST, 0xb}), START));
+    CHECK(suspects.crashesOf(FIRST) == 0);
+}
+
+// Guards against a block that never ends, and against several test calls at once.
+TEST_CASE("A blocked part is tested by one call at growing intervals", "[crash]")
+{
+    CrashSuspects suspects(512);
+    const auto parts = prompt({BAD});
+    for (CrashId crash = 1; crash <= 3; ++crash) {
+        suspects.recordCrash(crash, parts, START);
+    }
+    Time now = START;
+    std::vector<Duration> probes;
+    while (now < START + std::chrono::minutes(30)) {
+        now += Duration(1000);
+        if (!suspects.check(parts, now)) {
+            probes.push_back(now - START);
+            CHECK(suspects.check(parts, now));
+        }
+    }
+    REQUIRE(probes.size() == 3);
+    CHECK(probes[0] >= CrashSuspects::FIRST_PROBE_INTERVAL);
+    CHECK(probes[2] - probes[1] > 3 * (probes[1] - probes[0]));
+}
+
+// Guards against processes that each see too few crashes of the same part, against lost notices, and against a process that has an answer.
+TEST_CASE("Processes that see different crashes of a part block it together", "[crash]")
+{
+    CrashSuspects first(1);
+    CrashSuspects second(700);
+    const auto parts = prompt({BAD});
+    first.recordCrash(1, parts, START);
+    first.recordCrash(2, parts, START);
+    second.recordCrash(2, parts, START);
+    second.recordCrash(3, parts, START);
+    CHECK_FALSE(first.check(parts, START));
+    const auto exchange = [](CrashSuspects &from, CrashSuspects &to, Time now) {
+        for (const SuspectNotice &notice : from.notices(8, now)) {
+            to.recordNotice(notice, now);
+        }
+    };
+    exchange(first, second, START);
+    CHECK(second.check(parts, START));
+    CrashSuspects late(5);
+    exchange(second, late, START + Duration(1000));
+    CHECK(late.check(parts, START + Duration(1000)));
+    exchange(second, first, START + Duration(1000));
+    CHECK(first.check(parts, START + Duration(1000)));
+    first.recordAnswered(parts, START + Duration(2000));
+    exchange(second, first, START + Duration(2000));
+    exchange(first, second, START + Duration(2000));
+    CHECK_FALSE(second.check(parts, START + Duration(2000)));
+}
+
+// Guards against memory that grows with the parts that callers invent, and against a shared part that is forgotten because of them.
+TEST_CASE("Invented parts neither grow the table nor push out a suspect", "[crash]")
+{
+    CrashSuspects suspects(0);
+    const auto parts = prompt({BAD});
+    for (CrashId crash = 1; crash <= 3; ++crash) {
+        suspects.recordCrash(crash, parts, START);
+    }
+    for (std::uint64_t i = 0; i < CrashSuspects::MAX_PARTS * 3; ++i) {
+        suspects.recordCall(prompt({0x10000 + i}), START + Duration(static_cast<Duration::rep>(i)));
+        suspects.recordCrash(100 + i, prompt({0x90000 + i}), START);
+    }
+    CHECK(suspects.check(parts, START));
+    CHECK(suspects.suspectCount() <= CrashSuspects::MAX_SUSPECTS);
+}
+
+namespace
+{
+/// \brief Simulated fleet without a network: calls arrive in batches at engines that end on bad parts or by themselves.
+struct CrashSimulation {
+    int batch = 8;
+    double shareOfPart = 0.1;
+    int badParts = 1;
+    double ownCrashRate = 0;
+
+    struct Result {
+        int badSent = 0;
+        int badSentAfterFive = 0;
+        int soundRefused = 0;
+        int sound = 0;
+    };
+
+    Result run(unsigned seed) const
+    {
+        std::mt19937_64 random(seed);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        CrashSuspects suspects(seed);
+        Result result;
+        Time now = START;
+        CrashId crash = 0;
+        constexpr int batches = 2000;
+        const auto parts = static_cast<std::uint64_t>(std::max(1.0, 1 / shareOfPart));
+        for (int i = 0; i < batches; ++i) {
+            now += Duration(20);
+            std::vector<std::vector<PromptPart>> inFlight;
+            bool crashes = uniform(random) < ownCrashRate;
+            for (int call = 0; call < batch; ++call) {
+                const bool bad = i >= batches / 10 && uniform(random) < 0.05;
+                std::vector<std::uint64_t> shared = {FIRST, 0x100 + random() % parts};
+                if (bad) {
+                    shared.push_back(BAD + random() % static_cast<unsigned>(badParts));
+                }
+                const auto callParts = prompt(shared);
+                suspects.recordCall(callParts, now);
+                result.sound += bad ? 0 : 1;
+                if (suspects.check(callParts, now)) {
+                    result.soundRefused += bad ? 0 : 1;
+                    continue;
+                }
+                result.badSent += bad ? 1 : 0;
+                result.badSentAfterFive += bad && crash >= 5 ? 1 : 0;
+                crashes = crashes || bad;
+                inFlight.push_back(callParts);
+            }
+            crash += crashes ? 1 : 0;
+            for (const auto &call : inFlight) {
+                if (crashes) {
+                    suspects.recordCrash(crash, call, now);
+                } else {
+                    suspects.recordAnswered(call, now);
+                }
+            }
+        }
+        return result;
+    }
+};
+} // namespace
+
+// Guards against a guard that refuses sound callers: batches of 1 to 64 calls, parts in 1% to 100% of the prompts, one to three bad parts at once, and
+// engines that crash by themselves.
+TEST_CASE("Bad parts are stopped and sound calls go on in simulated fleets", "[crash]")
+{
+    const auto batch = GENERATE(1, 8, 64);
+    const auto share = GENERATE(0.01, 0.1, 1.0);
+    const auto badParts = GENERATE(1, 3);
+    CrashSimulation simulation;
+    simulation.batch = batch;
+    simulation.shareOfPart = share;
+    simulation.badParts = badParts;
+    simulation.ownCrashRate = GENERATE(0.0, 0.1);
+    int refused = 0;
+    int sound = 0;
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        const CrashSimulation::Result result = simulation.run(seed);
+        refused += result.soundRefused;
+        sound += result.sound;
+        CAPTURE(batch, share, badParts, simulation.ownCrashRate, seed, result.badSent, result.soundRefused, result.sound);
+        // One batch can hold several calls with the same part. With own crashes the first five are not all due to the part.
+        CHECK(result.badSent <= badParts * (batch + 12));
+        CHECK(result.soundRefused <= result.sound / 100);
+    }
+    WARN("batch " << batch << ", share " << share << ", bad parts " << badParts << ", own crashes " << simulation.ownCrashRate << ": " << refused << " of "
+                  << sound << " sound calls refused");
+}
