--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -219,3 +219,41 @@
     attempt.cacheSource = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("10.0.0.7"), 80);
     CHECK(field(platform::encodeAttempt(request, attempt), "Kv-Fetch") == "10.0.0.7:80");
 }
+
+// Guards against an odd entry of another writer that ends the process or becomes an endpoint: nested deeply, numbers out of range, ports out of range,
+// invalid text. Each is an error of its own, so the entries beside it stay in use.
+TEST_CASE("An odd heartbeat is rejected with a short error", "[platform]")
+{
+    const auto heartbeat = [](const std::string &address, const std::string &slots, const std::string &extra = {}) {
+        return R"({"service":"s","address":")" + address + R"(","zone":"z","state":"ready","slots":)" + slots + extra + "}";
+    };
+    const std::string good = "10.0.0.1:80";
+    CHECK(platform::decodeEndpoint("i-1", heartbeat(good, "8")).slots == 8);
+    constexpr std::size_t depth = 100'000;
+    const std::string nested = R"(,"deep":)" + std::string(depth, '[') + std::string(depth, ']');
+    CHECK(platform::decodeEndpoint("i-1", heartbeat(good, "8", nested)).slots == 8);
+    CHECK(platform::decodeEndpoint("i-1", heartbeat(good, "8", R"(,"slots":9)")).slots == 9);
+    std::vector<std::string> odd = {heartbeat(good, std::string(depth, '[')), heartbeat(good, "8", ",\"x\":\"\xff\xfe\""), "", std::string(depth, '[')};
+    for (const char *slots :
+         {"0", "-1", "8.5", "1e3", "1e300", "1e999", "4294967304", "18446744073709551624", "99999999999999999999", "\"8\"", "null", "[8]"}) {
+        odd.push_back(heartbeat(good, slots));
+    }
+    for (const char *port : {"0", "-1", "65536", "1e3", "", "port", "80x", " 80"}) {
+        odd.push_back(heartbeat("10.0.0.1:" + std::string(port), "8"));
+    }
+    for (const char *born : {"1.5", "1e3", "-5", "18446744073709551615", "99999999999999999999", "\"5\""}) {
+        odd.push_back(heartbeat(good, "8", R"(,"born":)" + std::string(born)));
+    }
+    odd.push_back(heartbeat(std::string(depth, 'x'), "8"));
+    odd.push_back(heartbeat(good, "8", R"(,"phase":")" + std::string(depth, 'x') + '"'));
+    for (const std::string &text : odd) {
+        CAPTURE(text.substr(0, 120));
+        constexpr std::size_t maxErrorBytes = 400;
+        try {
+            platform::decodeEndpoint("i-1", text);
+            FAIL_CHECK("the heartbeat was accepted");
+        } catch (const MalformedInputError &error) {
+            CHECK(std::string(error.what()).size() <= maxErrorBytes);
+        }
+    }
+}
