Test that a refusal written again is not taken for a later answer

Report of other operators: callers were told 'not run' for calls that ran, or such calls ran twice. It does not happen here for a copy with the id of the earlier request or with none, before, after or between the answers: the test passes without a change.

--- a/tests/gateway/answerstest.cpp
+++ b/tests/gateway/answerstest.cpp
@@ -370,3 +370,50 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1100));
     CHECK(fixture.call(GatewayFixture::request(http::verb::get, "/safe/x", "after")).body() == "good");
 }
+
+// Guards against a refusal that an endpoint writes again on a kept connection: its caller would be told "not run" for a call that the endpoint runs,
+// or the call would run at a second endpoint.
+TEST_CASE("A refusal that is written again is not taken for the answer to a later call", "[gateway]")
+{
+    const auto idOfCopy = GENERATE(as<std::string>(), "earlier", "none");
+    const auto place = GENERATE(as<std::string>(), "before", "after", "late");
+    GatewayFixture fixture;
+    std::atomic<int> runs = 0;
+    EndpointStandin &endpoint = fixture.addEndpoint("i-1", "plain", [&, idOfCopy, place](const HttpRequest &request) -> AnswerSteps {
+        const auto refusal = [](const std::string &id) {
+            return "HTTP/1.1 503 X\r\nX-Mimosatally-Not-Executed: 1\r\n" + (id.empty() ? "" : "X-Mimosatally-Request-Id: " + id + "\r\n")
+                   + "Content-Length: 0\r\n\r\n";
+        };
+        const std::string id = requestIdOf(request);
+        const std::string copy = refusal(idOfCopy == "none" ? "" : "r1");
+        if (id == "r1") {
+            // The copy arrives while the connection is idle.
+            return place == "late" ? AnswerSteps {bytes(refusal(id)), pauseFor(100), bytes(copy)} : AnswerSteps {bytes(refusal(id))};
+        }
+        ++runs;
+        const std::string answer = wholeAnswer(id, "good " + id);
+        if (id == "r2" && place == "before") {
+            return {bytes(copy), pauseFor(50), bytes(answer)};
+        }
+        if (id == "r2" && place == "after") {
+            return {bytes(answer), pauseFor(50), bytes(copy)};
+        }
+        return {bytes(answer)};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    CHECK(fixture.call(GatewayFixture::request(http::verb::post, "/post/x", "r1")).result_int() == 503);
+    std::this_thread::sleep_for(std::chrono::milliseconds(place == "late" ? 200 : 0));
+    for (const char *id : {"r2", "r3", "r4"}) {
+        const HttpResponse response = fixture.call(GatewayFixture::request(http::verb::post, "/post/x", id));
+        CHECK(response.result_int() == 200);
+        CHECK(response.body() == std::string("good ") + id);
+    }
+    CHECK(runs == 3);
+    CHECK(std::ranges::count_if(endpoint.arrivals(),
+                                [](const Arrival &arrival) {
+                                    return requestIdOf(arrival.request) == "r1";
+                                })
+          == 1);
+}
