--- a/src/routing/crashsuspects.cpp
+++ b/src/routing/crashsuspects.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <tuple>
 
 namespace mimosatally
 {
@@ -237,8 +238,8 @@
         notice.sinceProbe = entry.blocked ? now - entry.probedAt : Duration(0);
         result.push_back(std::move(notice));
     }
-    std::ranges::stable_sort(result, std::greater(), [](const SuspectNotice &notice) {
-        return std::pair(notice.state == SuspectNotice::State::Blocked, notice.crashes.size());
+    std::ranges::sort(result, std::greater(), [](const SuspectNotice &notice) {
+        return std::tuple(notice.state == SuspectNotice::State::Blocked, notice.crashes.size(), notice.part);
     });
     for (const std::uint64_t part : announceCleared_) {
         SuspectNotice notice;
