Of equally suspected parts, block the one that stands last in the prompts

A fleet that has just started knows no answers. If only calls with the bad part had come, the part that all prompts begin with had the same crashes and the same number of calls, and a test of log and metrics showed that it was blocked, which would have refused every sound call. A part that stands later is shared by fewer prompts, so it is blocked first; if the crashes go on, the next one follows.

--- a/include/mimosatally/routing/crashsuspects.h
+++ b/include/mimosatally/routing/crashsuspects.h
@@ -50,8 +50,9 @@
 ///
 /// Evidence against a part are the crashes of endpoints that had not yet sent anything for a call with the part; a part of which a call was answered as
 /// a whole is cleared. CRASHES_TO_BLOCK different crashes block a part. Calls of which no answer is known and that ended together with an endpoint are
-/// many at first; of the parts that have reached the number, only the one that the fewest calls have is blocked, and the crashes that it explains no longer
-/// count against the others. The last part of a prompt belongs to one request or session and is never suspected.
+/// many at first; of the parts that have reached the number, only the one that the fewest calls have is blocked, of equal ones the one that stands last in
+/// the prompts, and the crashes that it explains no longer count against the others. The last part of a prompt belongs to one request or session and is never
+/// suspected.
 ///
 /// Each process decides alone, from its own evidence and that of the others' notices. A blocked part is tested by one call at a growing interval.
 class CrashSuspects
@@ -106,6 +107,8 @@
 private:
     struct Entry {
         std::uint64_t calls = 0;
+        /// \brief Last position of the part in a prompt. A part that stands later is shared by fewer prompts.
+        std::size_t position = 0;
         Time lastUsed;
         std::optional<Time> answeredAt;
         std::set<CrashId> crashes;
--- a/src/routing/crashsuspects.cpp
+++ b/src/routing/crashsuspects.cpp
@@ -75,8 +75,11 @@
 
 void CrashSuspects::recordCall(std::span<const PromptPart> parts, Time now)
 {
+    std::size_t position = 0;
     for (const PromptPart &part : sharedParts(parts)) {
-        ++entryOf(part.id, now).calls;
+        Entry &entry = entryOf(part.id, now);
+        ++entry.calls;
+        entry.position = std::max(entry.position, position++);
     }
 }
 
@@ -148,7 +151,8 @@
         for (const std::uint64_t part : suspects_) {
             Entry &entry = entries_.at(part);
             const bool reached = !entry.blocked && entry.crashes.size() >= CRASHES_TO_BLOCK;
-            if (reached && (chosen == nullptr || entry.calls < chosen->calls)) {
+            const bool rarer = chosen == nullptr || entry.calls < chosen->calls || (entry.calls == chosen->calls && entry.position > chosen->position);
+            if (reached && rarer) {
                 chosen = &entry;
                 rarest = part;
             }
--- a/tests/gateway/crashsuspecttest.cpp
+++ b/tests/gateway/crashsuspecttest.cpp
@@ -110,3 +110,56 @@
     CHECK(endpoints.badArrivals() - before <= allowedAfterContact);
     WARN(before << " requests with the part reached endpoints first, " << endpoints.badArrivals() - before << " later");
 }
+
+// Guards against sound callers that are refused because connections are reset or endpoints leave: neither is a crash.
+TEST_CASE("Resets of connections and endpoints that leave make no part suspected", "[gateway][crash]")
+{
+    const auto leaves = GENERATE(false, true);
+    GatewayFixture fixture;
+    std::atomic<int> failing = 0;
+    const auto script = [&failing, leaves](const HttpRequest &request) -> AnswerSteps {
+        if (failing > 0) {
+            --failing;
+            return leaves ? AnswerSteps {bytes("HTTP/1.1 200 OK\r\nX-Mimosatally-Request-Id: " + requestIdOf(request)
+                                               + "\r\nX-Mimosatally-Response-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 9\r\n\r\n"),
+                                         pauseFor(20),
+                                         crashing()}
+                          : AnswerSteps {pauseFor(20), resetting()};
+        }
+        return {bytes(streamHead(requestIdOf(request)) + chunk("id: 1\ndata: a\n\n") + lastChunk())};
+    };
+    constexpr int count = 6;
+    for (int i = 1; i <= count; ++i) {
+        fixture.addEndpoint("i-" + std::to_string(i), "plain", script);
+    }
+    fixture.configure();
+    GatewayGroup group(fixture, 1);
+    for (int number = 1; number < count; ++number) {
+        failing = 1;
+        CHECK(send(group, "b1:50", number).result_int() != 503);
+    }
+    failing = 0;
+    CHECK(send(group, "b1:50", count).result_int() == 200);
+    CHECK_FALSE(group.gateway(0).hasOutput("PromptPartBlocked"));
+}
+
+// Guards against a part that is blocked without a trace for the people on call: log, metrics and the line of a refused call name it.
+TEST_CASE("A blocked part is named in the log, the metrics and the line of a refused call", "[gateway][crash]")
+{
+    GatewayFixture fixture;
+    CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT + 1);
+    fixture.configure();
+    GatewayGroup group(fixture, 1);
+    constexpr int crashes = 3;
+    for (int number = 1; number <= crashes; ++number) {
+        CHECK(send(group, BAD_PART, number).result_int() == 502);
+    }
+    const HttpResponse refused = send(group, BAD_PART, crashes + 1);
+    CHECK(refused.result_int() == 503);
+    CHECK(std::stod(headerValue(refused, "Retry-After")) >= 25);
+    group.gateway(0).waitForOutput("PromptPartBlocked");
+    group.gateway(0).waitForOutput("reason=crash-suspect");
+    waitUntil("the metrics name the part", [&] {
+        return get(group.metricsAddress(0), "/metrics").body().find("mimosatally_blocked_part_crashes{part=\"bad\"} 3") != std::string::npos;
+    });
+}
--- a/tests/gateway/gatewaygroup.h
+++ b/tests/gateway/gatewaygroup.h
@@ -33,6 +33,11 @@
         return callerAddresses_[index];
     }
 
+    [[nodiscard]] const std::string &metricsAddress(std::size_t index) const
+    {
+        return metricsAddresses_[index];
+    }
+
     TestProgram &gateway(std::size_t index)
     {
         return *gateways_[index];
--- a/tests/unit/crashsuspectstest.cpp
+++ b/tests/unit/crashsuspectstest.cpp
@@ -75,6 +75,18 @@
     CHECK(suspects.crashesOf(FIRST) == 0);
 }
 
+// Guards against refusing all calls because the part that all prompts begin with has the same crashes and calls as the bad one.
+TEST_CASE("Of the parts with the same crashes and calls, the one that stands last in the prompts is blocked", "[crash]")
+{
+    CrashSuspects suspects(0);
+    for (CrashId crash = 1; crash <= 3; ++crash) {
+        suspects.recordCall(prompt({FIRST, BAD}), START);
+        suspects.recordCrash(crash, prompt({FIRST, BAD}), START);
+    }
+    CHECK(suspects.check(prompt({FIRST, BAD}), START)->part == BAD);
+    CHECK_FALSE(suspects.check(prompt({FIRST, 0xb}), START));
+}
+
 // Guards against a block that never ends, and against several test calls at once.
 TEST_CASE("A blocked part is tested by one call at growing intervals", "[crash]")
 {
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -209,3 +209,31 @@
     table.recordProcessCount(address(2), 1'000'000);
     CHECK(table.processCount(at(0)) <= static_cast<int>(PeerTable::MAX_PEERS) + 1);
 }
+
+// Guards against notices on suspected parts that arrive with other content, or that are too long for one packet and therefore lost every time.
+TEST_CASE("Notices on suspected parts keep their content and fit into one packet", "[peers][crash]")
+{
+    SuspectNotice notice;
+    notice.part = ~std::uint64_t(0);
+    notice.state = SuspectNotice::State::Blocked;
+    for (std::size_t i = 0; i < CrashSuspects::MAX_CRASHES_PER_PART; ++i) {
+        notice.crashes.push_back(~std::uint64_t(i));
+    }
+    notice.probes = 3;
+    notice.sinceProbe = std::chrono::minutes(3);
+    internal::PeerDatagram datagram;
+    datagram.region = RegionId(std::string(64, 'r'));
+    datagram.suspectNotices.assign(internal::MAX_SUSPECT_NOTICES_PER_DATAGRAM, notice);
+    const std::string bytes = internal::encodeDatagram(datagram);
+    CHECK(bytes.size() <= internal::MAX_DATAGRAM_BYTES);
+    WARN("the largest datagram with notices on parts has " << bytes.size() << " bytes");
+    const internal::PeerDatagram decoded = internal::decodeDatagram(bytes);
+    REQUIRE(decoded.suspectNotices.size() == internal::MAX_SUSPECT_NOTICES_PER_DATAGRAM);
+    CHECK(decoded.suspectNotices[7].part == notice.part);
+    CHECK(decoded.suspectNotices[7].state == notice.state);
+    CHECK(decoded.suspectNotices[7].crashes == notice.crashes);
+    CHECK(decoded.suspectNotices[7].probes == notice.probes);
+    CHECK(decoded.suspectNotices[7].sinceProbe == notice.sinceProbe);
+    datagram.suspectNotices.push_back(notice);
+    CHECK_THROWS_AS(internal::decodeDatagram(internal::encodeDatagram(datagram)), MalformedInputError);
+}
