--- a/include/mimosatally/routing/crashsuspects.h
+++ b/include/mimosatally/routing/crashsuspects.h
@@ -60,7 +60,7 @@
 public:
     /// \brief An endpoint or two may crash by coincidence while a call is there.
     static constexpr std::size_t CRASHES_TO_BLOCK = 3;
-    /// \brief Bounds the memory to about 1 MB; the parts that were not used for longest are forgotten first.
+    /// \brief Bounds the memory to less than 2 MB; the parts that were not used for longest are forgotten first.
     static constexpr std::size_t MAX_PARTS = 8192;
     /// \brief Bounds the suspects, and with them the notices, whatever parts callers invent.
     static constexpr std::size_t MAX_SUSPECTS = 64;
