Open no further connection for a call that was stopped

A call whose caller has left or whose deadline has passed is not watched by its guard any more. If that happened just before an unproven answer was confirmed or a crash was examined, the wait for an endpoint that does not answer had no bound. Found by reading; no run has shown it.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -191,6 +191,11 @@
 
 awaitable<boost::system::error_code> EndpointCall::tryConnection()
 {
+    const StopReason stopReason = guard_.stopReason();
+    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::DeadlinePassed) {
+        // The guard does not watch the connections of a call that has been stopped, so the wait would have no bound.
+        co_return boost::asio::error::operation_aborted;
+    }
     const Time now = MilliClock::now();
     std::unique_ptr<EndpointConnection> connection = pool_.make(connection_->address);
     boost::system::error_code error;
