Log and count when the store returns from an older copy

What was missing: no line told that the store had lost records, or that a reading position was from before that. Nothing is decided by it yet. The stand-in of the store can return to a copy and state an era.

--- a/include/mimosatally/core/quantity.h
+++ b/include/mimosatally/core/quantity.h
@@ -66,6 +66,8 @@
 using RequestRate = Quantity<struct RequestRateTag>;
 /// \brief Position of a record in a stream of the log service; the first record has offset 0.
 using Offset = Quantity<struct OffsetTag>;
+/// \brief Number of times that a store has returned from an older copy of its records. Offsets are given out again in each era.
+using StoreEra = Quantity<struct StoreEraTag>;
 /// \brief Fencing token of a lease: the log offset of the record that acquired it.
 using Epoch = Quantity<struct EpochTag>;
 /// \brief Log offset of the record that made a configuration current; -1 before the first one.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -80,6 +80,21 @@
     limitIdleConnections();
 }
 
+StoreEraTracker::Observation GatewayState::observeStoreEra(std::optional<StoreEra> era, const char *topic, Time now)
+{
+    const StoreEra last = storeEra.current();
+    const StoreEraTracker::Observation observation = storeEra.observe(era, now);
+    metrics.set("mimosatally_store_era", {}, static_cast<double>(storeEra.current().count()));
+    if (observation == StoreEraTracker::Observation::Outdated) {
+        metrics.increment("mimosatally_store_outdated_answers_total", std::string("topic=\"") + topic + '"');
+    }
+    if (observation == StoreEraTracker::Observation::Advanced) {
+        metrics.increment("mimosatally_store_restores_total", {});
+        logEvent(LogEvent::StoreEraChanged, {{"topic", topic}, {"era", storeEra.current()}, {"last_era", last}});
+    }
+    return observation;
+}
+
 void GatewayState::setProcessCount(int count, Time now)
 {
     router.setProcessCount(count, now);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -29,6 +29,9 @@
     /// \brief Sets the number of gateways, this one included, that share the limits of the endpoints; see PhaseRouter::setProcessCount().
     void setProcessCount(int count, Time now);
 
+    /// \brief Records the era that an answer of the store states, with a log line and metrics if it has changed. \param topic topic of the answer, for the log.
+    StoreEraTracker::Observation observeStoreEra(std::optional<StoreEra> era, const char *topic, Time now);
+
     /// \brief Returns true if a configuration and at least one endpoint are known.
     [[nodiscard]] bool canServe() const;
 
@@ -44,6 +47,7 @@
     std::shared_ptr<const ServingConfiguration> configuration;
     RouteTable routes;
     EndpointRegistry registry;
+    StoreEraTracker storeEra;
     PhaseRouter router;
     LimitReport limitReport;
     CrashSuspects suspects;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -117,6 +117,7 @@
 {
     if (!cursor.next) {
         const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Operators, ANSWER_TIMEOUT);
+        gateway_.observeStoreEra(snapshot.era, "configuration", MilliClock::now());
         for (const platform::KeyedRecord &record : snapshot.records) {
             applyConfigurationRecord(record);
         }
@@ -127,9 +128,11 @@
     const auto answer = co_await store_.read(platform::KeyedTopic::Operators, *cursor.next, CONFIGURATION_POLL_WAIT, timeout);
     const auto *records = std::get_if<platform::KeyedRecords>(&answer);
     if (records == nullptr) {
+        gateway_.observeStoreEra(std::get<platform::OffsetUnavailable>(answer).era, "configuration", MilliClock::now());
         cursor.next.reset();
         co_return;
     }
+    gateway_.observeStoreEra(records->era, "configuration", MilliClock::now());
     for (const platform::KeyedRecord &record : records->records) {
         applyConfigurationRecord(record);
     }
@@ -141,6 +144,7 @@
     if (!cursor.next) {
         const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
         const Time now = MilliClock::now();
+        gateway_.observeStoreEra(snapshot.era, "endpoints", now);
         gateway_.registry.recordStoreAnswer(now);
         std::map<EndpointId, Offset> present;
         for (const platform::KeyedRecord &record : snapshot.records) {
@@ -157,9 +161,11 @@
     gateway_.registry.recordStoreAnswer(now);
     const auto *records = std::get_if<platform::KeyedRecords>(&answer);
     if (records == nullptr) {
+        gateway_.observeStoreEra(std::get<platform::OffsetUnavailable>(answer).era, "endpoints", now);
         cursor.next.reset();
         co_return;
     }
+    gateway_.observeStoreEra(records->era, "endpoints", now);
     for (const platform::KeyedRecord &record : records->records) {
         applyEndpointRecord(record, now);
     }
--- a/tests/gateway/storestandin.h
+++ b/tests/gateway/storestandin.h
@@ -9,7 +9,9 @@
 #include <openssl/evp.h>
 
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosatally::test
@@ -44,7 +46,7 @@
     /// \brief Appends a record; an empty value removes the key.
     void put(const std::string &topic, const std::string &key, const std::string &value)
     {
-        topics_[topic].push_back({key, value});
+        contents_.topics[topic].emplace_back(key, value);
     }
 
     void setMode(StoreMode mode)
@@ -55,7 +57,35 @@
     /// \brief Drops the records written so far from the history; the newest record of each key stays readable.
     void dropHistory(const std::string &topic)
     {
-        firstKept_[topic] = topics_[topic].size();
+        contents_.firstKept[topic] = contents_.topics[topic].size();
+    }
+
+    /// \brief Records and group membership at one moment.
+    struct Copy {
+        std::map<std::string, std::vector<std::pair<std::string, std::string>>> topics;
+        std::map<std::string, std::size_t> firstKept;
+        std::string holder;
+        std::int64_t generation = 0;
+    };
+
+    [[nodiscard]] Copy copy() const
+    {
+        return contents_;
+    }
+
+    /// \brief States an era in all answers from now on; a store of an earlier version states none.
+    void stateEra(std::int64_t era)
+    {
+        era_ = era;
+    }
+
+    /// \brief Replaces everything by an older copy, as a restore of the store does: what was written since is lost, and the era rises by one.
+    void restore(const Copy &copy)
+    {
+        contents_ = copy;
+        if (era_) {
+            ++*era_;
+        }
     }
 
     [[nodiscard]] int calls() const
@@ -64,11 +94,6 @@
     }
 
 private:
-    struct Record {
-        std::string key;
-        std::string value;
-    };
-
     boost::asio::awaitable<void> handle(HttpExchange &exchange)
     {
         ++calls_;
@@ -87,6 +112,9 @@
                 response = join(exchange.request().body());
             }
         }
+        if (era_) {
+            response.set("Store-Era", std::to_string(*era_));
+        }
         co_await exchange.respond(std::move(response));
     }
 
@@ -117,14 +145,14 @@
     HttpResponse newest(const std::string &topic)
     {
         std::map<std::string, std::size_t> last;
-        const auto &records = topics_[topic];
+        const auto &records = contents_.topics[topic];
         for (std::size_t i = 0; i < records.size(); ++i) {
-            last[records[i].key] = i;
+            last[records[i].first] = i;
         }
         nlohmann::json body = {{"items", nlohmann::json::array()}, {"hasMore", false}, {"endOffset", records.size()}};
         for (const auto &[key, index] : last) {
-            if (!records[index].value.empty()) {
-                body["items"].push_back({{"key", key}, {"value", base64(records[index].value)}, {"offset", index}});
+            if (!records[index].second.empty()) {
+                body["items"].push_back({{"key", key}, {"value", base64(records[index].second)}, {"offset", index}});
             }
         }
         return makeHttpResponse(200, "application/json", body.dump());
@@ -143,24 +171,25 @@
         const std::size_t from = std::stoul(parameter(target, "from"));
         const std::string wait = parameter(target, "waitMs");
         int remainingMs = wait.empty() ? 0 : std::stoi(wait);
-        if (from < firstKept_[topic]) {
-            co_return makeHttpResponse(410, "application/json", R"({"firstOffset":0})");
-        }
-        while (topics_[topic].size() <= from && remainingMs > 0) {
+        while (contents_.topics[topic].size() == from && remainingMs > 0) {
             constexpr int step = 20;
             boost::asio::steady_timer timer(io_, std::chrono::milliseconds(step));
             co_await timer.async_wait(boost::asio::use_awaitable);
             remainingMs -= step;
         }
-        const auto &records = topics_[topic];
+        const auto &records = contents_.topics[topic];
+        const std::size_t firstKept = contents_.firstKept[topic];
+        if (from < firstKept || from > records.size()) {
+            co_return makeHttpResponse(410, "application/json", R"({"firstOffset":)" + std::to_string(firstKept) + "}");
+        }
         std::string body;
         appendNumber(body, records.size(), 8);
-        appendNumber(body, firstKept_[topic], 8);
+        appendNumber(body, firstKept, 8);
         for (std::size_t i = from; i < records.size(); ++i) {
-            appendNumber(body, 1 + records[i].key.size() + records[i].value.size(), 4);
-            body += static_cast<char>(records[i].key.size());
-            body += records[i].key;
-            body += records[i].value;
+            appendNumber(body, 1 + records[i].first.size() + records[i].second.size(), 4);
+            body += static_cast<char>(records[i].first.size());
+            body += records[i].first;
+            body += records[i].second;
         }
         co_return makeHttpResponse(200, "application/octet-stream", body);
     }
@@ -169,12 +198,12 @@
     {
         const auto body = nlohmann::json::parse(text);
         const std::string member = body["member"];
-        if (holder_.empty()) {
-            holder_ = member;
-            ++generation_;
+        if (contents_.holder.empty()) {
+            contents_.holder = member;
+            ++contents_.generation;
         }
-        nlohmann::json answer = {{"generation", generation_}, {"ttlMs", body["ttlMs"]}, {"parts", nlohmann::json::array()}};
-        if (holder_ == member) {
+        nlohmann::json answer = {{"generation", contents_.generation}, {"ttlMs", body["ttlMs"]}, {"parts", nlohmann::json::array()}};
+        if (contents_.holder == member) {
             answer["parts"].push_back({body["topics"][0], 0, 0});
         }
         return makeHttpResponse(200, "application/json", answer.dump());
@@ -182,10 +211,8 @@
 
     boost::asio::io_context &io_;
     HttpServer server_;
-    std::map<std::string, std::vector<Record>> topics_;
-    std::map<std::string, std::size_t> firstKept_;
-    std::string holder_;
-    std::int64_t generation_ = 0;
+    Copy contents_;
+    std::optional<std::int64_t> era_;
     StoreMode mode_ = StoreMode::Serving;
     int calls_ = 0;
 };
