Order what the store gives out by its era

Callers of a gateway would have seen calls to endpoints that had said that they leave, a confirmed configuration that is never in force, or an older one at a gateway that has just started; engines, two orders with one token.

Cause: reading positions, offsets of endpoint records and the generation of the order group were compared as if the store's log only grew. After a return from an older copy offsets and generations are given out again with other content.

Change: positions are pairs of era and offset. The registry keeps what it knows of an incarnation against the copy by the number of its heartbeat, remembers removed incarnations, and starts the grace period for what the copy lacks. Of two texts of one version the one at the newest position is in force.

A store without eras whose log is shorter than before is noticed, and positions are forgotten.

The soak draws restores of random age, and configurations.

--- a/include/mimosatally/serving/endpointrecord.h
+++ b/include/mimosatally/serving/endpointrecord.h
@@ -29,6 +29,8 @@
     std::optional<EnginePhase> phase;
     /// \brief Unix time of its start in milliseconds; distinguishes the incarnations of one id.
     std::int64_t startedAt = 0;
+    /// \brief Number of the heartbeat within the incarnation; empty if the endpoint states none.
+    std::optional<std::int64_t> heartbeat;
 };
 
 } // namespace mimosatally
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -58,14 +58,27 @@
     if (configuration && next.version <= configuration->version) {
         return false;
     }
+    putInForce(std::move(next));
+    logEvent(LogEvent::ServingConfigurationInForce,
+             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"services", configuration->services.size()}});
+    return true;
+}
+
+void GatewayState::replaceConfiguration(ServingConfiguration next)
+{
+    putInForce(std::move(next));
+    metrics.increment("mimosatally_configuration_replaced_total", {});
+    logEvent(LogEvent::ServingConfigurationReplaced,
+             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"era", storeEra.current()}});
+}
+
+void GatewayState::putInForce(ServingConfiguration next)
+{
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
     limitIdleConnections();
-    logEvent(LogEvent::ServingConfigurationInForce,
-             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"services", configuration->services.size()}});
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
-    return true;
 }
 
 void GatewayState::applyEndpoints(Time now)
@@ -89,6 +102,7 @@
         metrics.increment("mimosatally_store_outdated_answers_total", std::string("topic=\"") + topic + '"');
     }
     if (observation == StoreEraTracker::Observation::Advanced) {
+        registry.recordRestore(now);
         metrics.increment("mimosatally_store_restores_total", {});
         logEvent(LogEvent::StoreEraChanged, {{"topic", topic}, {"era", storeEra.current()}, {"last_era", last}});
     }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -23,6 +23,9 @@
     /// \brief Puts a configuration in force unless its version, or a newer one, already is. \return true if it did.
     bool applyConfiguration(ServingConfiguration next);
 
+    /// \brief Replaces the configuration in force by another text of the same version.
+    void replaceConfiguration(ServingConfiguration next);
+
     /// \brief Passes changes of the endpoint registry on to the router.
     void applyEndpoints(Time now);
 
@@ -64,6 +67,7 @@
     std::multiset<Time> activeCallArrivals;
 
 private:
+    void putInForce(ServingConfiguration next);
     void logEndpointChanges();
     /// \brief Keeps no more idle connections to an endpoint than this gateway's part of those that it accepts from all callers.
     void limitIdleConnections();
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -16,6 +16,8 @@
 constexpr Duration ORDER_TIMEOUT = Duration(1000);
 /// \brief Time for an order to reach its engine before the lease expires.
 constexpr Duration LEASE_MARGIN = Duration(500);
+/// \brief Generations of one era; the era takes the bits above.
+constexpr std::int64_t GENERATIONS_PER_ERA = 1LL << 32;
 
 std::string_view phaseName(EnginePhase phase)
 {
@@ -74,14 +76,28 @@
     // The lease is counted from before the call, since the store starts it when the call arrives.
     const Time sent = MilliClock::now();
     const Duration lease = gateway_.settings.orderLease;
-    const platform::Membership membership = co_await store_.joinOrderGroup(member_, generation_, lease, STORE_TIMEOUT);
+    const std::int64_t known = generationEra_ == gateway_.storeEra.current() ? generation_ : 0;
+    const platform::Membership membership = co_await store_.joinOrderGroup(member_, known, lease, STORE_TIMEOUT);
+    if (gateway_.observeStoreEra(membership.era, "orders", MilliClock::now()) == StoreEraTracker::Observation::Outdated) {
+        co_return;
+    }
     generation_ = membership.generation;
+    generationEra_ = gateway_.storeEra.current();
     leaseUntil_ = membership.holdsPartition ? sent + lease : Time::min();
 }
 
+std::int64_t OrderController::fencingToken() const
+{
+    return generationEra_.count() * GENERATIONS_PER_ERA + generation_;
+}
+
 bool OrderController::holdsLease(Time now) const
 {
-    return leaseUntil_ != Time::min() && now + LEASE_MARGIN < leaseUntil_ && generation_ != fencedGeneration_;
+    const StoreEraTracker &era = gateway_.storeEra;
+    const bool covered = leaseUntil_ != Time::min() && now + LEASE_MARGIN < leaseUntil_ && generationEra_ == era.current();
+    // In an era that a restore has begun, the holder of the last era may still count on its lease.
+    const bool predecessorExpired = era.current() == StoreEra() || now - era.since() >= gateway_.settings.orderLease;
+    return covered && predecessorExpired && fencingToken() != rejectedToken_;
 }
 
 void OrderController::updateLeaseState(bool holdsNow)
@@ -90,7 +106,7 @@
         return;
     }
     holdsLease_ = holdsNow;
-    logEvent(holdsNow ? LogEvent::OrderLeaseHeld : LogEvent::OrderLeaseLost, {{"generation", generation_}});
+    logEvent(holdsNow ? LogEvent::OrderLeaseHeld : LogEvent::OrderLeaseLost, {{"generation", generation_}, {"era", generationEra_}});
 }
 
 std::vector<BalancedEngine> OrderController::enginesOf(const ServiceId &service) const
@@ -158,7 +174,7 @@
     if (!accepted) {
         balancer.recordRejection(change.engine, MilliClock::now());
     }
-    logEvent(LogEvent::PhaseOrderAnswered, {{"endpoint", change.engine}, {"generation", generation_}, {"result", result}});
+    logEvent(LogEvent::PhaseOrderAnswered, {{"endpoint", change.engine}, {"generation", generation_}, {"era", generationEra_}, {"result", result}});
 }
 
 awaitable<bool> OrderController::sendOrder(HttpClient &client, PhaseChange change, std::string &result)
@@ -175,17 +191,21 @@
     order.target = change.engine;
     order.phase = change.phase;
     order.holder = member_;
-    order.fencingToken = generation_;
+    order.fencingToken = fencingToken();
     order.expectedOrders = report.ordersAccepted;
     logEvent(LogEvent::PhaseOrderSent,
-             {{"endpoint", change.engine}, {"phase", phaseName(change.phase)}, {"generation", generation_}, {"expected_orders", order.expectedOrders}});
+             {{"endpoint", change.engine},
+              {"phase", phaseName(change.phase)},
+              {"generation", generation_},
+              {"era", generationEra_},
+              {"expected_orders", order.expectedOrders}});
     gateway_.router.reserveRequest(change.engine, MilliClock::now());
     HttpRequest request = platform::encodeOrder(order);
     const HttpResponse response = co_await client.send(std::move(request), ORDER_TIMEOUT);
     const platform::OrderAnswer answer = platform::decodeOrderAnswer(response);
     result = answerName(answer);
     if (answer == platform::OrderAnswer::Fenced) {
-        fencedGeneration_ = order.fencingToken;
+        rejectedToken_ = order.fencingToken;
     }
     co_return answer == platform::OrderAnswer::Accepted || answer == platform::OrderAnswer::AlreadyHolds;
 }
--- a/src/gateway/ordercontroller.h
+++ b/src/gateway/ordercontroller.h
@@ -13,8 +13,9 @@
 
 /// \brief Orders engines to change their phase while this gateway holds the lease, which one gateway has at a time.
 ///
-/// The store elects the lease holder; the generation of the election is the fencing token of its orders. The holder stops on its own
-/// once its lease has expired by its own clock.
+/// The store elects the lease holder; the era of the store and the generation of the election form the fencing token of its orders, since generations are
+/// given out again after a restore. The holder stops on its own once its lease has expired by its own clock or the era has changed. Since a holder of the last
+/// era may not know of the change, nobody gives orders until a lease after the first answer of an era.
 class OrderController
 {
 public:
@@ -31,6 +32,7 @@
     boost::asio::awaitable<bool> sendOrder(HttpClient &client, PhaseChange change, std::string &result);
     [[nodiscard]] PhasePressure pressureOf(const ServiceId &service) const;
     [[nodiscard]] std::vector<BalancedEngine> enginesOf(const ServiceId &service) const;
+    [[nodiscard]] std::int64_t fencingToken() const;
     /// \brief Returns true if the lease covers an order that is sent now.
     [[nodiscard]] bool holdsLease(Time now) const;
     /// \brief Updates `holdsLease_` and logs a change.
@@ -40,9 +42,11 @@
     platform::StoreClient store_;
     ProcessId member_;
     std::int64_t generation_ = 0;
+    /// \brief Era of the store in which generation_ was given out.
+    StoreEra generationEra_;
     bool holdsLease_ = false;
-    /// \brief Fencing token that an engine has rejected as outdated.
-    std::int64_t fencedGeneration_ = -1;
+    /// \brief Token that an engine has rejected as outdated.
+    std::int64_t rejectedToken_ = -1;
     Time leaseUntil_ = Time::min();
     std::map<ServiceId, PhaseBalancer> balancers_;
 };
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -13,8 +13,10 @@
 constexpr Duration ANSWER_TIMEOUT = Duration(800);
 constexpr std::size_t MAX_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
 
-void writeRecord(const platform::KeyedRecord &record, schema::StoreRecord::Builder message)
+void writeRecord(const PositionedRecord &positioned, schema::StoreRecord::Builder message)
 {
+    const platform::KeyedRecord &record = positioned.record;
+    message.setEra(positioned.era.count());
     message.setOffset(record.offset.count());
     message.setKey(record.key);
     message.setPresent(record.value.has_value());
@@ -23,7 +25,7 @@
     }
 }
 
-platform::KeyedRecord readRecord(schema::StoreRecord::Reader message)
+PositionedRecord readRecord(schema::StoreRecord::Reader message)
 {
     platform::KeyedRecord record;
     record.offset = Offset(message.getOffset());
@@ -32,7 +34,7 @@
         const auto value = message.getValue();
         record.value = std::string(reinterpret_cast<const char *>(value.begin()), value.size());
     }
-    return record;
+    return {StoreEra(message.getEra()), std::move(record)};
 }
 } // namespace
 
@@ -43,14 +45,15 @@
 
 kj::Promise<void> PeerService::newestRecords(NewestRecordsContext context)
 {
-    const std::int64_t from = context.getParams().getEndpointsFrom();
+    const auto params = context.getParams();
+    const StorePosition from {StoreEra(params.getEndpointsFromEra()), Offset(params.getEndpointsFrom())};
     auto results = context.getResults();
     if (records_.configuration) {
         writeRecord(*records_.configuration, results.initConfiguration());
     }
-    std::vector<const platform::KeyedRecord *> newer;
+    std::vector<const PositionedRecord *> newer;
     for (const auto &[key, record] : records_.endpoints) {
-        if (record.offset.count() >= from) {
+        if (record.position() >= from) {
             newer.push_back(&record);
         }
     }
@@ -61,12 +64,13 @@
     return kj::READY_NOW;
 }
 
-awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, Offset endpointsFrom)
+awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, StorePosition endpointsFrom)
 {
     const auto connection = co_await RpcConnection::connect(rpc, parseAddress(address), CONNECT_TIMEOUT, MAX_MESSAGE_BYTES);
     schema::Gateway::Client peer = connection->bootstrap().castAs<schema::Gateway>();
     auto request = peer.newestRecordsRequest();
-    request.setEndpointsFrom(endpointsFrom.count());
+    request.setEndpointsFrom(endpointsFrom.offset.count());
+    request.setEndpointsFromEra(endpointsFrom.era.count());
     using Answer = capnp::Response<schema::Gateway::NewestRecordsResults>;
     kj::Promise<Answer> sent(request.send());
     const Answer answer = co_await awaitPromise(rpc.io(), kj::mv(sent), ANSWER_TIMEOUT);
@@ -75,8 +79,12 @@
         records.configuration = readRecord(answer.getConfiguration());
     }
     for (const auto record : answer.getEndpoints()) {
-        platform::KeyedRecord next = readRecord(record);
-        records.endpoints.insert_or_assign(next.key, std::move(next));
+        PositionedRecord next = readRecord(record);
+        std::string key = next.record.key;
+        // A gateway of an earlier version knows no eras and sends records of all of them.
+        if (next.position() >= endpointsFrom) {
+            records.endpoints.insert_or_assign(std::move(key), std::move(next));
+        }
     }
     co_return records;
 }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <platform/recordcodec.h>
+#include <set>
+#include <utility>
 
 namespace mimosatally::internal
 {
@@ -24,6 +26,10 @@
 constexpr int MAX_BACKOFF_DOUBLINGS = 2;
 /// \brief Versions in quick succession are read together.
 constexpr Duration PAUSE_AFTER_VERSION = Duration(100);
+/// \brief Spreads the snapshots that all gateways read after a restore of the store.
+constexpr Duration MAX_PAUSE_BEFORE_SNAPSHOT = Duration(300);
+/// \brief Position from which a peer has no endpoint records to tell: only its configuration is wanted.
+constexpr StorePosition NO_ENDPOINTS = {platform::MAX_STORE_ERA + StoreEra(1), Offset(0)};
 } // namespace
 
 StoreFollower::StoreFollower(GatewayState &gateway, RpcContext &rpc)
@@ -38,7 +44,7 @@
     return newestRecords_;
 }
 
-awaitable<void> StoreFollower::fetchFromNextPeer()
+awaitable<void> StoreFollower::fetchFromNextPeer(StorePosition endpointsFrom)
 {
     const std::vector<std::string> peers = gateway_.settings.peers;
     if (peers.empty()) {
@@ -49,18 +55,17 @@
         co_return;
     }
     try {
-        const NewestRecords records = co_await fetchPeerRecords(rpc_, peer, nextEndpointOffset_);
+        const NewestRecords records = co_await fetchPeerRecords(rpc_, peer, endpointsFrom);
         const Time now = MilliClock::now();
         if (records.configuration) {
-            applyConfigurationRecord(*records.configuration);
+            applyConfigurationRecord(records.configuration->record, records.configuration->era);
         }
-        for (const auto &[key, record] : records.endpoints) {
-            applyEndpointRecord(record, now);
+        for (const auto &[key, positioned] : records.endpoints) {
+            applyEndpointRecord(positioned.record, positioned.era, now);
         }
         // The process may be ready from here on, so the router must know the endpoints at once.
         gateway_.applyEndpoints(now);
     } catch (const Error &error) {
-        // The next failure of the store tries the next peer.
         gateway_.metrics.increment("mimosatally_peer_failures_total", {});
         logEvent(LogEvent::PeerUnreachable, {{"peer", peer}, {"error", error.what()}});
     }
@@ -68,22 +73,28 @@
 
 awaitable<void> StoreFollower::followConfiguration(TaskContext &context)
 {
-    TopicCursor cursor;
+    TopicCursor cursor {"configuration"};
     bool running = true;
     while (running) {
         std::string failure;
         Duration pause = PAUSE_AFTER_VERSION;
         try {
-            co_await readConfiguration(cursor);
+            const ReadResult result = co_await readConfiguration(cursor);
+            pause = result == ReadResult::SnapshotNeeded ? pauseBeforeSnapshot() : pause;
         } catch (const Error &error) {
             failure = error.what();
         }
         if (failure.empty()) {
-            recordSuccess(cursor, "configuration");
+            recordSuccess(cursor);
+            if (peersToAsk_ > 0) {
+                --peersToAsk_;
+                co_await fetchFromNextPeer(NO_ENDPOINTS);
+            }
         } else {
-            recordFailure(cursor, "configuration", failure);
+            recordFailure(cursor, failure);
             pause = backoffAfterFailure(cursor);
-            co_await fetchFromNextPeer();
+            // The next failure of the store tries the next peer.
+            co_await fetchFromNextPeer(nextEndpoint_);
         }
         running = co_await context.sleep(pause);
     }
@@ -91,20 +102,21 @@
 
 awaitable<void> StoreFollower::followEndpoints(TaskContext &context)
 {
-    TopicCursor cursor;
+    TopicCursor cursor {"endpoints"};
     bool running = true;
     while (running) {
         std::string failure;
         Duration pause = ENDPOINT_POLL_INTERVAL;
         try {
-            co_await readEndpoints(cursor);
+            const ReadResult result = co_await readEndpoints(cursor);
+            pause = result == ReadResult::SnapshotNeeded ? pauseBeforeSnapshot() : pause;
         } catch (const Error &error) {
             failure = error.what();
         }
         if (failure.empty()) {
-            recordSuccess(cursor, "endpoints");
+            recordSuccess(cursor);
         } else {
-            recordFailure(cursor, "endpoints", failure);
+            recordFailure(cursor, failure);
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
@@ -113,81 +125,181 @@
     }
 }
 
-awaitable<void> StoreFollower::readConfiguration(TopicCursor &cursor)
+Duration StoreFollower::pauseBeforeSnapshot()
 {
-    if (!cursor.next) {
-        const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Operators, ANSWER_TIMEOUT);
-        gateway_.observeStoreEra(snapshot.era, "configuration", MilliClock::now());
-        for (const platform::KeyedRecord &record : snapshot.records) {
-            applyConfigurationRecord(record);
-        }
-        cursor.next = snapshot.next;
+    return Duration(static_cast<Duration::rep>(static_cast<double>(MAX_PAUSE_BEFORE_SNAPSHOT.count()) * gateway_.jitter()));
+}
+
+bool StoreFollower::acceptAnswer(TopicCursor &cursor, std::optional<StoreEra> era, Time now)
+{
+    const bool outdated = gateway_.observeStoreEra(era, cursor.topic, now) == StoreEraTracker::Observation::Outdated;
+    dropOutdatedPosition(cursor);
+    return !outdated && cursor.next;
+}
+
+void StoreFollower::dropOutdatedPosition(TopicCursor &cursor) const
+{
+    if (cursor.next && cursor.next->era < gateway_.storeEra.current()) {
+        cursor.next.reset();
+        cursor.restored = true;
+    }
+}
+
+void StoreFollower::checkSnapshotEnd(StorePosition end)
+{
+    const StorePosition known = gateway_.registry.newestPosition();
+    if (end.era == known.era && end.offset <= known.offset) {
+        logEvent(LogEvent::StoreWentBack, {{"topic", "endpoints"}, {"end", end.offset}, {"known", known.offset}});
+        gateway_.registry.forgetPositions();
+        newestRecords_.endpoints.clear();
+    }
+}
+
+void StoreFollower::logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing)
+{
+    if (!std::exchange(cursor.restored, false)) {
+        return;
+    }
+    logEvent(LogEvent::StoreReadAgain,
+             {{"topic", cursor.topic},
+              {"era", gateway_.storeEra.current()},
+              {"records", records},
+              {"changed", changed},
+              {"missing", missing},
+              {"configuration", gateway_.configuration ? gateway_.configuration->version : 0}});
+}
+
+awaitable<void> StoreFollower::readConfigurationSnapshot(TopicCursor &cursor)
+{
+    const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Operators, ANSWER_TIMEOUT);
+    if (gateway_.observeStoreEra(snapshot.era, cursor.topic, MilliClock::now()) == StoreEraTracker::Observation::Outdated) {
         co_return;
     }
+    const StoreEra era = gateway_.storeEra.current();
+    const std::int64_t before = gateway_.configuration ? gateway_.configuration->version : 0;
+    for (const platform::KeyedRecord &record : snapshot.records) {
+        applyConfigurationRecord(record, era);
+    }
+    cursor.next = StorePosition {era, snapshot.next};
+    // The store may have lost a version that other gateways have in force.
+    peersToAsk_ = gateway_.settings.peers.size();
+    logReadAgain(cursor, snapshot.records.size(), gateway_.configuration && gateway_.configuration->version != before ? 1 : 0, 0);
+}
+
+awaitable<StoreFollower::ReadResult> StoreFollower::readConfiguration(TopicCursor &cursor)
+{
+    dropOutdatedPosition(cursor);
+    if (!cursor.next) {
+        co_await readConfigurationSnapshot(cursor);
+        co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
+    }
+    const StorePosition from = *cursor.next;
     const Duration timeout = CONFIGURATION_POLL_WAIT + ANSWER_TIMEOUT;
-    const auto answer = co_await store_.read(platform::KeyedTopic::Operators, *cursor.next, CONFIGURATION_POLL_WAIT, timeout);
+    const auto answer = co_await store_.read(platform::KeyedTopic::Operators, from.offset, CONFIGURATION_POLL_WAIT, timeout);
     const auto *records = std::get_if<platform::KeyedRecords>(&answer);
-    if (records == nullptr) {
-        gateway_.observeStoreEra(std::get<platform::OffsetUnavailable>(answer).era, "configuration", MilliClock::now());
+    const std::optional<StoreEra> era = records == nullptr ? std::get<platform::OffsetUnavailable>(answer).era : records->era;
+    const bool accepted = acceptAnswer(cursor, era, MilliClock::now());
+    if (accepted && records == nullptr) {
         cursor.next.reset();
+    }
+    if (!cursor.next) {
+        co_return ReadResult::SnapshotNeeded;
+    }
+    if (accepted) {
+        for (const platform::KeyedRecord &record : records->records) {
+            applyConfigurationRecord(record, from.era);
+        }
+        cursor.next = StorePosition {from.era, records->next};
+    }
+    co_return ReadResult::UpToDate;
+}
+
+awaitable<void> StoreFollower::readEndpointSnapshot(TopicCursor &cursor)
+{
+    const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
+    const Time now = MilliClock::now();
+    if (gateway_.observeStoreEra(snapshot.era, cursor.topic, now) == StoreEraTracker::Observation::Outdated) {
         co_return;
     }
-    gateway_.observeStoreEra(records->era, "configuration", MilliClock::now());
-    for (const platform::KeyedRecord &record : records->records) {
-        applyConfigurationRecord(record);
+    EndpointRegistry &registry = gateway_.registry;
+    registry.recordStoreAnswer(now);
+    const StorePosition end {gateway_.storeEra.current(), snapshot.next};
+    if (!snapshot.era) {
+        checkSnapshotEnd(end);
     }
-    cursor.next = records->next;
+    const std::uint64_t before = registry.changeCount();
+    std::set<EndpointId> present;
+    for (const platform::KeyedRecord &record : snapshot.records) {
+        present.insert(EndpointId(record.key));
+        applyEndpointRecord(record, end.era, now);
+    }
+    const auto missing = std::ranges::count_if(registry.endpoints(), [&present](const auto &item) {
+        return !present.contains(item.first);
+    });
+    registry.retain(present, end, now);
+    std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
+        return item.second.position() < end && !present.contains(EndpointId(item.first));
+    });
+    cursor.next = end;
+    nextEndpoint_ = end;
+    logReadAgain(cursor, snapshot.records.size(), registry.changeCount() - before, static_cast<std::size_t>(missing));
 }
 
-awaitable<void> StoreFollower::readEndpoints(TopicCursor &cursor)
+awaitable<StoreFollower::ReadResult> StoreFollower::readEndpoints(TopicCursor &cursor)
 {
+    dropOutdatedPosition(cursor);
     if (!cursor.next) {
-        const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
-        const Time now = MilliClock::now();
-        gateway_.observeStoreEra(snapshot.era, "endpoints", now);
-        gateway_.registry.recordStoreAnswer(now);
-        std::map<EndpointId, Offset> present;
-        for (const platform::KeyedRecord &record : snapshot.records) {
-            present.emplace(EndpointId(record.key), record.offset);
-            applyEndpointRecord(record, now);
-        }
-        gateway_.registry.retain(present, snapshot.next, now);
-        cursor.next = snapshot.next;
-        nextEndpointOffset_ = snapshot.next;
-        co_return;
+        co_await readEndpointSnapshot(cursor);
+        co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
-    const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, *cursor.next, Duration(0), ANSWER_TIMEOUT);
+    const StorePosition from = *cursor.next;
+    const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from.offset, Duration(0), ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     gateway_.registry.recordStoreAnswer(now);
     const auto *records = std::get_if<platform::KeyedRecords>(&answer);
-    if (records == nullptr) {
-        gateway_.observeStoreEra(std::get<platform::OffsetUnavailable>(answer).era, "endpoints", now);
+    const std::optional<StoreEra> era = records == nullptr ? std::get<platform::OffsetUnavailable>(answer).era : records->era;
+    const bool accepted = acceptAnswer(cursor, era, now);
+    if (accepted && records == nullptr) {
         cursor.next.reset();
-        co_return;
     }
-    gateway_.observeStoreEra(records->era, "endpoints", now);
-    for (const platform::KeyedRecord &record : records->records) {
-        applyEndpointRecord(record, now);
+    if (!cursor.next) {
+        co_return ReadResult::SnapshotNeeded;
+    }
+    if (accepted) {
+        for (const platform::KeyedRecord &record : records->records) {
+            applyEndpointRecord(record, from.era, now);
+        }
+        cursor.next = StorePosition {from.era, records->next};
+        nextEndpoint_ = *cursor.next;
     }
-    cursor.next = records->next;
-    nextEndpointOffset_ = records->next;
+    co_return ReadResult::UpToDate;
 }
 
-void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record)
+void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era)
 {
     if (record.key != platform::CONFIGURATION_KEY || !record.value) {
         return;
     }
+    const PositionedRecord positioned {era, record};
     try {
-        if (gateway_.applyConfiguration(platform::decodeConfiguration(*record.value))) {
-            newestRecords_.configuration = record;
+        ServingConfiguration next = platform::decodeConfiguration(*record.value);
+        std::optional<PositionedRecord> &newest = newestRecords_.configuration;
+        const bool sameVersion = gateway_.configuration && newest && next.version == gateway_.configuration->version;
+        if (sameVersion && positioned.position() > newest->position()) {
+            // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
+            if (newest->record.value != record.value) {
+                gateway_.replaceConfiguration(std::move(next));
+            }
+            newest = positioned;
+        } else if (gateway_.applyConfiguration(std::move(next))) {
+            newest = positioned;
         }
     } catch (const MalformedInputError &error) {
         logEvent(LogEvent::ServingConfigurationUnreadable, {{"offset", record.offset}, {"error", error.what()}});
     }
 }
 
-void StoreFollower::applyEndpointRecord(const platform::KeyedRecord &record, Time now)
+void StoreFollower::applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now)
 {
     const EndpointId id(record.key);
     std::optional<EndpointRecord> endpoint;
@@ -198,29 +310,30 @@
             logEvent(LogEvent::EndpointRecordUnreadable, {{"endpoint", id}, {"offset", record.offset}, {"error", error.what()}});
         }
     }
+    const PositionedRecord positioned {era, record};
     const auto known = newestRecords_.endpoints.find(record.key);
-    if (known == newestRecords_.endpoints.end() || known->second.offset < record.offset) {
-        newestRecords_.endpoints.insert_or_assign(record.key, record);
+    if (known == newestRecords_.endpoints.end() || known->second.position() < positioned.position()) {
+        newestRecords_.endpoints.insert_or_assign(record.key, positioned);
     }
-    gateway_.registry.apply(id, record.offset, endpoint, now);
+    gateway_.registry.apply(id, positioned.position(), endpoint, now);
 }
 
-void StoreFollower::recordSuccess(TopicCursor &cursor, const char *topic)
+void StoreFollower::recordSuccess(TopicCursor &cursor)
 {
     cursor.failures = 0;
     if (cursor.lost) {
         cursor.lost = false;
-        logEvent(LogEvent::StoreRegained, {{"topic", topic}});
+        logEvent(LogEvent::StoreRegained, {{"topic", cursor.topic}});
     }
 }
 
-void StoreFollower::recordFailure(TopicCursor &cursor, const char *topic, const std::string &error)
+void StoreFollower::recordFailure(TopicCursor &cursor, const std::string &error)
 {
     ++cursor.failures;
-    gateway_.metrics.increment("mimosatally_store_failures_total", std::string("topic=\"") + topic + '"');
+    gateway_.metrics.increment("mimosatally_store_failures_total", std::string("topic=\"") + cursor.topic + '"');
     if (!cursor.lost) {
         cursor.lost = true;
-        logEvent(LogEvent::StoreLost, {{"topic", topic}, {"error", error}});
+        logEvent(LogEvent::StoreLost, {{"topic", cursor.topic}, {"error", error}});
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -28,32 +28,55 @@
 private:
     /// \brief Progress of reading one topic.
     struct TopicCursor {
-        /// \brief Offset of the next record; empty if a snapshot has to be read first.
-        std::optional<Offset> next;
+        const char *topic;
+        /// \brief Position of the next record; empty if a snapshot has to be read first.
+        std::optional<StorePosition> next = std::nullopt;
+        /// \brief The snapshot is read because the store has returned from an older copy.
+        bool restored = false;
         /// \brief Set from the first failure until the store answers again.
         bool lost = false;
         /// \brief Consecutive failures.
         int failures = 0;
     };
 
-    boost::asio::awaitable<void> readConfiguration(TopicCursor &cursor);
-    boost::asio::awaitable<void> readEndpoints(TopicCursor &cursor);
-    void applyConfigurationRecord(const platform::KeyedRecord &record);
-    void applyEndpointRecord(const platform::KeyedRecord &record, Time now);
-    void recordSuccess(TopicCursor &cursor, const char *topic);
-    void recordFailure(TopicCursor &cursor, const char *topic, const std::string &error);
+    /// \brief What one read of a topic has brought.
+    enum class ReadResult {
+        UpToDate,
+        /// \brief The reading position is not valid any more; a snapshot has to be read next.
+        SnapshotNeeded,
+    };
+
+    boost::asio::awaitable<ReadResult> readConfiguration(TopicCursor &cursor);
+    boost::asio::awaitable<ReadResult> readEndpoints(TopicCursor &cursor);
+    boost::asio::awaitable<void> readConfigurationSnapshot(TopicCursor &cursor);
+    boost::asio::awaitable<void> readEndpointSnapshot(TopicCursor &cursor);
+    /// \brief Records the era of an answer and returns whether its records belong to the position of \a cursor.
+    /// Otherwise the position is dropped, or, for a late answer of an older era, kept.
+    bool acceptAnswer(TopicCursor &cursor, std::optional<StoreEra> era, Time now);
+    /// \brief Drops a reading position of an older era.
+    void dropOutdatedPosition(TopicCursor &cursor) const;
+    /// \brief Forgets the positions of records if the store has gone back without stating a newer era.
+    void checkSnapshotEnd(StorePosition end);
+    void logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing);
+    void applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era);
+    void applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now);
+    void recordSuccess(TopicCursor &cursor);
+    void recordFailure(TopicCursor &cursor, const std::string &error);
     Duration backoffAfterFailure(const TopicCursor &cursor);
+    Duration pauseBeforeSnapshot();
 
-    /// \brief Fetches the records from the next peer; called after a failure of the store.
-    boost::asio::awaitable<void> fetchFromNextPeer();
+    /// \brief Fetches the records from the next peer. \param endpointsFrom position of the first endpoint record that is wanted.
+    boost::asio::awaitable<void> fetchFromNextPeer(StorePosition endpointsFrom);
 
     GatewayState &gateway_;
     RpcContext &rpc_;
     platform::StoreClient store_;
     NewestRecords newestRecords_;
-    /// \brief Offset of the first endpoint record that was not read.
-    Offset nextEndpointOffset_;
+    /// \brief Position of the first endpoint record that was not read.
+    StorePosition nextEndpoint_;
     std::size_t nextPeer_ = 0;
+    /// \brief Peers that are still to be asked for a newer configuration than the store has.
+    std::size_t peersToAsk_ = 0;
 };
 
 } // namespace mimosatally::internal
--- a/src/membership/endpointregistry.cpp
+++ b/src/membership/endpointregistry.cpp
@@ -5,35 +5,74 @@
 namespace mimosatally
 {
 
-void EndpointRegistry::apply(const EndpointId &id, Offset offset, const std::optional<EndpointRecord> &record, Time now)
+namespace
 {
-    const auto known = offsets_.find(id);
-    if (known != offsets_.end() && known->second >= offset) {
+/// \brief Without start times, incarnations of one id cannot be told apart.
+bool sameIncarnation(const EndpointRecord &left, const EndpointRecord &right)
+{
+    return left.startedAt != 0 && left.startedAt == right.startedAt;
+}
+
+/// \brief Returns whether both heartbeats are numbered and \a left was sent before \a right.
+bool isEarlierHeartbeat(const EndpointRecord &left, const EndpointRecord &right)
+{
+    return left.heartbeat && right.heartbeat && *left.heartbeat < *right.heartbeat;
+}
+} // namespace
+
+void EndpointRegistry::apply(const EndpointId &id, StorePosition position, const std::optional<EndpointRecord> &record, Time now)
+{
+    const auto known = positions_.find(id);
+    if (known != positions_.end() && known->second >= position) {
         return;
     }
-    offsets_[id] = offset;
+    positions_[id] = position;
+    newestPosition_ = std::max(newestPosition_, position);
     if (record) {
-        put(*record);
+        put(*record, position.era);
     } else {
         remove(id, now);
     }
 }
 
-void EndpointRegistry::put(const EndpointRecord &record)
+bool EndpointRegistry::isOutdated(const EndpointRecord &record, StoreEra era) const
+{
+    const auto found = removed_.find(record.id);
+    if (found == removed_.end()) {
+        return false;
+    }
+    const Removed &removed = found->second;
+    if (!sameIncarnation(record, removed.record)) {
+        return record.startedAt < removed.record.startedAt;
+    }
+    // Within an era the entry was written after its removal, so its owner lives and has registered again.
+    const bool fromCopy = era > removed.era && removed.record.heartbeat && record.heartbeat && *record.heartbeat <= *removed.record.heartbeat;
+    return removed.record.leaving || fromCopy;
+}
+
+void EndpointRegistry::put(const EndpointRecord &record, StoreEra era)
 {
     EndpointRecord next = record;
     const auto known = endpoints_.find(record.id);
+    if (known == endpoints_.end() && isOutdated(record, era)) {
+        return;
+    }
     if (known != endpoints_.end()) {
         const EndpointRecord &last = known->second;
         if (record.startedAt < last.startedAt) {
             return;
         }
-        // Leaving is final for an incarnation; a delayed heartbeat must not revoke it.
         if (record.startedAt == last.startedAt) {
+            graceDeadlines_.erase(record.id);
+            if (sameIncarnation(record, last) && isEarlierHeartbeat(record, last)) {
+                return;
+            }
+            // Leaving is final for an incarnation; a delayed heartbeat must not revoke it.
             next.leaving = record.leaving || last.leaving;
         }
     }
     graceDeadlines_.erase(record.id);
+    removed_.erase(record.id);
     endpoints_[record.id] = std::move(next);
     ++changeCount_;
 }
@@ -44,19 +83,37 @@
         return;
     }
     if (now < graceEnd_) {
-        graceDeadlines_.emplace(id, graceEnd_);
+        graceDeadlines_.insert_or_assign(id, graceEnd_);
         return;
     }
-    endpoints_.erase(id);
+    erase(id);
+}
+
+void EndpointRegistry::erase(const EndpointId &id)
+{
+    const auto entry = endpoints_.find(id);
+    if (entry == endpoints_.end()) {
+        return;
+    }
+    if (removed_.size() >= MAX_REMOVED) {
+        removed_.erase(std::ranges::min_element(removed_, {}, [](const auto &item) {
+            return item.second.number;
+        }));
+    }
+    removed_.insert_or_assign(id, Removed {std::move(entry->second), newestPosition_.era, ++removals_});
+    endpoints_.erase(entry);
     graceDeadlines_.erase(id);
     ++changeCount_;
 }
 
-void EndpointRegistry::retain(const std::map<EndpointId, Offset> &snapshot, Offset snapshotEnd, Time now)
+void EndpointRegistry::retain(const std::set<EndpointId> &snapshot, StorePosition snapshotEnd, Time now)
 {
+    std::erase_if(positions_, [&](const auto &item) {
+        return item.second < snapshotEnd && !snapshot.contains(item.first) && !endpoints_.contains(item.first);
+    });
     std::vector<EndpointId> missing;
     for (const auto &[id, record] : endpoints_) {
-        if (!snapshot.contains(id) && offsets_[id] < snapshotEnd) {
+        if (!snapshot.contains(id) && positions_[id] < snapshotEnd) {
             missing.push_back(id);
         }
     }
@@ -65,6 +122,22 @@
     }
 }
 
+void EndpointRegistry::recordRestore(Time now)
+{
+    graceEnd_ = now + REREGISTRATION_TIME;
+}
+
+void EndpointRegistry::forgetPositions()
+{
+    positions_.clear();
+    newestPosition_ = StorePosition();
+}
+
+StorePosition EndpointRegistry::newestPosition() const
+{
+    return newestPosition_;
+}
+
 void EndpointRegistry::recordStoreFailure()
 {
     storeLost_ = true;
@@ -87,9 +160,7 @@
         }
     }
     for (const EndpointId &id : expired) {
-        graceDeadlines_.erase(id);
-        endpoints_.erase(id);
-        ++changeCount_;
+        erase(id);
     }
 }
 
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -154,11 +154,13 @@
   present @2 :Bool;
   # False if the key was dropped.
   value @3 :Data;
+  era @4 :Int64;
+  # Era of the store in which the record has its offset.
 }
 
 interface Gateway {
-  newestRecords @0 (endpointsFrom :Int64) -> (configuration :StoreRecord, endpoints :List(StoreRecord));
-  # The configuration as this gateway has it, and the newest record of each endpoint at endpointsFrom or later.
+  newestRecords @0 (endpointsFrom :Int64, endpointsFromEra :Int64) -> (configuration :StoreRecord, endpoints :List(StoreRecord));
+  # The configuration as this gateway has it, and the newest record of each endpoint at endpointsFrom of that era or later.
 }
 
 struct PeerAddress {
--- a/tests/soak/soakfixture.h
+++ b/tests/soak/soakfixture.h
@@ -97,10 +97,9 @@
         for (int i = 0; i < ENDPOINTS; ++i) {
             addEndpoint();
         }
-        store_.put("keyed.op",
-                   "config",
-                   R"({"version":1,"routes":[)" + route("post", "unsafe") + "," + route("safe", "safe") + "," + route("stream", "streaming")
-                       + R"(],"services":[{"name":"plain","maxConns":100}],"limits":{"idleTimeoutMs":15000}})");
+        store_.stateEra(1);
+        putConfiguration(version_);
+        copy_ = store_.copy();
         for (int i = 0; i < GATEWAYS; ++i) {
             callerAddresses_.push_back(freeAddress());
             peerAddresses_.push_back(freeAddress());
@@ -139,7 +138,7 @@
     void injectFault()
     {
         const int gateway = static_cast<int>(random_() % GATEWAYS);
-        switch (random_() % 7) {
+        switch (random_() % 9) {
         case 0:
             gateways_[static_cast<std::size_t>(gateway)]->send(SIGSTOP);
             sleepFor(300 + random_() % 700);
@@ -164,6 +163,12 @@
         case 5:
             replaceEndpoint();
             break;
+        case 6:
+            configure(++version_);
+            break;
+        case 7:
+            restoreStore();
+            break;
         default:
             break;
         }
@@ -255,6 +260,43 @@
         done.get();
     }
 
+    void configure(int version)
+    {
+        onStandins([&] {
+            putConfiguration(version);
+        });
+    }
+
+    /// \brief Must be called on the thread of the stand-ins, or before that thread starts.
+    void putConfiguration(int version)
+    {
+        store_.put("keyed.op",
+                   "config",
+                   R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("post", "unsafe") + "," + route("safe", "safe") + ","
+                       + route("stream", "streaming") + R"(],"services":[{"name":"plain","maxConns":100}],"limits":{"idleTimeoutMs":15000}})");
+    }
+
+    /// \brief The store is away for a random time and returns from the last copy; its writers write again what they had written, after a random time.
+    void restoreStore()
+    {
+        if (random_() % 2 == 0) {
+            setStoreMode(StoreMode::Unavailable);
+            sleepFor(random_() % 1000);
+        }
+        onStandins([&] {
+            store_.restore(copy_);
+            store_.setMode(StoreMode::Serving);
+        });
+        sleepFor(random_() % 1500);
+        onStandins([&] {
+            putConfiguration(version_);
+            for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+                announce(i, i + ENDPOINTS < endpoints_.size() ? "draining" : "ready");
+            }
+            copy_ = store_.copy();
+        });
+    }
+
     void setStoreMode(StoreMode mode)
     {
         onStandins([&] {
@@ -313,6 +355,9 @@
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     StoreStandin store_;
+    /// \brief What the store returns to; as old as the last restore.
+    StoreStandin::Copy copy_;
+    int version_ = 1;
     std::vector<std::unique_ptr<EndpointStandin>> endpoints_;
     std::vector<std::string> callerAddresses_;
     std::vector<std::string> peerAddresses_;
--- a/tests/unit/connectionpooltest.cpp
+++ b/tests/unit/connectionpooltest.cpp
@@ -18,7 +18,7 @@
     record.id = EndpointId("e");
     record.service = service;
     record.address = address;
-    gateway.registry.apply(record.id, Offset(1), record, MilliClock::now());
+    gateway.registry.apply(record.id, StorePosition {StoreEra(0), Offset(1)}, record, MilliClock::now());
     ServingConfiguration configuration;
     configuration.version = 1;
     configuration.services[service] = {service, 40, std::nullopt};
