Fail an append whose offset the log service gave out before

Entries and agents order claims, leases and versions by log offset. Their contract has a log that only grows, which was assumed and not checked: after a loss of acknowledged records two calls with one key could both win their claim. An append that gets an offset no greater than one that was known before it was sent now fails and is logged (MT5039), so that a call which needs a claim is refused.

--- a/src/logservice/logclient.cpp
+++ b/src/logservice/logclient.cpp
@@ -1,5 +1,6 @@
 #include <mimosatally/LogService>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace mimosatally
@@ -78,11 +79,38 @@
 {
     HttpRequest request = makeHttpRequest(http::verb::post, "/topics/" + stream, CONTENT_TYPE, produceBody(payloads));
     request.set(http::field::accept, CONTENT_TYPE);
+    const Offset newestBefore = newestOffset(stream);
     const HttpResponse response = co_await client_.send(std::move(request), timeout);
     if (response.result() != http::status::ok) {
         throwStatus("append to " + stream, response);
     }
-    co_return parseOffsets(response.body(), payloads.size());
+    const std::vector<Offset> offsets = parseOffsets(response.body(), payloads.size());
+    if (!offsets.empty()) {
+        requireGrowth(stream, offsets.front(), newestBefore);
+        recordOffset(stream, offsets.back());
+    }
+    co_return offsets;
+}
+
+Offset LogClient::newestOffset(const std::string &stream) const
+{
+    const auto found = newest_.find(stream);
+    return found == newest_.end() ? Offset(-1) : found->second;
+}
+
+void LogClient::recordOffset(const std::string &stream, Offset offset)
+{
+    Offset &newest = newest_.try_emplace(stream, offset).first->second;
+    newest = std::max(newest, offset);
+}
+
+void LogClient::requireGrowth(const std::string &stream, Offset offset, Offset newestBefore) const
+{
+    if (offset > newestBefore) {
+        return;
+    }
+    logEvent(LogEvent::LogWentBack, {{"stream", stream}, {"offset", offset}, {"newest", newestBefore}});
+    throw UnreachableError("log service: append to " + stream + " returned offset " + std::to_string(offset.count()) + ", which was given out before");
 }
 
 awaitable<LogReadResult> LogClient::read(std::string stream, Offset from, int limit, Duration timeout)
@@ -101,6 +129,9 @@
     }
     result.records = parseRecords(response.body());
     result.hasGap = !result.records.empty() && result.records.front().offset > from;
+    if (!result.records.empty()) {
+        recordOffset(stream, result.records.back().offset);
+    }
     co_return result;
 }
 
