Name the request in the line of a crash, and log crashes for every call

The line now comes for every call and has a hash of what identifies the request: method, host, path with query, credentials and body.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -1,5 +1,6 @@
 #include "callflow.h"
 #include "engineorder.h"
+#include "requesthash.h"
 
 namespace mimosatally::internal
 {
@@ -186,15 +187,15 @@
 {
     const EndpointRecord *known = gateway_.router.record(endpoint);
     const bool cut = call.bodyEnd() == BodyEnd::ConnectionClosed || call.bodyEnd() == BodyEnd::ConnectionReset;
-    // An endpoint that leaves ends on purpose, and the last part of a prompt is never suspected.
-    if (!cut || known == nullptr || known->leaving || call.answer().leaving || placementRequest_.promptParts.size() < 2) {
+    // An endpoint that leaves ends on purpose.
+    if (!cut || known == nullptr || known->leaving || call.answer().leaving) {
         co_return;
     }
     const EndpointRecord record = *known;
     const bool ended = co_await call.refusesConnection();
     if (ended) {
         crashed_ = true;
-        gateway_.crashWatch.recordCrash(call_.id, record, placementRequest_.promptParts, MilliClock::now());
+        gateway_.crashWatch.recordCrash({call_.id, requestHash(exchange_.request())}, record, placementRequest_.promptParts, MilliClock::now());
     }
 }
 
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -39,13 +39,14 @@
 {
 }
 
-void CrashWatch::recordCrash(const RequestId &request, const EndpointRecord &endpoint, std::span<const PromptPart> parts, Time now)
+void CrashWatch::recordCrash(const CrashedCall &call, const EndpointRecord &endpoint, std::span<const PromptPart> parts, Time now)
 {
     const std::vector<std::uint64_t> blocked = suspects_.recordCrash(crashIdOf(endpoint.id, endpoint.startedAt), parts, now);
     logEvent(LogEvent::EndpointCrashSeen,
-             {{"request", request},
+             {{"request", call.id},
               {"endpoint", endpoint.id},
               {"started", endpoint.startedAt},
+              {"request_hash", partText(call.requestHash)},
               {"parts", sharedPartsText(parts)},
               {"suspected", suspects_.isSuspected(parts) ? "true" : "false"}});
     metrics_.increment(CRASHES_METRIC);
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -12,14 +12,21 @@
 /// \brief Returns the ids of the parts that a prompt shares with others, all but the last, in hexadecimal and in their order; `-` if there are none.
 [[nodiscard]] std::string sharedPartsText(std::span<const PromptPart> parts);
 
+/// \brief Call that was in flight at a crash.
+struct CrashedCall {
+    RequestId id;
+    /// \brief See requestHash(); the same for each attempt of the caller.
+    std::uint64_t requestHash = 0;
+};
+
 /// \brief Passes crashes and answers on to CrashSuspects, with log lines and metrics.
 class CrashWatch
 {
 public:
     CrashWatch(CrashSuspects &suspects, Metrics &metrics);
 
-    /// \brief Records that an endpoint ended before it sent anything for \a request.
-    void recordCrash(const RequestId &request, const EndpointRecord &endpoint, std::span<const PromptPart> parts, Time now);
+    /// \brief Records that an endpoint ended before it sent anything for \a call.
+    void recordCrash(const CrashedCall &call, const EndpointRecord &endpoint, std::span<const PromptPart> parts, Time now);
     void recordAnswered(const RequestId &request, std::span<const PromptPart> parts, Time now);
     void recordNotice(const SuspectNotice &notice, Time now);
 
