Add a test of a request that crashes endpoints, which fails

One idempotent request of a plain service ends each endpoint that runs it and is sent again to three gateways in turn; endpoints that have ended are replaced.

--- a/tests/gateway/crashsuspecttest.cpp
+++ b/tests/gateway/crashsuspecttest.cpp
@@ -10,7 +10,9 @@
 constexpr const char *FIRST_PART = "a1:100";
 constexpr const char *BAD_PART = "bad:50";
 
-/// \brief Endpoints that crash on a request with the bad part, and a new one for each that has ended.
+constexpr const char *BAD_TARGET = "/safe/bad";
+
+/// \brief Endpoints that crash on a request with the bad part or to the bad target, and a new one for each that has ended.
 class CrashingEndpoints
 {
 public:
@@ -22,7 +24,7 @@
         }
     }
 
-    /// \brief Number of requests with the bad part that have reached endpoints.
+    /// \brief Number of bad requests that have reached endpoints.
     [[nodiscard]] int badArrivals() const
     {
         return crashes_;
@@ -52,11 +54,14 @@
     {
         const std::string id = "i-" + std::to_string(++started_);
         fixture_.addEndpoint(id, "plain", [this, id](const HttpRequest &request) -> AnswerSteps {
-            if (headerValue(request, "X-Mimosatally-Prefix-Hash").find(BAD_PART) != std::string::npos) {
+            if (headerValue(request, "X-Mimosatally-Prefix-Hash").find(BAD_PART) != std::string::npos || request.target() == BAD_TARGET) {
                 ++crashes_;
                 ended_.insert(id);
                 return {pauseFor(20), crashing()};
             }
+            if (request.target().starts_with("/safe/")) {
+                return {bytes(wholeAnswer(requestIdOf(request), "good"))};
+            }
             return {bytes(streamHead(requestIdOf(request)) + chunk("id: 1\ndata: a\n\n") + lastChunk())};
         });
     }
@@ -78,8 +83,44 @@
     connection.send(std::move(request));
     return connection.response();
 }
+
+/// \brief Sends a plain request without prompt to one of the gateways in turn.
+HttpResponse sendPlain(const GatewayGroup &group, const std::string &target, int number)
+{
+    CallerConnection connection(group.callerAddress(static_cast<std::size_t>(number) % group.size()));
+    connection.send(GatewayFixture::request(http::verb::get, target, "p" + std::to_string(number)));
+    return connection.response();
+}
 } // namespace
 
+// Guards against a request of a plain service that ends each endpoint that runs it, and that its caller sends again and again to any gateway: crashes were
+// counted only against parts of prompts, which such a request does not have.
+TEST_CASE("A request that crashes endpoints reaches them at most three times more once three have ended", "[gateway][crash]")
+{
+    GatewayFixture fixture;
+    CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT);
+    fixture.configure();
+    GatewayGroup group(fixture, 3);
+    group.awaitPeers();
+    int number = 0;
+    constexpr int crashes = 3;
+    for (int i = 0; i < 10 && endpoints.badArrivals() < crashes; ++i) {
+        CHECK(sendPlain(group, BAD_TARGET, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+    }
+    constexpr auto contact = std::chrono::milliseconds(4000);
+    std::this_thread::sleep_for(contact);
+    const int before = endpoints.badArrivals();
+    for (int i = 0; i < 9; ++i) {
+        CHECK(sendPlain(group, BAD_TARGET, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+        CHECK(sendPlain(group, "/safe/x", ++number).result_int() == 200);
+    }
+    constexpr int allowedAfterContact = 3;
+    CHECK(endpoints.badArrivals() - before <= allowedAfterContact);
+    WARN(before << " bad requests reached endpoints first, " << endpoints.badArrivals() - before << " later");
+}
+
 // Guards against requests with one part in their prompts that end endpoint after endpoint: each gateway took a crash for the fault of the endpoint
 // and sent the next such request to the next one. Sound requests with the same first part go on.
 TEST_CASE("Requests with a part that crashes endpoints no longer reach them after five crashes", "[gateway][crash]")
