Answer the calls that are still running at the end of a planned stop

Callers whose requests a stopping gateway had taken early in its grace time, and that could not be answered before its end, saw their connection close without an answer, also for requests that may not be repeated.

Cause: calls that can outlast the process are refused only from 2.5 s after SIGTERM on (grace time 8 s), since callers reach other processes late. What was taken before and was still running at the end was cut off with its connection.

Change: 500 ms before the platform would kill the process, the deadlines of the calls that are still running end, and their callers get 504, or 503 if the request has not run. Later ones were refused as not run before and still are.

--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -51,6 +51,13 @@
     return text.str();
 }
 
+/// \brief Time that a call may take: what its caller has stated, up to the timeout of its route.
+Duration timeLimit(const CallRequest &call, const Route &route)
+{
+    const Duration limit = call.remainingTime.value_or(route.timeout);
+    return route.timeout > Duration(0) ? std::min(limit, route.timeout) : limit;
+}
+
 /// \brief Counts a call against the request limit of its decode engine during the prefill, so that other calls do not use up the limit meanwhile.
 class RequestReservation
 {
@@ -95,13 +102,9 @@
     , configuration_(std::move(configuration))
     , route_(route)
     , arrived_(MilliClock::now())
-    , arrivalEntry_(gateway.activeCallArrivals.insert(arrived_))
+    , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
+    , activeEntry_(gateway.activeCalls.emplace(arrived_, guard_))
 {
-    Duration limit = call_.remainingTime.value_or(route.timeout);
-    if (route.timeout > Duration(0)) {
-        limit = std::min(limit, route.timeout);
-    }
-    guard_ = std::make_shared<CallGuard>(gateway.io, arrived_ + limit);
     placementRequest_.service = chooseService();
     placementRequest_.promptTokens = call_.promptTokens;
     placementRequest_.promptParts = std::move(call_.promptParts);
@@ -110,7 +113,7 @@
 
 CallFlow::~CallFlow()
 {
-    gateway_.activeCallArrivals.erase(arrivalEntry_);
+    gateway_.activeCalls.erase(activeEntry_);
 }
 
 ServiceId CallFlow::chooseService()
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -100,8 +100,8 @@
     const Route &route_;
     PlacementRequest placementRequest_;
     Time arrived_;
-    std::multiset<Time>::iterator arrivalEntry_;
     std::shared_ptr<CallGuard> guard_;
+    std::multimap<Time, std::weak_ptr<CallGuard>>::iterator activeEntry_;
     EventFramer framer_;
     /// \brief Prefix of the prompt that the prefilling engine is expected to have cached or to fetch.
     CachedPrefix cachedPrefix_;
--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -47,6 +47,12 @@
     cancel(StopReason::CallerDisconnected);
 }
 
+void CallGuard::expireNow()
+{
+    deadline_ = std::min(deadline_, MilliClock::now());
+    cancel(StopReason::DeadlinePassed);
+}
+
 StopReason CallGuard::stopReason() const
 {
     return stopReason_;
--- a/src/gateway/callguard.h
+++ b/src/gateway/callguard.h
@@ -37,6 +37,9 @@
 
     void callerDisconnected();
 
+    /// \brief Ends the deadline of the call.
+    void expireNow();
+
     [[nodiscard]] StopReason stopReason() const;
     [[nodiscard]] Time deadline() const;
     [[nodiscard]] Duration remainingTime(Time now) const;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -45,6 +45,8 @@
 constexpr Duration LONG_CALL_REFUSAL_MARGIN = Duration(500);
 /// \brief Accepting stops this long before the end of the process, so that accepted calls are read and answered.
 constexpr Duration STOP_ACCEPTING_MARGIN = Duration(500);
+/// \brief Time, within GRACE_MARGIN, to tell the callers of calls that are still running that they have failed.
+constexpr Duration FINAL_ANSWER_TIME = Duration(250);
 constexpr Duration SHUTDOWN_POLL_INTERVAL = Duration(50);
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
 
@@ -279,7 +281,7 @@
     {
         bool waiting = true;
         while (waiting) {
-            const bool running = !gateway_.activeCallArrivals.empty() && *gateway_.activeCallArrivals.begin() < mark;
+            const bool running = !gateway_.activeCalls.empty() && gateway_.activeCalls.begin()->first < mark;
             waiting = running && MilliClock::now() + STOP_ACCEPTING_MARGIN < end;
             if (waiting) {
                 co_await pause(SHUTDOWN_POLL_INTERVAL);
@@ -287,6 +289,15 @@
         }
     }
 
+    awaitable<void> awaitLastCall(Time end)
+    {
+        bool waiting = true;
+        while (waiting) {
+            co_await pause(SHUTDOWN_POLL_INTERVAL);
+            waiting = callerServer_.activeExchanges() > 0 && MilliClock::now() < end;
+        }
+    }
+
     awaitable<void> shutDown()
     {
         logEvent(LogEvent::ProcessStopping, {{"reason", "signal"}, {"active", callerServer_.activeExchanges()}});
@@ -300,11 +311,9 @@
         co_await awaitCallsArrivedBefore(MilliClock::now(), end);
         // Keep-alive connections stay open: a request that is sent while its connection is being closed would be lost.
         callerServer_.stopAccepting();
-        bool waiting = true;
-        while (waiting) {
-            co_await pause(SHUTDOWN_POLL_INTERVAL);
-            waiting = callerServer_.activeExchanges() > 0 && MilliClock::now() < end;
-        }
+        co_await awaitLastCall(end);
+        gateway_.expireActiveCalls();
+        co_await awaitLastCall(end + FINAL_ANSWER_TIME);
         callerServer_.shutDownGracefully();
         stopped_ = true;
     }
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -93,6 +93,16 @@
     limitIdleConnections();
 }
 
+void GatewayState::expireActiveCalls()
+{
+    // A call that ends is removed by its own coroutine, later.
+    for (const auto &[arrived, weak] : activeCalls) {
+        if (const std::shared_ptr<CallGuard> guard = weak.lock()) {
+            guard->expireNow();
+        }
+    }
+}
+
 StoreEraTracker::Observation GatewayState::observeStoreEra(std::optional<StoreEra> era, const char *topic, Time now)
 {
     const StoreEra last = storeEra.current();
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callguard.h"
 #include "connectionpool.h"
 #include "crashwatch.h"
 #include "limitreport.h"
@@ -10,8 +11,9 @@
 #include <mimosatally/Serving>
 
 #include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
 #include <random>
-#include <set>
 
 namespace mimosatally::internal
 {
@@ -32,6 +34,9 @@
     /// \brief Sets the number of gateways, this one included, that share the limits of the endpoints; see PhaseRouter::setProcessCount().
     void setProcessCount(int count, Time now);
 
+    /// \brief Ends the deadlines of all calls that are not answered yet, so that their callers get a final answer before the process exits.
+    void expireActiveCalls();
+
     /// \brief Records the era that an answer of the store states, with a log line and metrics if it has changed. \param topic topic of the answer, for the log.
     StoreEraTracker::Observation observeStoreEra(std::optional<StoreEra> era, const char *topic, Time now);
 
@@ -63,8 +68,8 @@
     Time stopDeadline = Time::max();
     Time longCallsRefusedFrom = Time::max();
     std::uint64_t callsReceived = 0;
-    /// \brief Arrival times of the calls that are not answered yet.
-    std::multiset<Time> activeCallArrivals;
+    /// \brief Calls that are not answered yet, by their arrival times.
+    std::multimap<Time, std::weak_ptr<CallGuard>> activeCalls;
 
 private:
     void putInForce(ServingConfiguration next);
