Skip interim answers in front of the final one

A caller of a gateway would have got a 103 with an empty body as its final answer, if an endpoint sent an interim answer on a connection that was new. In the HTTP client, which the agent, the store and the log service use, the final answer stayed on the connection for the next request.

Found by the tests for the report on heads that end in their middle: an answer of "100 Continue" alone was taken for a whole one.

Cause: both readers took the first head that they parsed for the final one; only the check of the request id hid it on connections that were in use before.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -83,10 +83,16 @@
             co_return false;
         }
         answer_ = platform::decodeAnswer(parser_->get().base());
+        if (answer_.status < FIRST_SUCCESS_STATUS) {
+            // An interim answer has no body; the final one follows on this connection.
+            failure_ = "too many interim answers";
+            continue;
+        }
         const bool success = answer_.status >= FIRST_SUCCESS_STATUS && answer_.status < FIRST_REDIRECT_STATUS;
         // An answer without an id may belong to an earlier request, unless the connection is new.
         const bool withoutId = answer_.request.empty() && !success && !connection_->reused;
         if (answer_.request == id || withoutId) {
+            failure_.clear();
             co_return true;
         }
         failure_ = "answer to another request";
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cstdint>
 #include <limits>
+#include <memory>
 
 namespace mimosatally
 {
@@ -23,6 +24,8 @@
 namespace
 {
 constexpr std::size_t STREAM_BUFFER_BYTES = std::size_t(16) * 1024;
+/// \brief Interim answers before the final one that are skipped; a server can send them without end.
+constexpr int MAX_INTERIM_ANSWERS = 16;
 
 /// \brief Returns true if an idle connection is still usable: open and without unread data.
 bool isUsable(boost::beast::tcp_stream &stream)
@@ -38,6 +41,26 @@
 {
     throw UnreachableError(toString(server) + ": " + error.message());
 }
+
+/// \brief Reads heads up to the first one that is no interim answer (1xx). \param[out] parser parser of that head, with \a bodyLimit in bytes.
+template<class Body>
+awaitable<boost::system::error_code> readFinalHead(boost::beast::tcp_stream &stream,
+                                                   boost::beast::flat_buffer &buffer,
+                                                   std::unique_ptr<http::response_parser<Body>> &parser,
+                                                   std::uint64_t bodyLimit)
+{
+    boost::system::error_code error;
+    for (int heads = 0; heads <= MAX_INTERIM_ANSWERS; ++heads) {
+        parser = std::make_unique<http::response_parser<Body>>();
+        parser->body_limit(bodyLimit);
+        co_await http::async_read_header(stream, buffer, *parser, redirect_error(use_awaitable, error));
+        const bool interim = !error && http::to_status_class(parser->get().result_int()) == http::status_class::informational;
+        if (!interim) {
+            co_return error;
+        }
+    }
+    co_return http::make_error_code(http::error::unexpected_body);
+}
 } // namespace
 
 HttpClient::HttpClient(boost::asio::io_context &io, tcp::endpoint server, Options options)
@@ -115,13 +138,15 @@
         throwUnreachable(server_, error);
     }
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(options_.maxResponseBytes);
-    co_await http::async_read(*stream, buffer, parser, redirect_error(use_awaitable, error));
+    std::unique_ptr<http::response_parser<http::string_body>> parser;
+    error = co_await readFinalHead(*stream, buffer, parser, options_.maxResponseBytes);
+    if (!error) {
+        co_await http::async_read(*stream, buffer, *parser, redirect_error(use_awaitable, error));
+    }
     if (error) {
         throwUnreachable(server_, error);
     }
-    HttpResponse response = parser.release();
+    HttpResponse response = parser->release();
     if (response.keep_alive()) {
         release(std::move(stream));
     }
@@ -139,13 +164,13 @@
         throwUnreachable(server_, error);
     }
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    std::unique_ptr<http::response_parser<http::buffer_body>> finalParser;
     // Without a body limit, Beast 1.74 rejects every response with a Content-Length as too long.
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read_header(*stream, buffer, parser, redirect_error(use_awaitable, error));
+    error = co_await readFinalHead(*stream, buffer, finalParser, std::numeric_limits<std::uint64_t>::max());
     if (error) {
         throwUnreachable(server_, error);
     }
+    http::response_parser<http::buffer_body> &parser = *finalParser;
     co_await onHead(HttpResponse(parser.get().base()));
     std::array<char, STREAM_BUFFER_BYTES> data;
     while (!parser.is_done()) {
--- a/tests/gateway/partialheadtest.cpp
+++ b/tests/gateway/partialheadtest.cpp
@@ -71,3 +71,22 @@
         CHECK(connection->readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
     }
 }
+
+// Guards against an interim answer that is taken for the final one on a connection that is new.
+TEST_CASE("Interim answers before the final one are skipped", "[gateway][completeness]")
+{
+    const auto pauses = GENERATE(false, true);
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [pauses](const HttpRequest &request) -> AnswerSteps {
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        return {bytes(interim), pauseFor(pauses ? 20 : 0), bytes(interim + wholeAnswer(requestIdOf(request), "good"))};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    for (const char *id : {"r1", "r2"}) {
+        const HttpResponse response = fixture.call(GatewayFixture::request(http::verb::post, "/post/x", id));
+        CHECK(response.result_int() == 200);
+        CHECK(response.body() == "good");
+    }
+}
--- a/tests/unit/httptest.cpp
+++ b/tests/unit/httptest.cpp
@@ -6,11 +6,14 @@
 #include <mimosatally/Http>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 using namespace mimosatally;
 using boost::asio::awaitable;
 using boost::asio::ip::tcp;
@@ -119,3 +122,84 @@
         CHECK(text == "hello");
     });
 }
+
+// Guards against an answer of an endpoint or a platform service whose head ends in its middle and that the agent, or any other user of the client, takes for a
+// whole one with an empty body.
+TEST_CASE("The HTTP client fails if an answer ends within its head", "[http][completeness]")
+{
+    const std::string partial = GENERATE(as<std::string>(),
+                                         "HTTP/1.1 2",
+                                         "HTTP/1.1 200 OK\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Le",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 1",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+                                         "HTTP/1.1 100 Continue\r\n\r\n");
+    const auto streamed = GENERATE(false, true);
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, LOOPBACK);
+    const auto answer = [&]() -> awaitable<void> {
+        tcp::socket socket = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        std::array<char, 1024> request {};
+        co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(partial), boost::asio::use_awaitable);
+    };
+    boost::asio::co_spawn(io, answer(), boost::asio::detached);
+    HttpClient client(io, acceptor.local_endpoint());
+    bool failed = false;
+    bool headSeen = false;
+    runCoroutine(io, [&]() -> awaitable<void> {
+        HttpRequest request = makeHttpRequest(boost::beast::http::verb::get, "/");
+        try {
+            if (streamed) {
+                const HttpClient::HeadHandler onHead = [&headSeen](const auto &) -> awaitable<void> {
+                    headSeen = true;
+                    co_return;
+                };
+                const HttpClient::DataHandler onData = [](std::string_view) -> awaitable<void> {
+                    co_return;
+                };
+                co_await client.stream(std::move(request), Duration(1000), onHead, onData);
+            } else {
+                co_await client.send(std::move(request), Duration(1000));
+            }
+        } catch (const UnreachableError &) {
+            failed = true;
+        }
+    });
+    CHECK(failed);
+    CHECK_FALSE(headSeen);
+}
+
+// Guards against an interim answer that is taken for the final one, so that the final one is left on the connection for the next request.
+TEST_CASE("The HTTP client skips interim answers and gives up after many", "[http][completeness]")
+{
+    const auto interimAnswers = GENERATE(1, 16, 17);
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, LOOPBACK);
+    const auto answer = [&]() -> awaitable<void> {
+        tcp::socket socket = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        std::array<char, 1024> request {};
+        co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+        std::string text;
+        for (int i = 0; i < interimAnswers; ++i) {
+            text += "HTTP/1.1 103 Early Hints\r\n\r\n";
+        }
+        text += "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+        co_await boost::asio::async_write(socket, boost::asio::buffer(text), boost::asio::use_awaitable);
+        co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+    };
+    boost::asio::co_spawn(io, answer(), boost::asio::detached);
+    HttpClient client(io, acceptor.local_endpoint());
+    std::string body;
+    runCoroutine(io, [&]() -> awaitable<void> {
+        try {
+            HttpRequest request = makeHttpRequest(boost::beast::http::verb::get, "/");
+            const HttpResponse response = co_await client.send(std::move(request), Duration(1000));
+            body = response.body();
+        } catch (const UnreachableError &) {
+            body = "failed";
+        }
+    });
+    constexpr int maxInterimAnswers = 16;
+    CHECK(body == (interimAnswers > maxInterimAnswers ? "failed" : "good"));
+}
