Split the suspects, the placement line and the reservation from CallFlow

CallSuspects holds what a call can be blamed for and hashes the request only when it is needed, RequestReservation has a header of its own, and the line of a placement is written where the other lines of a call are. No change of behaviour.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -1,6 +1,8 @@
 #include "callflow.h"
+#include "millisecondstext.h"
 
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace mimosatally::internal
 {
@@ -22,8 +24,59 @@
     fraction.insert(0, 3 - fraction.size(), '0');
     return std::to_string(duration.count() / millisecondsPerSecond) + '.' + fraction;
 }
+
+std::string_view cacheEstimateName(CacheEstimate estimate)
+{
+    switch (estimate) {
+    case CacheEstimate::None:
+        return "none";
+    case CacheEstimate::Sent:
+        return "sent";
+    case CacheEstimate::FleetAffinity:
+        return "fleet-home";
+    case CacheEstimate::RegionAffinity:
+        return "region-home";
+    }
+    return "none";
+}
+
+/// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
+/// its requests of the last four seconds; `-` if the endpoint has no limit.
+std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
+{
+    const std::optional<RequestLimitUse> use = router.requestLimit(endpoint, MilliClock::now());
+    if (!use) {
+        return "-";
+    }
+    std::ostringstream text;
+    text << requestsPerSecond(use->limit) << '/' << use->age.count() << '/' << use->ownPerSecond << '/' << use->prefills + use->runs;
+    return text.str();
+}
 } // namespace
 
+void CallFlow::logPlaced(const EndpointId &endpoint, const Placement &placement)
+{
+    logEvent(LogEvent::GatewayCallPlaced,
+             {{"request", call_.id},
+              {"route", route_.id},
+              {"repeat", route_.retryPolicy == RetryPolicy::Idempotent ? "idempotent" : "once"},
+              {"attempt", attempts_},
+              {"endpoint", endpoint},
+              {"prefill", placement.prefill.value_or(EndpointId("-"))},
+              {"reason", placement.reason},
+              {"predicted_ms", truncatedMs(placement.firstByteMs)},
+              {"queue_ms", truncatedMs(placement.queueMs)},
+              {"prompt", placementRequest_.promptTokens},
+              {"parts", sharedPartsText(placementRequest_.promptParts)},
+              {"cached", placement.cache.tokens},
+              {"cache_belief", cacheEstimateName(placement.cache.estimate)},
+              {"cache_source", placement.cacheSource.value_or(EndpointId("-"))},
+              {"limit", limitText(gateway_.router, endpoint)},
+              {"prefill_limit", limitText(gateway_.router, placement.prefill.value_or(EndpointId()))},
+              {"left_ms", guard_->remainingTime(MilliClock::now())},
+              {"configuration", configuration_->version}});
+}
+
 void CallFlow::logAnswered(const EndpointId &endpoint, const EndpointCall &call)
 {
     const unsigned status = call.answer().status;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -183,7 +183,7 @@
     logAnswered(endpoint, call);
     if (success) {
         const bool isShort = exchange_.request().body().size() <= MAX_REMEMBERED_REQUEST_BYTES;
-        gateway_.crashWatch.recordAnswered(call_.id, isShort ? suspects() : knownSuspects(), MilliClock::now());
+        gateway_.crashWatch.recordAnswered(call_.id, isShort ? suspects_.all() : suspects_.known(), MilliClock::now());
     }
     co_return NextStep::Finished;
 }
@@ -200,7 +200,7 @@
     const bool ended = co_await call.refusesConnection();
     if (ended) {
         crashed_ = true;
-        gateway_.crashWatch.recordCrash(call_.id, record, suspects(), MilliClock::now());
+        gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), MilliClock::now());
     }
 }
 
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -1,10 +1,10 @@
 #include "callflow.h"
 
 #include "admission.h"
-#include "requesthash.h"
+#include "millisecondstext.h"
+#include "requestreservation.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace mimosatally::internal
 {
@@ -18,80 +18,12 @@
 /// \brief An attempt does not time out before this multiple of its predicted time.
 constexpr double ATTEMPT_TIMEOUT_FACTOR = 3;
 
-std::string_view cacheEstimateName(CacheEstimate estimate)
-{
-    switch (estimate) {
-    case CacheEstimate::None:
-        return "none";
-    case CacheEstimate::Sent:
-        return "sent";
-    case CacheEstimate::FleetAffinity:
-        return "fleet-home";
-    case CacheEstimate::RegionAffinity:
-        return "region-home";
-    }
-    return "none";
-}
-
-std::string truncatedMs(double milliseconds)
-{
-    return std::to_string(static_cast<long>(milliseconds));
-}
-
-/// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
-/// its requests of the last four seconds; `-` if the endpoint has no limit.
-std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
-{
-    const std::optional<RequestLimitUse> use = router.requestLimit(endpoint, MilliClock::now());
-    if (!use) {
-        return "-";
-    }
-    std::ostringstream text;
-    text << requestsPerSecond(use->limit) << '/' << use->age.count() << '/' << use->ownPerSecond << '/' << use->prefills + use->runs;
-    return text.str();
-}
-
 /// \brief Time that a call may take: what its caller has stated, up to the timeout of its route.
 Duration timeLimit(const CallRequest &call, const Route &route)
 {
     const Duration limit = call.remainingTime.value_or(route.timeout);
     return route.timeout > Duration(0) ? std::min(limit, route.timeout) : limit;
 }
-
-/// \brief Counts a call against the request limit of its decode engine during the prefill, so that other calls do not use up the limit meanwhile.
-class RequestReservation
-{
-public:
-    RequestReservation(PhaseRouter &router, EndpointId endpoint)
-        : router_(router)
-        , endpoint_(std::move(endpoint))
-        , reservedAt_(MilliClock::now())
-        , active_(router.reserveRequest(endpoint_, reservedAt_))
-    {
-    }
-
-    ~RequestReservation()
-    {
-        end();
-    }
-
-    RequestReservation(const RequestReservation &) = delete;
-    RequestReservation &operator=(const RequestReservation &) = delete;
-
-    void end()
-    {
-        if (active_) {
-            router_.returnRequest(endpoint_, reservedAt_, MilliClock::now());
-            active_ = false;
-        }
-    }
-
-private:
-    PhaseRouter &router_;
-    EndpointId endpoint_;
-    Time reservedAt_;
-    bool active_;
-};
 } // namespace
 
 CallFlow::CallFlow(
@@ -104,11 +36,11 @@
     , arrived_(MilliClock::now())
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
     , activeEntry_(gateway.activeCalls.emplace(arrived_, guard_))
+    , suspects_(gateway.suspects, exchange.request(), call_.promptParts)
 {
+    placementRequest_.promptParts = call_.promptParts;
     placementRequest_.service = chooseService();
     placementRequest_.promptTokens = call_.promptTokens;
-    placementRequest_.promptParts = std::move(call_.promptParts);
-    suspects_ = sharedParts(placementRequest_.promptParts);
 }
 
 CallFlow::~CallFlow()
@@ -136,7 +68,7 @@
 {
     ++gateway_.callsReceived;
     gateway_.retries.recordRequest(placementRequest_.service, arrived_);
-    gateway_.suspects.recordCall(suspects_, arrived_);
+    gateway_.suspects.recordCall(suspects_.parts(), arrived_);
     exchange_.onPeerClosed([weak = std::weak_ptr<CallGuard>(guard_)] {
         if (const auto guard = weak.lock()) {
             guard->callerDisconnected();
@@ -208,23 +140,9 @@
     co_return retry;
 }
 
-const std::vector<SuspectId> &CallFlow::suspects()
-{
-    if (!requestIdentified_) {
-        requestIdentified_ = true;
-        suspects_.push_back(suspectOfRequest(requestHash(exchange_.request(), placementRequest_.promptParts)));
-    }
-    return suspects_;
-}
-
-const std::vector<SuspectId> &CallFlow::knownSuspects()
-{
-    return gateway_.suspects.suspectsRequests() ? suspects() : suspects_;
-}
-
 awaitable<bool> CallFlow::refuseBlocked(Time now)
 {
-    const std::vector<SuspectId> &own = knownSuspects();
+    const std::vector<SuspectId> &own = suspects_.known();
     const bool hasBlocked = gateway_.suspects.isBlocked(own);
     const std::optional<BlockedSuspect> blocked = gateway_.suspects.check(own, now);
     if (!blocked) {
@@ -254,13 +172,13 @@
     co_return false;
 }
 
-bool CallFlow::canRetry(NextStep next)
+bool CallFlow::canRetry(NextStep next) const
 {
     if (attempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
         return false;
     }
     // A repeat could end the next endpoint.
-    if (crashed_ && gateway_.suspects.preventsRepeat(suspects())) {
+    if (crashed_ && gateway_.suspects.preventsRepeat(suspects_.all())) {
         return false;
     }
     if (next == NextStep::RetryOutcomeUnknown && route_.retryPolicy != RetryPolicy::Idempotent) {
@@ -311,25 +229,7 @@
 awaitable<CallFlow::NextStep> CallFlow::attempt(EndpointId endpoint, Placement placement)
 {
     ++attempts_;
-    logEvent(LogEvent::GatewayCallPlaced,
-             {{"request", call_.id},
-              {"route", route_.id},
-              {"repeat", route_.retryPolicy == RetryPolicy::Idempotent ? "idempotent" : "once"},
-              {"attempt", attempts_},
-              {"endpoint", endpoint},
-              {"prefill", placement.prefill.value_or(EndpointId("-"))},
-              {"reason", placement.reason},
-              {"predicted_ms", truncatedMs(placement.firstByteMs)},
-              {"queue_ms", truncatedMs(placement.queueMs)},
-              {"prompt", placementRequest_.promptTokens},
-              {"parts", sharedPartsText(placementRequest_.promptParts)},
-              {"cached", placement.cache.tokens},
-              {"cache_belief", cacheEstimateName(placement.cache.estimate)},
-              {"cache_source", placement.cacheSource.value_or(EndpointId("-"))},
-              {"limit", limitText(gateway_.router, endpoint)},
-              {"prefill_limit", limitText(gateway_.router, placement.prefill.value_or(EndpointId()))},
-              {"left_ms", guard_->remainingTime(MilliClock::now())},
-              {"configuration", configuration_->version}});
+    logPlaced(endpoint, placement);
     const Duration timeout = attemptTimeout(placement.firstByteMs);
     cacheSource_ = addressOf(placement.cacheSource);
     cachedPrefix_ = placement.cache;
@@ -345,7 +245,7 @@
             co_return NextStep::RetryNotRun;
         }
         work = AttemptWork::Run;
-        if (!testsBlocked_ && gateway_.suspects.isBlocked(knownSuspects())) {
+        if (!testsBlocked_ && gateway_.suspects.isBlocked(suspects_.known())) {
             co_return NextStep::RetryNotRun;
         }
         // The prefill may have taken seconds, during which engines can leave, fill up or fail.
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callguard.h"
+#include "callsuspects.h"
 #include "endpointcall.h"
 #include "gatewaystate.h"
 
@@ -54,10 +55,6 @@
     boost::asio::awaitable<bool> placeAndAttempt();
     /// \brief Ends the call if it has something that is blocked because it ends endpoints. \return whether the call has ended.
     boost::asio::awaitable<bool> refuseBlocked(Time now);
-    /// \brief Returns what may be blamed for a crash: the shared parts of the prompt and the request.
-    [[nodiscard]] const std::vector<SuspectId> &suspects();
-    /// \brief Returns the same without the request if no request is suspected, since the hash of a long body takes time.
-    [[nodiscard]] const std::vector<SuspectId> &knownSuspects();
     /// \brief Records a crash if \a endpoint has ended and not only its connection.
     boost::asio::awaitable<void> recordIfCrashed(EndpointCall &call, EndpointId endpoint);
     /// \return whether another placement follows.
@@ -72,7 +69,7 @@
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
     /// \brief Returns whether the rules and limits of the call allow another attempt; the retry budget is not considered.
-    [[nodiscard]] bool canRetry(NextStep next);
+    [[nodiscard]] bool canRetry(NextStep next) const;
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
     [[nodiscard]] bool chargeRetryBudget(const Placement &placement);
     void recordRun();
@@ -84,6 +81,7 @@
     /// \brief Returns the timeout of an attempt that another one can follow. \param predictedMs predicted time to the first byte.
     [[nodiscard]] Duration attemptTimeout(double predictedMs) const;
     [[nodiscard]] ServiceId chooseService();
+    void logPlaced(const EndpointId &endpoint, const Placement &placement);
     void logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
     void logAnswered(const EndpointId &endpoint, const EndpointCall &call);
     void logFailed(unsigned status, const char *reason);
@@ -102,6 +100,7 @@
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, std::weak_ptr<CallGuard>>::iterator activeEntry_;
+    CallSuspects suspects_;
     EventFramer framer_;
     /// \brief Prefix of the prompt that the prefilling engine is expected to have cached or to fetch.
     CachedPrefix cachedPrefix_;
@@ -114,9 +113,6 @@
     bool mayHaveRun_ = false;
     /// \brief An endpoint ended before it sent anything for the call.
     bool crashed_ = false;
-    /// \brief Suspects for the shared parts of the prompt, and after the first call of suspects() for the request.
-    std::vector<SuspectId> suspects_;
-    bool requestIdentified_ = false;
     /// \brief The call tests whether something that is blocked still ends endpoints.
     bool testsBlocked_ = false;
     /// \brief The head of a stream was sent to the caller.
