Forget suspected requests that do not crash again

Sound requests that were in flight at a crash and never come again stayed suspected until 256 others had taken their place. Callers saw nothing of it, but each call was hashed and each heartbeat carried their notices for good.

Found by reading the change again. A request that is not blocked is now suspected for ten minutes after its last crash and announced for ten seconds. The new unit test states both; it was not run on the code before.

--- a/include/mimosatally/routing/crashsuspects.h
+++ b/include/mimosatally/routing/crashsuspects.h
@@ -103,6 +103,10 @@
     static constexpr std::size_t MAX_CRASHES_PER_SUSPECT = 8;
     /// \brief Time for which an answer clears a part; a new version of a model may crash on a part that was sound before.
     static constexpr Duration CLEARED_TIME = std::chrono::minutes(5);
+    /// \brief Time after its last crash for which a request that is not blocked is suspected; most that ended with an endpoint are sound and never come again.
+    static constexpr Duration SUSPICION_TIME = std::chrono::minutes(10);
+    /// \brief Time after its last crash for which such a request is told to the other processes, several heartbeats.
+    static constexpr Duration ANNOUNCE_SUSPECT_TIME = std::chrono::seconds(10);
     static constexpr Duration FIRST_PROBE_INTERVAL = std::chrono::seconds(30);
     static constexpr Duration MAX_PROBE_INTERVAL = std::chrono::hours(1);
 
@@ -118,7 +122,8 @@
     /// \brief Records that an endpoint crashed before it sent anything for a call with \a suspects. \return those that are blocked now and were not before.
     std::vector<SuspectId> recordCrash(CrashId crash, std::span<const SuspectId> suspects, Time now);
 
-    /// \brief Blocks requests whose evidence has settled; to be called several times a second. \return those that are blocked now and were not before.
+    /// \brief Forgets requests that were suspected long ago, and blocks those whose evidence has settled; to be called several times a second. \return those
+    /// that are blocked now and were not before.
     std::vector<SuspectId> decide(Time now);
 
     /// \brief Returns what a call with \a suspects is refused for; empty if it may be sent. Starts a test call when it is due.
@@ -173,6 +178,7 @@
 
     Entry &entryOf(SuspectId suspect, Time now);
     [[nodiscard]] static bool isCleared(const Entry &entry, Time now);
+    void forgetOldSuspicions(Time now);
     void rememberAnswered(SuspectId request, Time now);
     [[nodiscard]] bool wasAnswered(SuspectId request, Time now) const;
     bool addCrashes(SuspectId suspect, std::span<const CrashId> crashes, Time now);
--- a/src/routing/crashsuspects.cpp
+++ b/src/routing/crashsuspects.cpp
@@ -248,7 +248,23 @@
 
 std::vector<SuspectId> CrashSuspects::decide(Time now)
 {
-    return suspectsRequests() ? blockReached(now) : std::vector<SuspectId>();
+    if (!suspectsRequests()) {
+        return {};
+    }
+    forgetOldSuspicions(now);
+    return blockReached(now);
+}
+
+void CrashSuspects::forgetOldSuspicions(Time now)
+{
+    std::erase_if(suspects_, [this, now](SuspectId suspect) {
+        Entry &entry = entries_.at(suspect);
+        const bool forgotten = isRequestSuspect(suspect) && !entry.blocked && now - entry.lastCrash >= SUSPICION_TIME;
+        if (forgotten) {
+            entry.crashes.clear();
+        }
+        return forgotten;
+    });
 }
 
 std::vector<SuspectId> CrashSuspects::blockReached(Time now)
@@ -357,6 +373,9 @@
     std::vector<SuspectNotice> result;
     for (const SuspectId suspect : order) {
         const Entry &entry = entries_.at(suspect);
+        if (isRequestSuspect(suspect) && !entry.blocked && now - entry.lastCrash >= ANNOUNCE_SUSPECT_TIME) {
+            continue;
+        }
         SuspectNotice notice;
         notice.suspect = suspect;
         notice.state = entry.blocked ? SuspectNotice::State::Blocked : SuspectNotice::State::Suspect;
--- a/tests/unit/crashsuspectstest.cpp
+++ b/tests/unit/crashsuspectstest.cpp
@@ -178,6 +178,31 @@
     CHECK_FALSE(suspects.check(plain(BAD), START));
 }
 
+// Guards against calls that are hashed and notices that are sent for good, because sound requests that were in flight at a crash never come again.
+TEST_CASE("A request that does not crash again is announced for seconds and suspected for minutes", "[crash]")
+{
+    constexpr std::size_t maxNotices = 8;
+    CrashSuspects suspects(0);
+    suspects.recordCrash(1, plain(FIRST), START);
+    CHECK(suspects.notices(maxNotices, START).size() == 1);
+    const Time announced = START + CrashSuspects::ANNOUNCE_SUSPECT_TIME;
+    CHECK(suspects.notices(maxNotices, announced).empty());
+    suspects.decide(announced);
+    CHECK(suspects.suspectsRequests());
+    suspects.decide(START + CrashSuspects::SUSPICION_TIME);
+    CHECK_FALSE(suspects.suspectsRequests());
+    SECTION("a blocked one is kept and announced")
+    {
+        for (CrashId crash = 1; crash <= 3; ++crash) {
+            suspects.recordCrash(crash, plain(BAD), START);
+        }
+        const Time later = START + CrashSuspects::SUSPICION_TIME;
+        suspects.decide(later);
+        CHECK(suspects.isBlocked(plain(BAD)));
+        CHECK(suspects.notices(maxNotices, later).size() == 1);
+    }
+}
+
 // Guards against a sound request that is refused because its caller repeated it as quickly as the bad one and it was in flight at the same crashes, whichever
 // of the two is recorded first.
 TEST_CASE("Requests with the same crashes are told apart by a further one, or all blocked", "[crash]")
