Bound the bytes of endpoints' answers that a gateway holds

Callers saw: a faulty endpoint answers with bytes without end where the length of a chunk, its extension or a trailer is due. The gateway keeps all of them until the time of the call is over, exceeds its memory and is ended, and the calls of all other callers on it end without an answer.

Cause: EndpointConnection::buffer, into which Beast reads until a chunk's length or a trailer is complete, had no limit. The limits on heads, bodies and events are never reached there, since no byte of a body is returned meanwhile. On related paths the bounds were one for each call and none for all of them: 16 MB of a plain answer or a partial event, times the calls at once. A body of another request was skipped up to the deadline, and a prefill's handle could have 16 MB. Ruled out as causes: heads and interim answers (64 KB, three), which passed the new test with the old program.

Change: ReceiveBuffer limits what is read and not parsed to 72 KB. ByteBudget counts buffers, plain bodies and partial events of all calls, a quarter of the new setting memory_limit_mb; beyond it the answer that holds the most ends, so a small answer beside it is delivered. Skipped answers may have 1 MB, handles 64 KB. The attempt fails when the bound is reached and not at the deadline, as a failure of the endpoint, with ended=over-limit and a counter. The loops that read a plain answer and a handle are one function, EndpointCall::readAll().

--- a/include/mimosatally/gateway/gatewaysettings.h
+++ b/include/mimosatally/gateway/gatewaysettings.h
@@ -44,6 +44,8 @@
     /// \brief Fraction of a service's engines that are assigned to prefill; fewer if the others would have too few slots for decode.
     double prefillShare = 0.625;
     std::size_t maxConnections = 3000;
+    /// \brief Memory that the process may occupy, in bytes; what answers and requests may hold together is a part of it.
+    std::size_t memoryLimit = std::size_t(256) * 1024 * 1024;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/include/mimosatally/http/bodyend.h
+++ b/include/mimosatally/http/bodyend.h
@@ -27,6 +27,8 @@
     ConnectionReset,
     /// \brief This process closed the connection: the caller left or a deadline passed.
     Stopped,
+    /// \brief The peer sent more bytes than a limit of this process allows.
+    OverLimit,
     /// \brief The bytes do not follow the protocol, or reading failed in another way.
     Failed,
 };
--- a/include/mimosatally/http/eventframer.h
+++ b/include/mimosatally/http/eventframer.h
@@ -39,6 +39,9 @@
     /// \brief Returns the number of bytes after the last complete event.
     [[nodiscard]] std::size_t partialBytes() const;
 
+    /// \brief Returns the number of bytes that are kept: those after the last complete event, and the ids.
+    [[nodiscard]] std::size_t heldBytes() const;
+
     /// \brief Returns the id of the last event that was taken; empty if the events have none.
     [[nodiscard]] const std::string &lastEventId() const;
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned STATUS_SERVER_ERROR = 500;
 /// \brief Size limit of an answer that is buffered until it is complete.
 constexpr std::size_t MAX_BUFFERED_ANSWER_BYTES = std::size_t(16) * 1024 * 1024;
+/// \brief Size limit of a prefill's answer, whose handle is sent on in a field of the next request.
+constexpr std::size_t MAX_PREFILL_ANSWER_BYTES = std::size_t(64) * 1024;
 /// \brief Answered requests with a longer body are not remembered as sound, since their hash would take more than some tens of microseconds.
 constexpr std::size_t MAX_REMEMBERED_REQUEST_BYTES = std::size_t(32) * 1024;
 
@@ -59,14 +61,13 @@
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     const AttemptPlan plan {endpoint, AttemptWork::Prefill, cachedPrefix_};
     RouterAttempt routerAttempt(gateway_.router, plan, placementRequest_);
-    EndpointCall call(gateway_.connections, *guard_);
+    EndpointCall call(gateway_.connections, *guard_, gateway_.answerBytes);
     const Time attemptDeadline = MilliClock::now() + timeout;
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedPrefills_ += progress == CallProgress::NotConnected ? 0 : 1;
     std::string body;
-    while (progress == CallProgress::HeadReceived && !call.hasEnded() && body.size() <= MAX_BUFFERED_ANSWER_BYTES) {
-        const std::string_view data = co_await call.read();
-        body.append(data);
+    if (progress == CallProgress::HeadReceived) {
+        body = co_await call.readAll(MAX_PREFILL_ANSWER_BYTES);
     }
     const Time now = MilliClock::now();
     if (progress == CallProgress::HeadReceived) {
@@ -112,7 +113,7 @@
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     const AttemptPlan plan {endpoint, work, cachedPrefix_, source};
     RouterAttempt routerAttempt(gateway_.router, plan, placementRequest_);
-    EndpointCall call(gateway_.connections, *guard_);
+    EndpointCall call(gateway_.connections, *guard_, gateway_.answerBytes);
     const bool canRepeat = route_.retryPolicy == RetryPolicy::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time attemptDeadline = canRepeat ? MilliClock::now() + timeout : guard_->deadline();
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
@@ -240,18 +241,14 @@
               {"prefill_ms", prefillTime_},
               {"after_ms", MilliClock::now() - arrived_}});
     gateway_.metrics.increment("mimosatally_attempts_failed_total", std::string("phase=\"") + phase + '"');
+    if (call.bodyEnd() == BodyEnd::OverLimit) {
+        gateway_.metrics.increment("mimosatally_answers_over_limit_total", std::string("phase=\"") + phase + '"');
+    }
 }
 
 awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call)
 {
-    std::string body;
-    while (!call.hasEnded()) {
-        const std::string_view data = co_await call.read();
-        body.append(data);
-        if (body.size() > MAX_BUFFERED_ANSWER_BYTES) {
-            co_return false;
-        }
-    }
+    std::string body = co_await call.readAll(MAX_BUFFERED_ANSWER_BYTES);
     const bool whole = co_await call.confirmWhole(ContentEnd::Opaque);
     if (!whole) {
         co_return false;
@@ -267,10 +264,11 @@
 
 awaitable<bool> CallFlow::deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket)
 {
-    while (!call.hasEnded() && !framer_.repeatsEvents() && framer_.partialBytes() <= MAX_BUFFERED_ANSWER_BYTES) {
+    while (!call.hasEnded() && !framer_.repeatsEvents()) {
         const std::string_view data = co_await call.read();
         framer_.append(data);
         std::string events = framer_.takeCompleteEvents();
+        call.hold(framer_.heldBytes(), MAX_BUFFERED_ANSWER_BYTES);
         if (!events.empty()) {
             gateway_.router.recordFirstByte(ticket, MilliClock::now());
             co_await writeEvents(call, std::move(events));
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -66,7 +66,9 @@
         return;
     }
     connection->expiresAt = now + idleTimeout;
+    connection->buffer.onGrown({});
     connection->buffer.clear();
+    connection->buffer.trim();
     idle.push_back(std::move(connection));
 }
 
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <mimosatally/Core>
+#include <mimosatally/Http>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <memory>
@@ -13,13 +14,18 @@
 namespace mimosatally::internal
 {
 
+/// \brief Largest head of an answer, in bytes.
+constexpr std::size_t MAX_ANSWER_HEADER_BYTES = std::size_t(64) * 1024;
+/// \brief Largest head, length of a chunk with its extension, or trailer that is received before it is complete, in bytes.
+constexpr std::size_t MAX_ANSWER_FRAMING_BYTES = MAX_ANSWER_HEADER_BYTES + std::size_t(8) * 1024;
+
 /// \brief One connection to an endpoint; serves one call at a time.
 struct EndpointConnection {
     EndpointConnection(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint peer);
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::ip::tcp::endpoint address;
-    boost::beast::flat_buffer buffer;
+    ReceiveBuffer buffer {MAX_ANSWER_FRAMING_BYTES};
     /// \brief Time from which an idle connection is not reused.
     Time expiresAt;
     bool reused = false;
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -21,14 +21,18 @@
 constexpr Duration CONNECT_TIMEOUT = Duration(500);
 /// \brief Number of answers to other requests that are skipped before the attempt fails.
 constexpr int MAX_SKIPPED_ANSWERS = 3;
-constexpr std::size_t MAX_HEADER_BYTES = std::size_t(64) * 1024;
+/// \brief Size limit of an answer to another request, which is skipped to reach the right one; beyond it a new connection costs less.
+constexpr std::size_t MAX_SKIPPED_BYTES = std::size_t(1024) * 1024;
 constexpr unsigned FIRST_SUCCESS_STATUS = 200;
 constexpr unsigned FIRST_REDIRECT_STATUS = 300;
 } // namespace
 
-EndpointCall::EndpointCall(ConnectionPool &pool, CallGuard &guard)
+EndpointCall::EndpointCall(ConnectionPool &pool, CallGuard &guard, ByteBudget &budget)
     : pool_(pool)
     , guard_(guard)
+    , reservation_(budget, [this] {
+        revoke();
+    })
 {
 }
 
@@ -58,6 +62,9 @@
 {
     const Time now = MilliClock::now();
     connection_ = pool_.take(address, now);
+    connection_->buffer.onGrown([this] {
+        updateReservation();
+    });
     if (connection_->reused) {
         guard_.beginAttempt(connection_->socket, attemptDeadline);
         co_return guard_.stopReason() == StopReason::None;
@@ -108,7 +115,7 @@
 awaitable<bool> EndpointCall::readOneHead()
 {
     parser_ = std::make_unique<Parser>();
-    parser_->header_limit(MAX_HEADER_BYTES);
+    parser_->header_limit(MAX_ANSWER_HEADER_BYTES);
     // The answer to HEAD has no body, whatever length it states.
     parser_->skip(headRequest_);
     // Without a body limit, Beast 1.74 rejects every Content-Length as too long.
@@ -131,8 +138,11 @@
     const bool endsWithConnection = parser_->need_eof();
     while (!endsWithConnection && !complete_ && !broken_) {
         co_await read();
+        if (bodyBytes_ > MAX_SKIPPED_BYTES) {
+            failOverLimit("answer to another request is too large to skip");
+        }
     }
-    co_return complete_ && !endsWithConnection && connection_ != nullptr;
+    co_return complete_ && !broken_ && !endsWithConnection && connection_ != nullptr;
 }
 
 awaitable<std::string_view> EndpointCall::read()
@@ -153,6 +163,41 @@
     co_return std::string_view(data_.data(), count);
 }
 
+awaitable<std::string> EndpointCall::readAll(std::size_t maxBytes)
+{
+    std::string body;
+    while (!hasEnded()) {
+        const std::string_view data = co_await read();
+        body.append(data);
+        hold(body.size(), maxBytes);
+    }
+    co_return body;
+}
+
+void EndpointCall::hold(std::size_t bytes, std::size_t maxBytes)
+{
+    if (bytes > maxBytes) {
+        failOverLimit("answer holds more than " + std::to_string(maxBytes) + " bytes");
+        return;
+    }
+    keptBytes_ = bytes;
+    updateReservation();
+}
+
+void EndpointCall::updateReservation()
+{
+    reservation_.hold(keptBytes_ + (connection_ ? connection_->buffer.capacity() : 0));
+}
+
+void EndpointCall::revoke()
+{
+    failOverLimit("all answers together hold too many bytes, and this one the most");
+    if (connection_) {
+        boost::system::error_code ignored;
+        connection_->socket.close(ignored);
+    }
+}
+
 bool EndpointCall::hasEnded() const
 {
     return complete_ || broken_;
@@ -162,6 +207,7 @@
 {
     switch (completenessOf(framing_, bodyEnd_, content)) {
     case Completeness::Whole:
+        reservation_.setRevocable(false);
         proof_ = framing_ == BodyFraming::ConnectionEnd ? "content" : "framing";
         co_return true;
     case Completeness::CutOff:
@@ -172,6 +218,7 @@
         const bool alive = !error;
         // An endpoint that has announced that it leaves may exit after its last answer.
         if (alive || answer_.leaving) {
+            reservation_.setRevocable(false);
             proof_ = alive ? "endpoint-accepts" : "endpoint-leaves";
             co_return true;
         }
@@ -253,8 +300,19 @@
 
 void EndpointCall::fail(const char *step, const boost::system::error_code &error)
 {
+    broken_ = true;
+    if (reservation_.isRevoked()) {
+        // The read failed because revoke() closed the connection.
+        return;
+    }
     failure_ = std::string(step) + ": " + error.message();
     bodyEnd_ = bodyEndAfter(error);
+}
+
+void EndpointCall::failOverLimit(std::string failure)
+{
+    failure_ = std::move(failure);
+    bodyEnd_ = BodyEnd::OverLimit;
     broken_ = true;
 }
 
@@ -264,12 +322,14 @@
         return;
     }
     guard_.endAttempt();
+    connection_->buffer.onGrown({});
     // Bytes after a complete answer belong to no request, so such a connection is not reused.
     const bool reusable = complete_ && !broken_ && parser_->get().keep_alive() && !parser_->need_eof() && connection_->buffer.size() == 0;
     if (reusable) {
         pool_.put(std::move(connection_), answer_.keepAlive, MilliClock::now());
     }
     connection_.reset();
+    updateReservation();
 }
 
 } // namespace mimosatally::internal
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -34,7 +34,8 @@
 class EndpointCall
 {
 public:
-    EndpointCall(ConnectionPool &pool, CallGuard &guard);
+    /// \param budget counts the bytes that this call holds; if they have to be freed, the call ends as one whose answer is over a limit.
+    EndpointCall(ConnectionPool &pool, CallGuard &guard, ByteBudget &budget);
     ~EndpointCall();
     EndpointCall(const EndpointCall &) = delete;
     EndpointCall &operator=(const EndpointCall &) = delete;
@@ -46,6 +47,12 @@
     /// ended.
     boost::asio::awaitable<std::string_view> read();
 
+    /// \brief Reads the rest of the body. Ends the attempt if the body is larger than \a maxBytes; hasEnded() is then true and confirmWhole() fails.
+    boost::asio::awaitable<std::string> readAll(std::size_t maxBytes);
+
+    /// \brief Counts \a bytes of the body that the caller of read() keeps, and ends the attempt if they are more than \a maxBytes.
+    void hold(std::size_t bytes, std::size_t maxBytes);
+
     /// \brief Ends the attempt; keeps the connection if the answer is complete.
     void release();
 
@@ -84,9 +91,16 @@
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
+    void failOverLimit(std::string failure);
+    void updateReservation();
+    /// \brief Frees the bytes of this call because all calls together hold too many.
+    void revoke();
 
     ConnectionPool &pool_;
     CallGuard &guard_;
+    ByteReservation reservation_;
+    /// \brief Bytes of the body that the caller of read() keeps.
+    std::size_t keptBytes_ = 0;
     std::unique_ptr<EndpointConnection> connection_;
     std::unique_ptr<Parser> parser_;
     EndpointAnswer answer_;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -263,6 +263,9 @@
         metrics.set("mimosatally_active_calls", {}, static_cast<double>(callerServer_.activeExchanges()));
         metrics.set("mimosatally_caller_connections", {}, static_cast<double>(callerServer_.connections()));
         metrics.set("mimosatally_idle_endpoint_connections", {}, static_cast<double>(gateway_.connections.idleConnections()));
+        metrics.set("mimosatally_answer_bytes_held", {}, static_cast<double>(gateway_.answerBytes.heldBytes()));
+        metrics.set("mimosatally_answer_bytes_held_peak", {}, static_cast<double>(gateway_.answerBytes.peakBytes()));
+        metrics.set("mimosatally_answers_revoked", {}, static_cast<double>(gateway_.answerBytes.revocations()));
         metrics.set("mimosatally_endpoints", {}, static_cast<double>(gateway_.registry.endpoints().size()));
         metrics.set("mimosatally_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
         HttpResponse response = makeHttpResponse(STATUS_OK, "text/plain; version=0.0.4", metrics.exposition());
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -12,6 +12,10 @@
 const std::vector<std::string> LOG_LEVELS = {"debug", "info", "warning", "error"};
 constexpr std::int64_t MAX_CONNECTIONS = 60'000;
 constexpr double MAX_RETRY_SLACK = 1'000'000;
+constexpr std::int64_t BYTES_PER_MEGABYTE = std::int64_t(1024) * 1024;
+/// \brief Smallest memory limit; the program itself occupies some 15 MB.
+constexpr std::int64_t MIN_MEMORY_LIMIT_MB = 64;
+constexpr std::int64_t MAX_MEMORY_LIMIT_MB = std::int64_t(1024) * 1024;
 
 /// \brief Returns an address that may be missing or empty; platforms write an empty string for what an instance does not have.
 std::string optionalAddress(TomlTable &root, const std::string &key)
@@ -61,6 +65,9 @@
     result.retryWindow = root.fractionalDuration("retry_window", result.retryWindow);
     result.prefillShare = numberUpTo(root, "prefill_share", result.prefillShare, 1);
     result.maxConnections = static_cast<std::size_t>(root.integer("max_connections", static_cast<std::int64_t>(result.maxConnections), 1, MAX_CONNECTIONS));
+    const auto defaultMemoryMb = static_cast<std::int64_t>(result.memoryLimit) / BYTES_PER_MEGABYTE;
+    result.memoryLimit =
+        static_cast<std::size_t>(root.integer("memory_limit_mb", defaultMemoryMb, MIN_MEMORY_LIMIT_MB, MAX_MEMORY_LIMIT_MB) * BYTES_PER_MEGABYTE);
     result.logLevel = static_cast<LogLevel>(root.choice("log_level", LOG_LEVELS, static_cast<std::size_t>(result.logLevel)));
     readRegions(root, result);
 }
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -15,6 +15,8 @@
 constexpr int RETRY_LIFETIMES_PER_WINDOW = 4;
 /// \brief Each gateway uses only this fraction of the ratio, since a gateway that failed has used part of the window's budget.
 constexpr double RATIO_MARGIN = 0.75;
+/// \brief Fraction of the memory limit that answers may hold. A string that grows occupies up to three times its size while it moves.
+constexpr std::size_t ANSWERS_PER_MEMORY = 4;
 
 RetryAllowance allowanceOf(const GatewaySettings &settings)
 {
@@ -49,6 +51,7 @@
     , crashWatch(suspects, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
+    , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
     , random_(seedOf(processSettings))
 {
 }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -62,6 +62,8 @@
     CrashWatch crashWatch;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
+    /// \brief Bytes of endpoints' answers that all calls hold together.
+    ByteBudget answerBytes;
     /// \brief Set by the signal that stops the process.
     bool stopping = false;
     /// \brief Latest end of a stopping process, and the time from which calls that could last longer are refused.
--- a/src/http/bodyend.cpp
+++ b/src/http/bodyend.cpp
@@ -20,6 +20,9 @@
     if (error == boost::asio::error::operation_aborted || error == boost::asio::error::bad_descriptor) {
         return BodyEnd::Stopped;
     }
+    if (error == http::error::buffer_overflow || error == http::error::header_limit || error == http::error::body_limit) {
+        return BodyEnd::OverLimit;
+    }
     return BodyEnd::Failed;
 }
 
@@ -51,6 +54,8 @@
         return "reset";
     case BodyEnd::Stopped:
         return "stopped";
+    case BodyEnd::OverLimit:
+        return "over-limit";
     case BodyEnd::Failed:
         return "failed";
     }
--- a/src/http/eventframer.cpp
+++ b/src/http/eventframer.cpp
@@ -146,6 +146,11 @@
     return pending_.size();
 }
 
+std::size_t EventFramer::heldBytes() const
+{
+    return pending_.size() + event_.id.size() + lastEventId_.size();
+}
+
 const std::string &EventFramer::lastEventId() const
 {
     return lastEventId_;
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -37,8 +37,13 @@
         AwaitClose,
         /// \brief Closes all connections normally and stops accepting new ones, as the end of the process does.
         Crash,
+        /// \brief Repeats the bytes until the gateway closes the connection, up to FLOOD_BYTES, and then waits for the close.
+        Flood,
     };
 
+    /// \brief Bounds what a gateway without limits would keep, so that a test that fails does not exhaust the machine.
+    static constexpr std::size_t FLOOD_BYTES = std::size_t(24) * 1024 * 1024;
+
     Kind kind = Kind::Bytes;
     std::string bytes;
     int milliseconds = 0;
@@ -134,7 +139,12 @@
             co_await timer.async_wait(boost::asio::use_awaitable);
             co_return true;
         }
-        if (step.kind == AnswerStep::Kind::AwaitClose) {
+        if (step.kind == AnswerStep::Kind::Flood) {
+            for (std::size_t sent = 0; sent < AnswerStep::FLOOD_BYTES && !error; sent += step.bytes.size()) {
+                co_await boost::asio::async_write(socket, boost::asio::buffer(step.bytes), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            }
+        }
+        if (step.kind == AnswerStep::Kind::AwaitClose || step.kind == AnswerStep::Kind::Flood) {
             char byte = 0;
             co_await socket.async_read_some(boost::asio::buffer(&byte, 1), boost::asio::redirect_error(boost::asio::use_awaitable, error));
             ++abandoned_;
@@ -246,6 +256,17 @@
     return {AnswerStep::Kind::Bytes, text, 0};
 }
 
+/// \brief Sends \a unit without end.
+inline AnswerStep flooding(const std::string &unit)
+{
+    constexpr std::size_t writeBytes = std::size_t(32) * 1024;
+    std::string block;
+    while (block.size() < writeBytes) {
+        block += unit;
+    }
+    return {AnswerStep::Kind::Flood, block, 0};
+}
+
 inline AnswerStep pauseFor(int milliseconds)
 {
     return {AnswerStep::Kind::Pause, {}, milliseconds};
