--- a/src/agent/dispatch.cpp
+++ b/src/agent/dispatch.cpp
@@ -142,6 +142,9 @@
     if (eventStream_) {
         framer_.append(data);
         framer_.takeCompleteEvents();
+        if (framer_.heldBytes() > MAX_BUFFERED_BYTES) {
+            throw UnreachableError("an event of the answer is larger than " + std::to_string(MAX_BUFFERED_BYTES) + " bytes");
+        }
     }
     if (buffering_ && buffer_.size() + data.size() <= MAX_BUFFERED_BYTES) {
         buffer_.append(data);
--- a/src/entry/answerrelay.cpp
+++ b/src/entry/answerrelay.cpp
@@ -119,6 +119,10 @@
     if (eventStream_) {
         framer_.append(data);
         const std::string events = framer_.takeCompleteEvents();
+        if (framer_.heldBytes() > MAX_BUFFERED_BYTES) {
+            failed_ = true;
+            throw MalformedInputError("an event of the answer is larger than " + std::to_string(MAX_BUFFERED_BYTES) + " bytes");
+        }
         if (!events.empty()) {
             co_await relay(events);
         }
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -14,6 +14,8 @@
 constexpr Duration RENEWAL_INTERVAL = Duration(1000);
 constexpr Duration STORE_TIMEOUT = Duration(800);
 constexpr Duration ORDER_TIMEOUT = Duration(1000);
+/// \brief Largest report or answer of an engine, a JSON object of some hundred bytes.
+constexpr std::size_t MAX_ENGINE_ANSWER_BYTES = std::size_t(64) * 1024;
 /// \brief Time for an order to reach its engine before the lease expires.
 constexpr Duration LEASE_MARGIN = Duration(500);
 /// \brief Generations of one era; the era takes the bits above.
@@ -159,7 +161,9 @@
         balancer.recordRejection(change.engine, MilliClock::now());
         co_return;
     }
-    HttpClient client(gateway_.io, record->second.address);
+    HttpClient::Options options;
+    options.maxResponseBytes = MAX_ENGINE_ANSWER_BYTES;
+    HttpClient client(gateway_.io, record->second.address, options);
     std::string result;
     bool accepted = false;
     try {
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -24,6 +24,8 @@
 namespace
 {
 constexpr std::size_t STREAM_BUFFER_BYTES = std::size_t(16) * 1024;
+/// \brief Largest head, length of a chunk with its extension, or trailer; also the largest single read.
+constexpr std::size_t MAX_FRAMING_BYTES = std::size_t(64) * 1024;
 /// \brief Interim answers before the final one that are skipped; a server can send them without end.
 constexpr int MAX_INTERIM_ANSWERS = 16;
 
@@ -137,7 +139,7 @@
     if (error) {
         throwUnreachable(server_, error);
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(MAX_FRAMING_BYTES);
     std::unique_ptr<http::response_parser<http::string_body>> parser;
     error = co_await readFinalHead(*stream, buffer, parser, options_.maxResponseBytes);
     if (!error) {
@@ -163,7 +165,7 @@
     if (error) {
         throwUnreachable(server_, error);
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(MAX_FRAMING_BYTES);
     std::unique_ptr<http::response_parser<http::buffer_body>> finalParser;
     // Without a body limit, Beast 1.74 rejects every response with a Content-Length as too long.
     error = co_await readFinalHead(*stream, buffer, finalParser, std::numeric_limits<std::uint64_t>::max());
--- a/tests/unit/answerrelaytest.cpp
+++ b/tests/unit/answerrelaytest.cpp
@@ -54,3 +54,34 @@
     CHECK(answer.find("event: error\ndata: {}\n\n") != std::string::npos);
     CHECK(answer.find("unfinished") == std::string::npos);
 }
+
+// Guards against an entry that keeps an event without end until it runs out of memory.
+TEST_CASE("A relayed event that is larger than an answer that is buffered is rejected", "[entry][bounds]")
+{
+    boost::asio::io_context io;
+    bool rejected = false;
+    HttpServer server(io, parseAddress("127.0.0.1:0"), HttpLimits(), [&](HttpExchange &exchange) -> awaitable<void> {
+        AnswerRelay relay(io, exchange, [](HttpResponse &) {});
+        const int attempt = relay.startAttempt();
+        relay.begin(attempt, 200, "text/event-stream");
+        std::int64_t position = 0;
+        constexpr int pieces = 64;
+        for (int i = 0; i < pieces && !rejected; ++i) {
+            std::string piece(AnswerRelay::MAX_BUFFERED_BYTES / 16, 'x');
+            const auto size = static_cast<std::int64_t>(piece.size());
+            try {
+                co_await relay.chunk(attempt, position, std::move(piece));
+            } catch (const MalformedInputError &) {
+                rejected = true;
+            }
+            position += size;
+        }
+        co_await relay.close();
+        co_await relay.fail("{}");
+    });
+    boost::asio::co_spawn(io, readAnswer(io, server.address()), [&io](const std::exception_ptr &, const std::string &) {
+        io.stop();
+    });
+    io.run_for(std::chrono::seconds(10));
+    CHECK(rejected);
+}
--- a/tests/unit/httpboundstest.cpp
+++ b/tests/unit/httpboundstest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 using namespace mimosatally;
 using boost::asio::awaitable;
@@ -182,3 +184,70 @@
         CHECK(answers.ends_with("\r\n\r\n" + std::to_string(size)));
     });
 }
+
+namespace
+{
+/// \brief Accepts one connection, sends \a prefix and then \a unit without end. \return the number of bytes sent after the prefix.
+awaitable<std::size_t> answerWithoutEnd(tcp::acceptor &acceptor, std::string prefix, std::string unit)
+{
+    tcp::socket socket = co_await acceptor.async_accept(use_awaitable);
+    std::string request;
+    co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", use_awaitable);
+    boost::system::error_code error;
+    co_await boost::asio::async_write(socket, boost::asio::buffer(prefix), redirect_error(use_awaitable, error));
+    const std::size_t sent = co_await flood(socket, unit);
+    co_return sent;
+}
+} // namespace
+
+// Guards against a process that keeps bytes without end of an engine, of the store or of the log service until it runs out of memory: heads and bodies had a
+// limit, the framing between them had none.
+TEST_CASE("The HTTP client ends an answer whose framing has no end", "[http][bounds]")
+{
+    const std::string framing = GENERATE(as<std::string>(),
+                                         "X: ",
+                                         "Transfer-Encoding: chunked\r\n\r\n",
+                                         "Transfer-Encoding: chunked\r\n\r\n5;name=",
+                                         "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ");
+    const std::string prefix = "HTTP/1.1 200 OK\r\n" + framing;
+    const auto streamed = GENERATE(false, true);
+    CAPTURE(prefix, streamed);
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, LOOPBACK);
+    std::optional<std::size_t> sent;
+    boost::asio::co_spawn(
+        io,
+        [&]() -> awaitable<void> {
+            sent = co_await answerWithoutEnd(acceptor, prefix, "x");
+        },
+        boost::asio::detached);
+    HttpClient client(io, acceptor.local_endpoint());
+    bool failed = false;
+    runCoroutine(io, [&]() -> awaitable<void> {
+        try {
+            if (streamed) {
+                co_await client.stream(
+                    makeHttpRequest(boost::beast::http::verb::get, "/"),
+                    Duration(5000),
+                    [](const HttpResponse &) -> awaitable<void> {
+                        co_return;
+                    },
+                    [](std::string_view) -> awaitable<void> {
+                        co_return;
+                    });
+            } else {
+                co_await client.send(makeHttpRequest(boost::beast::http::verb::get, "/"), Duration(5000));
+            }
+        } catch (const UnreachableError &) {
+            failed = true;
+        }
+        while (!sent) {
+            boost::asio::steady_timer timer(io, std::chrono::milliseconds(5));
+            co_await timer.async_wait(use_awaitable);
+        }
+    });
+    CHECK(failed);
+    // What the kernel's buffers of both sides take, and the limit of the client.
+    constexpr std::size_t takenAtMost = 12 * MEGABYTE;
+    CHECK(*sent < takenAtMost);
+}
--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -280,4 +280,7 @@
     CHECK(outcomeOf("ended", "data: a\n\n", true) == OutcomeKind::Unknown);
     CHECK(outcomeOf("alive", "data: a\n\n", false) == OutcomeKind::Answered);
     CHECK(outcomeOf("mark", "data: a\n\ndata: [DONE]\n\n", true) == OutcomeKind::Answered);
+    // An event without end would otherwise be kept until the memory is exhausted.
+    constexpr std::size_t longEvent = std::size_t(8) * 1024 * 1024;
+    CHECK(outcomeOf("long", "data: " + std::string(longEvent, 'x') + "\n\ndata: [DONE]\n\n", false) == OutcomeKind::Unknown);
 }
