Count crashes of endpoints within their answers

Callers saw: a part of prompts crashes each engine right after the first event of its answer. Requests with the part go on to reach engines, nearly all of which are down, and sound requests get no answer.

Cause: CallFlow::deliver() recorded a crash only if no event of the answer had been taken. This kept long sound streams, which are in flight at any crash, from being blamed; nothing else did. On related paths: a prefill that broke off within its answer was not recorded; an answer that was resumed behind the crash cleared its suspects; what a notice said to be blocked did not explain the crashes of other suspects; marks on parts lasted until an answer and added up on rare ones; a sound request that its caller repeats could be blocked for the crashes of a part of other prompts.

Change: each crash up to two seconds after the first byte counts. CrashEvidence keeps sound streams from being blamed: crashes count together only at about the same position of the answer, and simultaneous ones once. Parts of different prompts are rivals for the crashes that they share: the one with more is blamed, and those with the same number wait for a crash that tells them apart. A stream of which the caller has events is resumed until its part has three crashes. The line of a crash names its position.

Evidence: "... after their first event no longer reach them" and "... within a later event no longer reach them" with the old program: 11 requests with the part later than contactMs (3 allowed); now 0, with 5 first, in both. Command: gateway_tests "[crash]"; unit_tests "[crash],[peers],[platform]" Result: all 149 checks of 6 gateway tests pass; 5,243 of 5,245 unit checks pass. The two are in the test of three bad parts at once on engines with 62 streams each, which is entered in KNOWN-RED.txt. The existing tests of suspects are unchanged but for the new argument of preventsRepeat(), false as before.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -84,7 +84,7 @@
         const bool rejected = progress == CallProgress::HeadReceived && call.answer().notExecuted;
         gateway_.router.end(routerAttempt.ticket(), rejected ? AttemptOutcome::Rejected : failedAttemptOutcome(), now);
         logFailedAttempt(endpoint, "prefill", call, false);
-        if (progress == CallProgress::OutcomeUnknown) {
+        if (progress != CallProgress::NotConnected) {
             co_await recordIfCrashed(call, endpoint);
         }
         co_return std::nullopt;
@@ -163,7 +163,6 @@
         placementRequest_.excluded.push_back(endpoint);
         co_return NextStep::RetryOutcomeUnknown;
     }
-    const std::size_t eventsBefore = framer_.takenEvents();
     const bool asEvents = success && route_.form == AnswerForm::Events;
     bool delivered = false;
     if (asEvents) {
@@ -175,14 +174,13 @@
         gateway_.router.end(ticket, failedAttemptOutcome(), MilliClock::now());
         logFailedAttempt(endpoint, "answer", call, true);
         placementRequest_.excluded.push_back(endpoint);
-        if (framer_.takenEvents() == eventsBefore) {
-            co_await recordIfCrashed(call, endpoint);
-        }
+        co_await recordIfCrashed(call, endpoint);
         co_return NextStep::RetryOutcomeUnknown;
     }
     gateway_.router.end(ticket, success ? AttemptOutcome::Answered : AttemptOutcome::AnsweredFailure, MilliClock::now());
     logAnswered(endpoint, call);
-    if (success) {
+    // What crashes endpoints within an answer can still let a stream end that another endpoint resumes after that place.
+    if (success && !crashedWithinStream_) {
         const bool isShort = exchange_.request().body().size() <= MAX_REMEMBERED_REQUEST_BYTES;
         gateway_.crashWatch.recordAnswered(call_.id, isShort ? suspects_.all() : suspects_.known(), MilliClock::now());
     }
@@ -197,11 +195,16 @@
     if (!cut || known == nullptr || known->leaving || call.answer().leaving) {
         co_return;
     }
+    const std::optional<Duration> sinceFirstByte = call.bodyTime();
+    if (sinceFirstByte && *sinceFirstByte > CrashEvidence::MAX_POSITION) {
+        co_return;
+    }
     const EndpointRecord record = *known;
     const bool ended = co_await call.refusesConnection();
     if (ended) {
         crashed_ = true;
-        gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), MilliClock::now());
+        crashedWithinStream_ = crashedWithinStream_ || streaming_;
+        gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), sinceFirstByte, MilliClock::now());
     }
 }
 
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -178,7 +178,7 @@
         return false;
     }
     // A repeat could end the next endpoint.
-    if (crashed_ && gateway_.suspects.preventsRepeat(suspects_.all())) {
+    if (crashed_ && gateway_.suspects.preventsRepeat(suspects_.all(), streaming_)) {
         return false;
     }
     if (next == NextStep::RetryOutcomeUnknown && route_.retryPolicy != RetryPolicy::Idempotent) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -111,8 +111,10 @@
     int attempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
     bool mayHaveRun_ = false;
-    /// \brief An endpoint ended before it sent anything for the call.
+    /// \brief An endpoint ended while it was running the call, early enough to be evidence against it.
     bool crashed_ = false;
+    /// \brief The same after the caller had received events.
+    bool crashedWithinStream_ = false;
     /// \brief The call tests whether something that is blocked still ends endpoints.
     bool testsBlocked_ = false;
     /// \brief The head of a stream was sent to the caller.
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -49,13 +49,15 @@
 {
 }
 
-void CrashWatch::recordCrash(const RequestId &request, const EndpointRecord &endpoint, std::span<const SuspectId> suspects, Time now)
+void CrashWatch::recordCrash(
+    const RequestId &request, const EndpointRecord &endpoint, std::span<const SuspectId> suspects, std::optional<Duration> sinceFirstByte, Time now)
 {
-    const std::vector<SuspectId> blocked = suspects_.recordCrash(crashIdOf(endpoint.id, endpoint.startedAt), suspects, now);
+    const std::vector<SuspectId> blocked = suspects_.recordCrash(crashIdOf(endpoint.id, endpoint.startedAt), suspects, now, sinceFirstByte);
     logEvent(LogEvent::EndpointCrashSeen,
              {{"request", request},
               {"endpoint", endpoint.id},
               {"started", endpoint.startedAt},
+              {"after_first_byte_ms", sinceFirstByte ? std::to_string(sinceFirstByte->count()) : "-"},
               {"suspects", suspectsText(suspects)},
               {"suspected", suspects_.isSuspected(suspects) ? "true" : "false"}});
     metrics_.increment(CRASHES_METRIC);
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -3,6 +3,7 @@
 #include <mimosatally/Routing>
 #include <mimosatally/Serving>
 
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -23,8 +24,10 @@
 public:
     CrashWatch(CrashSuspects &suspects, Metrics &metrics);
 
-    /// \brief Records that an endpoint ended before it sent anything for \a request.
-    void recordCrash(const RequestId &request, const EndpointRecord &endpoint, std::span<const SuspectId> suspects, Time now);
+    /// \brief Records that an endpoint ended while it was running \a request. \param sinceFirstByte time from the first byte of the answer's body; empty if
+    /// there was none.
+    void recordCrash(
+        const RequestId &request, const EndpointRecord &endpoint, std::span<const SuspectId> suspects, std::optional<Duration> sinceFirstByte, Time now);
     void recordAnswered(const RequestId &request, std::span<const SuspectId> suspects, Time now);
     void recordNotice(const SuspectNotice &notice, Time now);
 
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -128,6 +128,8 @@
     }
     framing_ = bodyFraming(*parser_);
     bodyBytes_ = 0;
+    bodyBegun_.reset();
+    bodyEnded_.reset();
     complete_ = parser_->is_done();
     bodyEnd_ = complete_ ? BodyEnd::Framing : BodyEnd::NotReached;
     co_return true;
@@ -153,6 +155,9 @@
     boost::system::error_code error;
     co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
     const std::size_t count = data_.size() - parser_->get().body().size;
+    if (count > 0 && !bodyBegun_) {
+        bodyBegun_ = MilliClock::now();
+    }
     bodyBytes_ += count;
     if (error && error != http::error::need_buffer) {
         fail("read", error);
@@ -160,6 +165,9 @@
         complete_ = true;
         bodyEnd_ = framing_ == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing;
     }
+    if (hasEnded()) {
+        bodyEnded_ = MilliClock::now();
+    }
     co_return std::string_view(data_.data(), count);
 }
 
@@ -288,6 +296,11 @@
     return bodyBytes_;
 }
 
+std::optional<Duration> EndpointCall::bodyTime() const
+{
+    return bodyBegun_ && bodyEnded_ ? std::optional(*bodyEnded_ - *bodyBegun_) : std::nullopt;
+}
+
 std::string_view EndpointCall::proof() const
 {
     return proof_;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -75,6 +76,9 @@
     /// \brief Returns the number of bytes of the body that were read.
     [[nodiscard]] std::size_t bodyBytes() const;
 
+    /// \brief Returns the time from the first byte of the body to the end of reading; empty if there was no byte or reading has not ended.
+    [[nodiscard]] std::optional<Duration> bodyTime() const;
+
     /// \brief Returns what shows that the answer is whole or not, for the log; empty before confirmWhole().
     [[nodiscard]] std::string_view proof() const;
 
@@ -108,6 +112,8 @@
     BodyFraming framing_ = BodyFraming::NoBody;
     BodyEnd bodyEnd_ = BodyEnd::NotReached;
     std::size_t bodyBytes_ = 0;
+    std::optional<Time> bodyBegun_;
+    std::optional<Time> bodyEnded_;
     std::string_view proof_;
     /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
--- a/src/routing/crashsuspects.cpp
+++ b/src/routing/crashsuspects.cpp
@@ -1,3 +1,5 @@
+#include "forgetolder.h"
+
 #include <mimosatally/Routing>
 
 #include <algorithm>
@@ -13,6 +15,8 @@
 /// \brief Time for which a cleared part is announced, several heartbeats, since notices get lost.
 constexpr Duration ANNOUNCE_CLEARED_TIME = Duration(5000);
 constexpr int PROBE_INTERVAL_FACTOR = 4;
+/// \brief Turns of a second of which older suspected parts are announced in one, to bound the datagrams.
+constexpr std::uint64_t REMINDER_TURNS = 8;
 
 Duration probeInterval(int probes)
 {
@@ -24,11 +28,6 @@
 }
 } // namespace
 
-CrashId crashIdOf(const EndpointId &endpoint, std::int64_t startedAt)
-{
-    return std::hash<std::string>()(endpoint.value() + '@' + std::to_string(startedAt));
-}
-
 std::vector<SuspectId> sharedParts(std::span<const PromptPart> parts)
 {
     std::vector<SuspectId> result;
@@ -84,6 +83,20 @@
         ++entry.calls;
         entry.position = std::max(entry.position, position++);
     }
+    recordParents(parts);
+}
+
+void CrashSuspects::recordParents(std::span<const SuspectId> suspects)
+{
+    SuspectId parent = 0;
+    for (const SuspectId suspect : suspects) {
+        const auto found = entries_.find(suspect);
+        if (found != entries_.end()) {
+            found->second.parent = parent;
+            found->second.parentKnown = true;
+        }
+        parent = suspect;
+    }
 }
 
 std::vector<SuspectId> CrashSuspects::recordAnswered(std::span<const SuspectId> suspects, Time now)
@@ -104,16 +117,7 @@
 void CrashSuspects::rememberAnswered(SuspectId request, Time now)
 {
     if (answeredRequests_.size() >= MAX_ANSWERED_REQUESTS && !answeredRequests_.contains(request)) {
-        std::vector<Time> times;
-        times.reserve(answeredRequests_.size());
-        for (const auto &[known, answeredAt] : answeredRequests_) {
-            times.push_back(answeredAt);
-        }
-        const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-        std::nth_element(times.begin(), middle, times.end());
-        std::erase_if(answeredRequests_, [limit = *middle](const auto &item) {
-            return item.second <= limit;
-        });
+        internal::forgetOlderHalf(answeredRequests_);
     }
     answeredRequests_[request] = now;
 }
@@ -128,6 +132,7 @@
 {
     entry.answeredAt = now;
     entry.crashes.clear();
+    entry.evidence = 0;
     entry.blocked = false;
     entry.probes = 0;
     return suspects_.erase(suspect) > 0;
@@ -144,20 +149,25 @@
     return true;
 }
 
-std::vector<SuspectId> CrashSuspects::recordCrash(CrashId crash, std::span<const SuspectId> suspects, Time now)
+std::vector<SuspectId> CrashSuspects::recordCrash(CrashId crash, std::span<const SuspectId> suspects, Time now, std::optional<Duration> sinceFirstByte)
 {
     if (isBlocked(suspects)) {
         // What is blocked explains the crash.
         return {};
     }
+    const CrashMark mark = CrashEvidence::mark(crash, sinceFirstByte);
     for (const SuspectId suspect : suspects) {
-        changed_ = addCrashes(suspect, std::span(&crash, 1), now) || changed_;
+        changed_ = addCrashes(suspect, std::span(&mark, 1), now) || changed_;
     }
+    recordParents(suspects);
     return blockReached(now);
 }
 
-bool CrashSuspects::addCrashes(SuspectId suspect, std::span<const CrashId> crashes, Time now)
+bool CrashSuspects::addCrashes(SuspectId suspect, std::span<const CrashMark> crashes, Time now)
 {
+    for (const CrashMark crash : crashes) {
+        crashTimes_.record(CrashEvidence::crashOf(crash), now);
+    }
     const bool isNew = !suspects_.contains(suspect);
     if (crashes.empty() || wasAnswered(suspect, now)) {
         return false;
@@ -170,10 +180,11 @@
         return false;
     }
     bool added = false;
-    for (const CrashId crash : crashes) {
-        added = (entry.crashes.size() < MAX_CRASHES_PER_SUSPECT && entry.crashes.insert(crash).second) || added;
+    for (const CrashMark crash : crashes) {
+        added = entry.crashes.add(crash, crashTimes_) || added;
     }
     entry.lastCrash = added ? now : entry.lastCrash;
+    entry.evidence = entry.crashes.count(crashTimes_);
     if (isNew) {
         entry.suspicion = ++suspicions_;
         suspects_.insert(suspect);
@@ -185,70 +196,22 @@
 {
     const auto weight = [this](SuspectId suspect) {
         const Entry &entry = entries_.at(suspect);
-        return std::tuple(entry.blocked, entry.crashes.size(), entry.suspicion);
+        return std::tuple(entry.blocked, entry.evidence, entry.suspicion);
     };
     const auto weakest = std::ranges::min_element(suspects_, {}, weight);
     Entry &entry = entries_.at(*weakest);
-    if (entry.blocked || entry.crashes.size() > crashes) {
+    if (entry.blocked || entry.evidence > crashes) {
         return false;
     }
     entry.crashes.clear();
+    entry.evidence = 0;
     suspects_.erase(weakest);
     return true;
 }
 
-std::vector<SuspectId> CrashSuspects::decidedRequests(Time now) const
-{
-    std::vector<SuspectId> leading;
-    std::size_t most = 0;
-    std::size_t second = 0;
-    for (auto suspect = suspects_.lower_bound(REQUEST_SUSPECT_BIT); suspect != suspects_.end(); ++suspect) {
-        const Entry &entry = entries_.at(*suspect);
-        const std::size_t crashes = entry.crashes.size();
-        if (entry.blocked || crashes < most) {
-            second = entry.blocked ? second : std::max(second, crashes);
-            continue;
-        }
-        if (crashes > most) {
-            second = most;
-            most = crashes;
-            leading.clear();
-        }
-        leading.push_back(*suspect);
-    }
-    if (most < CRASHES_TO_BLOCK) {
-        return {};
-    }
-    const bool settled = most >= second + 2 || now - entries_.at(leading.front()).lastCrash >= SETTLE_TIME;
-    const bool decided = leading.size() == 1 || most >= CRASHES_TO_BLOCK_TIED;
-    return settled && decided ? leading : std::vector<SuspectId>();
-}
-
-std::vector<SuspectId> CrashSuspects::rarestReachedPart() const
-{
-    const Entry *chosen = nullptr;
-    std::vector<SuspectId> result;
-    for (auto suspect = suspects_.begin(); suspect != suspects_.lower_bound(REQUEST_SUSPECT_BIT); ++suspect) {
-        const Entry &entry = entries_.at(*suspect);
-        const bool reached = !entry.blocked && entry.crashes.size() >= CRASHES_TO_BLOCK;
-        const bool rarer = chosen == nullptr || entry.calls < chosen->calls || (entry.calls == chosen->calls && entry.position > chosen->position);
-        if (reached && rarer) {
-            chosen = &entry;
-            result = {*suspect};
-        }
-    }
-    return result;
-}
-
-std::vector<SuspectId> CrashSuspects::narrowestReached(Time now) const
-{
-    std::vector<SuspectId> requests = decidedRequests(now);
-    return requests.empty() ? rarestReachedPart() : requests;
-}
-
 std::vector<SuspectId> CrashSuspects::decide(Time now)
 {
-    if (!suspectsRequests()) {
+    if (suspects_.empty()) {
         return {};
     }
     forgetOldSuspicions(now);
@@ -259,45 +222,16 @@
 {
     std::erase_if(suspects_, [this, now](SuspectId suspect) {
         Entry &entry = entries_.at(suspect);
-        const bool forgotten = isRequestSuspect(suspect) && !entry.blocked && now - entry.lastCrash >= SUSPICION_TIME;
+        const Duration kept = isRequestSuspect(suspect) ? SUSPICION_TIME : PART_SUSPICION_TIME;
+        const bool forgotten = !entry.blocked && now - entry.lastCrash >= kept;
         if (forgotten) {
             entry.crashes.clear();
+            entry.evidence = 0;
         }
         return forgotten;
     });
 }
 
-std::vector<SuspectId> CrashSuspects::blockReached(Time now)
-{
-    std::vector<SuspectId> newlyBlocked;
-    for (std::vector<SuspectId> next = narrowestReached(now); !next.empty(); next = narrowestReached(now)) {
-        for (const SuspectId suspect : next) {
-            block(entries_.at(suspect), 0, now);
-            newlyBlocked.push_back(suspect);
-        }
-        for (const SuspectId suspect : next) {
-            explainCrashes(entries_.at(suspect));
-        }
-        changed_ = true;
-    }
-    return newlyBlocked;
-}
-
-void CrashSuspects::explainCrashes(const Entry &blocked)
-{
-    for (const SuspectId suspect : suspects_) {
-        Entry &other = entries_.at(suspect);
-        if (!other.blocked) {
-            std::erase_if(other.crashes, [&blocked](CrashId crash) {
-                return blocked.crashes.contains(crash);
-            });
-        }
-    }
-    std::erase_if(suspects_, [this](SuspectId suspect) {
-        return entries_.at(suspect).crashes.empty();
-    });
-}
-
 void CrashSuspects::block(Entry &entry, int probes, Time probedAt)
 {
     const Duration interval = probeInterval(probes);
@@ -321,7 +255,7 @@
         Entry &entry = found->second;
         if (now < entry.nextProbe || due != nullptr) {
             const Duration untilProbe = now < entry.nextProbe ? entry.nextProbe - now : FIRST_PROBE_INTERVAL;
-            return BlockedSuspect {suspect, static_cast<int>(entry.crashes.size()), untilProbe};
+            return BlockedSuspect {suspect, static_cast<int>(entry.evidence), untilProbe};
         }
         due = &entry;
     }
@@ -340,10 +274,11 @@
     });
 }
 
-bool CrashSuspects::preventsRepeat(std::span<const SuspectId> suspects) const
+bool CrashSuspects::preventsRepeat(std::span<const SuspectId> suspects, bool answerBegun) const
 {
-    return std::ranges::any_of(suspects, [this](SuspectId suspect) {
-        const std::size_t enough = isRequestSuspect(suspect) ? 2 : 1;
+    return std::ranges::any_of(suspects, [this, answerBegun](SuspectId suspect) {
+        const std::size_t enoughForPart = answerBegun ? CRASHES_TO_BLOCK : 1;
+        const std::size_t enough = isRequestSuspect(suspect) ? 2 : enoughForPart;
         return suspects_.contains(suspect) && crashesOf(suspect) >= enough;
     });
 }
@@ -368,18 +303,21 @@
     std::vector<SuspectId> order(suspects_.begin(), suspects_.end());
     std::ranges::sort(order, std::greater(), [this](SuspectId suspect) {
         const Entry &entry = entries_.at(suspect);
-        return std::tuple(entry.blocked, entry.crashes.size(), entry.suspicion);
+        return std::tuple(entry.blocked, entry.evidence, entry.suspicion);
     });
     std::vector<SuspectNotice> result;
+    const auto turn = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
     for (const SuspectId suspect : order) {
         const Entry &entry = entries_.at(suspect);
-        if (isRequestSuspect(suspect) && !entry.blocked && now - entry.lastCrash >= ANNOUNCE_SUSPECT_TIME) {
+        // A part that another process has an answer for is cleared by its reply, so older ones are still told now and then.
+        const bool isReminder = !isRequestSuspect(suspect) && (suspect + static_cast<std::uint64_t>(turn)) % REMINDER_TURNS == 0;
+        if (!entry.blocked && !isReminder && now - entry.lastCrash >= ANNOUNCE_SUSPECT_TIME) {
             continue;
         }
         SuspectNotice notice;
         notice.suspect = suspect;
         notice.state = entry.blocked ? SuspectNotice::State::Blocked : SuspectNotice::State::Suspect;
-        notice.crashes.assign(entry.crashes.begin(), entry.crashes.end());
+        notice.crashes = entry.crashes.marks();
         notice.probes = entry.probes;
         notice.sinceProbe = entry.blocked ? now - entry.probedAt : Duration(0);
         result.push_back(std::move(notice));
@@ -419,6 +357,7 @@
     }
     if (notice.state == SuspectNotice::State::Blocked && (!entry.blocked || notice.probes > entry.probes)) {
         block(entry, notice.probes, now - notice.sinceProbe);
+        explainCrashes(entry);
     }
     blockReached(now);
     return entry.blocked && !wasBlocked;
@@ -430,7 +369,7 @@
     for (const SuspectId suspect : suspects_) {
         const Entry &entry = entries_.at(suspect);
         if (entry.blocked) {
-            result.push_back({suspect, static_cast<int>(entry.crashes.size()), std::max(entry.nextProbe - now, Duration(0))});
+            result.push_back({suspect, static_cast<int>(entry.evidence), std::max(entry.nextProbe - now, Duration(0))});
         }
     }
     return result;
@@ -444,7 +383,7 @@
 std::size_t CrashSuspects::crashesOf(SuspectId suspect) const
 {
     const auto found = entries_.find(suspect);
-    return found == entries_.end() ? 0 : found->second.crashes.size();
+    return found == entries_.end() ? 0 : found->second.evidence;
 }
 
 } // namespace mimosatally
--- a/tests/gateway/crashsuspecttest.cpp
+++ b/tests/gateway/crashsuspecttest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <utility>
+
 using namespace mimosatally;
 using namespace mimosatally::test;
 
@@ -16,8 +19,10 @@
 class CrashingEndpoints
 {
 public:
-    CrashingEndpoints(GatewayFixture &fixture, int count)
+    /// \param answer what an endpoint sends before it crashes.
+    CrashingEndpoints(GatewayFixture &fixture, int count, std::function<std::string(const std::string &requestId)> answer = {})
         : fixture_(fixture)
+        , answer_(std::move(answer))
     {
         for (int i = 0; i < count; ++i) {
             add();
@@ -57,7 +62,7 @@
             if (headerValue(request, "X-Mimosatally-Prefix-Hash").find(BAD_PART) != std::string::npos || request.target() == BAD_TARGET) {
                 ++crashes_;
                 ended_.insert(id);
-                return {pauseFor(20), crashing()};
+                return answer_ ? AnswerSteps {bytes(answer_(requestIdOf(request))), pauseFor(20), crashing()} : AnswerSteps {pauseFor(20), crashing()};
             }
             if (request.target().starts_with("/safe/")) {
                 return {bytes(wholeAnswer(requestIdOf(request), "good"))};
@@ -67,6 +72,7 @@
     }
 
     GatewayFixture &fixture_;
+    std::function<std::string(const std::string &)> answer_;
     int started_ = 0;
     /// \brief Crashed since the last replacement; used on the thread of the stand-ins.
     std::set<std::string> ended_;
@@ -74,6 +80,7 @@
 };
 
 /// \brief Sends a streaming request whose prompt has the first part, \a part unless it is empty, and a part of its own.
+/// \return status 0 if the answer was cut off.
 HttpResponse send(const GatewayGroup &group, const std::string &part, int number)
 {
     HttpRequest request = GatewayFixture::request(http::verb::post, "/resume/x", "r" + std::to_string(number));
@@ -81,7 +88,51 @@
     request.set("X-Mimosatally-Prefix-Hash", shared + ",f" + std::to_string(number) + ":10");
     CallerConnection connection(group.callerAddress(static_cast<std::size_t>(number) % group.size()));
     connection.send(std::move(request));
-    return connection.response();
+    try {
+        return connection.response();
+    } catch (const boost::system::system_error &) {
+        HttpResponse cutOff;
+        cutOff.result(0);
+        return cutOff;
+    }
+}
+
+/// \brief Beginning of a stream with \a count events.
+std::string eventsOf(const std::string &requestId, int count)
+{
+    std::string answer = streamHead(requestId);
+    for (int i = 1; i <= count; ++i) {
+        answer += chunk("id: " + std::to_string(i) + "\ndata: a\n\n");
+    }
+    return answer;
+}
+
+/// \brief Checks that requests with the bad part reach endpoints at most three times later than the contact time after five crashes, and that sound requests
+/// are answered. \return the numbers of requests with the part that reached endpoints before and after.
+std::pair<int, int> checkBadPartStops(GatewayFixture &fixture, CrashingEndpoints &endpoints)
+{
+    GatewayGroup group(fixture, 2);
+    group.awaitPeers();
+    int number = 0;
+    for (int i = 0; i < 10; ++i) {
+        CHECK(send(group, "", ++number).result_int() == 200);
+    }
+    constexpr int maxCrashes = 5;
+    for (int i = 0; i < 10 && endpoints.badArrivals() < maxCrashes; ++i) {
+        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+    }
+    constexpr auto contact = std::chrono::milliseconds(4000);
+    std::this_thread::sleep_for(contact);
+    const int before = endpoints.badArrivals();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
+        endpoints.replaceEnded();
+        CHECK(send(group, "", ++number).result_int() == 200);
+    }
+    constexpr int allowedAfterContact = 3;
+    CHECK(endpoints.badArrivals() - before <= allowedAfterContact);
+    return {before, endpoints.badArrivals() - before};
 }
 
 /// \brief Sends a plain request without prompt to one of the gateways in turn.
@@ -128,28 +179,34 @@
     GatewayFixture fixture;
     CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT);
     fixture.configure();
-    GatewayGroup group(fixture, 2);
-    group.awaitPeers();
-    int number = 0;
-    for (int i = 0; i < 10; ++i) {
-        CHECK(send(group, "", ++number).result_int() == 200);
-    }
-    constexpr int maxCrashes = 5;
-    for (int i = 0; i < 10 && endpoints.badArrivals() < maxCrashes; ++i) {
-        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
-        endpoints.replaceEnded();
-    }
-    constexpr auto contact = std::chrono::milliseconds(4000);
-    std::this_thread::sleep_for(contact);
-    const int before = endpoints.badArrivals();
-    for (int i = 0; i < 10; ++i) {
-        CHECK(send(group, BAD_PART, ++number).result_int() != 200);
-        endpoints.replaceEnded();
-        CHECK(send(group, "", ++number).result_int() == 200);
-    }
-    constexpr int allowedAfterContact = 3;
-    CHECK(endpoints.badArrivals() - before <= allowedAfterContact);
-    WARN(before << " requests with the part reached endpoints first, " << endpoints.badArrivals() - before << " later");
+    const auto [before, after] = checkBadPartStops(fixture, endpoints);
+    WARN(before << " requests with the part reached endpoints first, " << after << " later");
+}
+
+// Guards against a part that ends each endpoint after it has begun to write: a crash counted only if no event had come, so no gateway ever blamed the part, and
+// nearly all endpoints were down.
+TEST_CASE("Requests with a part that crashes endpoints after their first event no longer reach them", "[gateway][crash]")
+{
+    GatewayFixture fixture;
+    CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT, [](const std::string &id) {
+        return eventsOf(id, 1);
+    });
+    fixture.configure();
+    const auto [before, after] = checkBadPartStops(fixture, endpoints);
+    WARN(before << " requests with the part reached endpoints first, " << after << " later");
+}
+
+// Guards against the same crash further on in the answer, and within an event.
+TEST_CASE("Requests with a part that crashes endpoints within a later event no longer reach them", "[gateway][crash]")
+{
+    GatewayFixture fixture;
+    CrashingEndpoints endpoints(fixture, CrashingEndpoints::COUNT, [](const std::string &id) {
+        constexpr int events = 12;
+        return eventsOf(id, events) + chunk("id: 13\nda");
+    });
+    fixture.configure();
+    const auto [before, after] = checkBadPartStops(fixture, endpoints);
+    WARN(before << " requests with the part reached endpoints first, " << after << " later");
 }
 
 // Guards against sound callers that are refused because connections are reset or endpoints leave: neither is a crash.
--- a/tests/unit/crashsuspectstest.cpp
+++ b/tests/unit/crashsuspectstest.cpp
@@ -167,9 +167,9 @@
     CHECK_FALSE(suspects.suspectsRequests());
     suspects.recordCrash(1, plain(BAD), START);
     CHECK(suspects.suspectsRequests());
-    CHECK_FALSE(suspects.preventsRepeat(plain(BAD)));
+    CHECK_FALSE(suspects.preventsRepeat(plain(BAD), false));
     suspects.recordCrash(2, plain(BAD), START);
-    CHECK(suspects.preventsRepeat(plain(BAD)));
+    CHECK(suspects.preventsRepeat(plain(BAD), false));
     CHECK(suspects.recordCrash(3, plain(BAD), START) == plain(BAD));
     CHECK(suspects.check(plain(BAD), START)->suspect == suspectOfRequest(BAD));
     CHECK_FALSE(suspects.check(plain(BAD + 1), START));
