Ignore token counts that make no sense

Callers saw: a request with a negative prompt length in the field of token counts ends the gateway with SIGSEGV, and with it the calls of all others; any caller can stop the fleet with one field.

Cause: readTokenCounts() accepted any whole number, and prefixFor() took "a null source has no more tokens than the endpoint itself" for granted, which does not hold for a negative number.

What else the issue asks for (all other numbers from outside, a table, a property test) is open.

--- a/src/routing/promptprefix.cpp
+++ b/src/routing/promptprefix.cpp
@@ -124,7 +124,10 @@
     best.prefillMs = expectedPrefillMs(endpoint, work, tokens, best.cache, 0);
     const Tokens ownTokens = cachedTokens(endpoint, prompt.request, prompt.prefixHashes);
     const auto consider = [&](const Endpoint *source) {
-        const CachedPrefix available = source == nullptr || source == &endpoint ? CachedPrefix() : ownPrefix(*source, prompt);
+        if (source == nullptr || source == &endpoint) {
+            return;
+        }
+        const CachedPrefix available = ownPrefix(*source, prompt);
         if (available.tokens <= ownTokens) {
             return;
         }
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -37,6 +37,27 @@
     CHECK(call.promptParts[1].tokens == Tokens(410));
 }
 
+// Guards against a gateway that any caller can end with one field: a negative token count of the prompt made placement read through a null pointer.
+TEST_CASE("Token counts that make no sense count as none", "[platform]")
+{
+    HttpRequest request = callerRequest();
+    for (const char *counts : {"-1,50", "-9223372036854775808,1", "9223372036854775807,1", "1000000001,1", "1e9,1", "nan,1", "7", "", ",", "-"}) {
+        CAPTURE(counts);
+        request.set("X-Mimosatally-Token-Counts", counts);
+        const CallRequest call = platform::decodeCall(request);
+        CHECK(call.promptTokens == Tokens(0));
+        CHECK(call.maxOutputTokens == Tokens(0));
+    }
+    request.set("X-Mimosatally-Token-Counts", "1000000000,-1");
+    CHECK(platform::decodeCall(request).promptTokens == Tokens(1'000'000'000));
+    CHECK(platform::decodeCall(request).maxOutputTokens == Tokens(0));
+    for (const char *parts : {"a1:-1", "a1:9223372036854775807", "a1:1000000001,b2:1"}) {
+        CAPTURE(parts);
+        request.set("X-Mimosatally-Prefix-Hash", parts);
+        CHECK(platform::decodeCall(request).promptParts.empty());
+    }
+}
+
 TEST_CASE("A malformed deadline is an error, and malformed prompt parts count as none", "[platform]")
 {
     HttpRequest request = callerRequest();
