Let probes leave up to 1,024 connections open

What all of them hold is bounded by 1 MB in any case, and events that are being written to a slow caller are listed as not bounded.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -63,12 +63,12 @@
     return result;
 }
 
-/// \brief Limits of the listeners for readiness and metrics, whose requests have no body.
+/// \brief Limits of the listeners for readiness and metrics, whose requests have no body. Probes that leave their connections open must not use them up.
 HttpLimits probeLimits()
 {
     HttpLimits result;
     result.maxBodyBytes = std::size_t(4) * 1024;
-    result.maxConnections = 64;
+    result.maxConnections = 1024;
     result.maxHeldBytes = std::size_t(1024) * 1024;
     return result;
 }
