Do not block a common part in place of one that only others have seen

Callers would see: right after a start, when no whole answer has cleared the part that all prompts begin with, a gateway that has had no call with a bad part blocks the common one, since it cannot know that both stand in the same prompts and the common one was in flight at one crash more. All calls are refused for half a minute. Found by reading; shown by a test.

Change: a part that has more than four calls for each of its crashes is not blocked while a part that this process has had no call with shares a crash with it and its evidence has not settled or has two crashes; the process that knows both decides and tells.

--- a/src/routing/crashblame.cpp
+++ b/src/routing/crashblame.cpp
@@ -9,6 +9,8 @@
 {
 /// \brief Prompts have a few parts; also bounds the search if callers send the same parts in different orders.
 constexpr int MAX_PARENTS = 16;
+/// \brief A part with more calls for each crash is one that many sound calls have.
+constexpr std::uint64_t CALLS_PER_CRASH_IF_COMMON = 4;
 } // namespace
 
 std::vector<SuspectId> CrashSuspects::decidedRequests(Time now) const
@@ -86,7 +88,12 @@
         if (rival == suspect || !sharesCrash || isInSamePrompt(suspect, rival)) {
             return false;
         }
-        // If this process had no call with one of them, it cannot know whether they stand in the same prompts.
+        // If this process had no call with one of them, it cannot know whether they stand in the same prompts. The part that all prompts begin with must not be
+        // blocked in place of a narrower one that only other processes have seen.
+        const bool isCommon = entry.calls > entry.evidence * CALLS_PER_CRASH_IF_COMMON;
+        if (isCommon && !other.parentKnown && (!settled || other.evidence + 1 >= CRASHES_TO_BLOCK)) {
+            return true;
+        }
         const bool canTie = entry.parentKnown && other.parentKnown && entry.evidence >= CRASHES_TO_BLOCK_TIED;
         const std::size_t lead = settled ? 1 : 2;
         return entry.evidence < other.evidence + (canTie ? 0 : lead);
--- a/tests/unit/crashevidencetest.cpp
+++ b/tests/unit/crashevidencetest.cpp
@@ -211,6 +211,37 @@
     CHECK(second.crashesOf(SOUND) == 0);
 }
 
+// Guards against the part that all prompts begin with, which is in flight at one crash more than the bad one, at a gateway that has had no call with the bad
+// one.
+TEST_CASE("A part is not blocked in place of a rarer one that only other processes have seen", "[crash]")
+{
+    constexpr std::uint64_t first = 0xa1;
+    CrashSuspects suspects(0);
+    Time now = START;
+    const auto learn = [&](SuspectId suspect, CrashId crash) {
+        SuspectNotice notice;
+        notice.suspect = suspect;
+        notice.crashes = {CrashEvidence::mark(crash, Duration(20))};
+        suspects.recordNotice(notice, now);
+    };
+    for (CrashId crash = 1; crash <= 4; ++crash) {
+        now += SECOND;
+        constexpr int soundCalls = 30;
+        for (int i = 0; i < soundCalls; ++i) {
+            suspects.recordCall(call(SOUND + crash, crash), now);
+        }
+        learn(first, crash);
+        if (crash > 1) {
+            learn(BAD, crash);
+        }
+        suspects.decide(now + CrashSuspects::SETTLE_TIME);
+    }
+    now += SECOND;
+    suspects.decide(now);
+    const std::vector<SuspectId> sound = {first, SOUND};
+    CHECK_FALSE(suspects.isBlocked(sound));
+}
+
 // Guards against marks on rare sound parts that last for good and add up over hours, and against datagrams that repeat them all the time.
 TEST_CASE("A part that does not crash again is told now and then, and forgotten after an hour", "[crash]")
 {
