Count a crash whose time was forgotten as an earlier incident

Callers would see: nothing until more than 1,024 crashes of endpoints are known; then a suspect with a forgotten crash has fewer crashes than it should, since the difference to Time::min() overflows. Found by reading. The new test fails with it by inspection only: the overflow is undefined and was not run.

--- a/include/mimosatally/routing/crashevidence.h
+++ b/include/mimosatally/routing/crashevidence.h
@@ -30,7 +30,7 @@
     static constexpr std::size_t MAX_CRASHES = 1024;
 
     void record(CrashId crash, Time now);
-    /// \brief Returns Time::min() for a crash that was forgotten.
+    /// \brief Returns the start of the clock for a crash that was forgotten, so that all of these are one incident.
     [[nodiscard]] Time at(CrashId crash) const;
 
 private:
--- a/src/routing/crashevidence.cpp
+++ b/src/routing/crashevidence.cpp
@@ -39,7 +39,7 @@
 Time CrashTimes::at(CrashId crash) const
 {
     const auto found = times_.find(crash);
-    return found == times_.end() ? Time::min() : found->second;
+    return found == times_.end() ? Time(Duration(0)) : found->second;
 }
 
 CrashMark CrashEvidence::mark(CrashId crash, std::optional<Duration> sinceFirstByte)
--- a/tests/unit/crashevidencetest.cpp
+++ b/tests/unit/crashevidencetest.cpp
@@ -90,6 +90,19 @@
     CHECK(crashes.evidence().marks().size() == CrashEvidence::MAX_CRASHES);
 }
 
+// Guards against an overflow of times, which made later crashes count as the same incident as one whose time was forgotten.
+TEST_CASE("A crash whose time was forgotten is another incident than later ones", "[crash]")
+{
+    CrashTimes times;
+    CrashEvidence evidence;
+    evidence.add(CrashEvidence::mark(1, Duration(0)), times);
+    for (CrashId crash = 2; crash <= 3; ++crash) {
+        times.record(crash, START + SECOND * static_cast<int>(crash));
+        evidence.add(CrashEvidence::mark(crash, Duration(0)), times);
+    }
+    CHECK(evidence.count(times) == 3);
+}
+
 // Guards against one crash that counts twice because two calls with the same part were in flight, and against a weaker position that replaces a stronger one.
 TEST_CASE("Of two calls in flight at one crash the one that was less far counts", "[crash]")
 {
