Log the connection of each attempt and the answers that were skipped on it

Calls ran twice or after a promise not to run. The lines on attempts state neither the endpoint's address nor the connection, so they cannot tell whether two attempts of one call shared a connection, as the first hypothesis has it, or whether an answer without an id, a failed write or a repeat by the caller was the cause.

MT5002 and MT5005 get the number of the connection, the requests it carried before and the answers to other requests that were skipped; MT5005 also the address. No logic is changed.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -97,6 +97,9 @@
               {"ended", toString(call.bodyEnd())},
               {"events", framer_.takenEvents()},
               {"proof", call.proof()},
+              {"connection", call.connectionUse().connection},
+              {"earlier_requests", call.connectionUse().earlierRequests},
+              {"skipped_answers", call.connectionUse().skippedAnswers},
               {"attempts", attempts_}});
     gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
     constexpr double millisecondsPerSecond = 1000;
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -241,6 +241,10 @@
               {"ended", toString(call.bodyEnd())},
               {"events", framer_.takenEvents()},
               {"proof", call.proof()},
+              {"address", toString(call.connectionUse().address)},
+              {"connection", call.connectionUse().connection},
+              {"earlier_requests", call.connectionUse().earlierRequests},
+              {"skipped_answers", call.connectionUse().skippedAnswers},
               {"prefill_ms", prefillTime_},
               {"after_ms", MilliClock::now() - arrived_}});
     gateway_.metrics.increment("mimosatally_attempts_failed_total", std::string("phase=\"") + phase + '"');
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -53,7 +53,9 @@
 
 std::unique_ptr<EndpointConnection> ConnectionPool::make(const tcp::endpoint &address)
 {
-    return std::make_unique<EndpointConnection>(io_, address);
+    auto connection = std::make_unique<EndpointConnection>(io_, address);
+    connection->number = ++lastNumber_;
+    return connection;
 }
 
 void ConnectionPool::put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now)
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -29,6 +30,10 @@
     /// \brief Time from which an idle connection is not reused.
     Time expiresAt;
     bool reused = false;
+    /// \brief Identifies the connection in the log of this process.
+    std::uint64_t number = 0;
+    /// \brief Requests that were sent over it, or that it was taken for.
+    std::size_t requests = 0;
 };
 
 /// \brief Idle connections to endpoints, by address.
@@ -59,6 +64,7 @@
 
 private:
     boost::asio::io_context &io_;
+    std::uint64_t lastNumber_ = 0;
     std::map<boost::asio::ip::tcp::endpoint, std::deque<std::unique_ptr<EndpointConnection>>> idle_;
     std::map<boost::asio::ip::tcp::endpoint, std::size_t> idleLimits_;
 };
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -62,6 +62,7 @@
 {
     const Time now = MilliClock::now();
     connection_ = pool_.take(address, now);
+    connectionUse_ = {address, connection_->number, connection_->requests++, 0};
     connection_->buffer.onGrown([this] {
         updateReservation();
     });
@@ -103,6 +104,7 @@
             co_return true;
         }
         failure_ = "answer to another request";
+        ++connectionUse_.skippedAnswers;
         const bool skippedBody = co_await skipBody();
         if (!skippedBody) {
             break;
@@ -281,6 +283,11 @@
     return parser_->get().base();
 }
 
+const ConnectionUse &EndpointCall::connectionUse() const
+{
+    return connectionUse_;
+}
+
 BodyFraming EndpointCall::framing() const
 {
     return framing_;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -29,6 +29,16 @@
     HeadReceived,
 };
 
+/// \brief Connection of a call, for the log: two attempts of one request over the same connection cannot be told apart by the ids of their answers.
+struct ConnectionUse {
+    boost::asio::ip::tcp::endpoint address;
+    std::uint64_t connection = 0;
+    /// \brief Requests that were sent over the connection before.
+    std::size_t earlierRequests = 0;
+    /// \brief Answers to other requests that were skipped before the answer to this one.
+    int skippedAnswers = 0;
+};
+
 /// \brief One call over one connection to an endpoint.
 ///
 /// Call open(), then read() until the body has ended, then confirmWhole(). The guard closes the connection to cancel the call.
@@ -70,6 +80,9 @@
     /// \brief Returns whether the endpoint refuses a connection: its process has ended, not only the connection of this call.
     boost::asio::awaitable<bool> refusesConnection();
 
+    /// \brief Returns the connection that was used, also after release().
+    [[nodiscard]] const ConnectionUse &connectionUse() const;
+
     /// \brief Returns how the answer states where its body ends; NoBody before its head was received.
     [[nodiscard]] BodyFraming framing() const;
     [[nodiscard]] BodyEnd bodyEnd() const;
@@ -106,6 +119,7 @@
     /// \brief Bytes of the body that the caller of read() keeps.
     std::size_t keptBytes_ = 0;
     std::unique_ptr<EndpointConnection> connection_;
+    ConnectionUse connectionUse_;
     std::unique_ptr<Parser> parser_;
     EndpointAnswer answer_;
     std::string failure_;
