Send each request id over a connection once

Cause: an endpoint may write an answer again, late, where the next answer is due, and a copy of a refusal bears the id of its request. The gateway tied answers to calls by the id alone, and could send one id over one connection several times: the entry of an ended endpoint and that of the endpoint which now has its address share kept connections, which are pooled by address while attempts exclude endpoints by id. The first attempt gets 421, the next one goes over the same connection to the endpoint that is there, and the copy of the 421 ends it while the endpoint runs the call. A caller that repeats its request with the same id after a refusal, and a prefill followed by a run at the same address, share a connection in the same way.

Change: SentRequests, the ids that a connection has carried. ConnectionPool::take() gives a connection that has not carried the id, so the id of an answer names one request again, whatever the endpoint writes too many and when. An answer without an id is accepted only as the first one of a new connection.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -37,18 +37,33 @@
 {
 }
 
-std::unique_ptr<EndpointConnection> ConnectionPool::take(const tcp::endpoint &address, Time now)
+std::unique_ptr<EndpointConnection> ConnectionPool::take(const tcp::endpoint &address, const RequestId &request, Time now)
 {
-    const auto found = idle_.find(address);
-    while (found != idle_.end() && !found->second.empty()) {
-        std::unique_ptr<EndpointConnection> connection = std::move(found->second.back());
-        found->second.pop_back();
+    const auto idle = idle_.find(address);
+    std::unique_ptr<EndpointConnection> connection = idle == idle_.end() ? nullptr : takeIdle(idle->second, request, now);
+    if (connection) {
+        connection->reused = true;
+    } else {
+        connection = make(address);
+    }
+    connection->sent.add(request);
+    return connection;
+}
+
+std::unique_ptr<EndpointConnection> ConnectionPool::takeIdle(IdleConnections &idle, const RequestId &request, Time now)
+{
+    for (std::size_t index = idle.size(); index > 0; --index) {
+        const auto place = idle.begin() + static_cast<IdleConnections::difference_type>(index - 1);
+        if ((*place)->sent.contains(request)) {
+            continue;
+        }
+        std::unique_ptr<EndpointConnection> connection = std::move(*place);
+        idle.erase(place);
         if (now < connection->expiresAt && isUsable(connection->socket)) {
-            connection->reused = true;
             return connection;
         }
     }
-    return make(address);
+    return nullptr;
 }
 
 std::unique_ptr<EndpointConnection> ConnectionPool::make(const tcp::endpoint &address)
@@ -64,7 +79,7 @@
     const auto limit = idleLimits_.find(connection->address);
     const std::size_t maxIdle = limit == idleLimits_.end() ? MAX_IDLE_PER_ENDPOINT : std::min(limit->second, MAX_IDLE_PER_ENDPOINT);
     auto &idle = idle_[connection->address];
-    if (idleTimeout <= Duration(0) || idle.size() >= maxIdle) {
+    if (idleTimeout <= Duration(0) || idle.size() >= maxIdle || connection->sent.isFull()) {
         return;
     }
     connection->expiresAt = now + idleTimeout;
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sentrequests.h"
+
 #include <mimosatally/Core>
 #include <mimosatally/Http>
 
@@ -32,8 +34,7 @@
     bool reused = false;
     /// \brief Identifies the connection in the log of this process.
     std::uint64_t number = 0;
-    /// \brief Requests that were sent over it, or that it was taken for.
-    std::size_t requests = 0;
+    SentRequests sent;
 };
 
 /// \brief Idle connections to endpoints, by address.
@@ -42,13 +43,15 @@
 public:
     explicit ConnectionPool(boost::asio::io_context &io);
 
-    /// \brief Returns an idle connection without unread data, or a new one that is not connected yet.
-    std::unique_ptr<EndpointConnection> take(const boost::asio::ip::tcp::endpoint &address, Time now);
+    /// \brief Returns a connection for \a request: an idle one without unread data that has not carried a request with this id, or a new one that is not
+    /// connected yet. No connection carries an id twice, so an answer with that id cannot belong to an earlier attempt.
+    std::unique_ptr<EndpointConnection> take(const boost::asio::ip::tcp::endpoint &address, const RequestId &request, Time now);
 
     /// \brief Returns a new connection that is not connected yet.
     std::unique_ptr<EndpointConnection> make(const boost::asio::ip::tcp::endpoint &address);
 
-    /// \brief Keeps a connection whose last answer is complete. \param keepAlive idle timeout that the endpoint stated, if any.
+    /// \brief Keeps a connection whose last answer is complete, unless it has carried too many requests. \param keepAlive idle timeout that the endpoint
+    /// stated, if any.
     void put(std::unique_ptr<EndpointConnection> connection, std::optional<Duration> keepAlive, Time now);
 
     /// \brief Sets how many idle connections to each address are kept; a connection above the limit is closed when its call ends.
@@ -63,9 +66,15 @@
     [[nodiscard]] std::size_t idleConnections() const;
 
 private:
+    using IdleConnections = std::deque<std::unique_ptr<EndpointConnection>>;
+
+    /// \brief Removes and returns the connection of \a idle that was used last among those that can carry \a request; null if there is none. Closes those that
+    /// are not usable any more.
+    static std::unique_ptr<EndpointConnection> takeIdle(IdleConnections &idle, const RequestId &request, Time now);
+
     boost::asio::io_context &io_;
     std::uint64_t lastNumber_ = 0;
-    std::map<boost::asio::ip::tcp::endpoint, std::deque<std::unique_ptr<EndpointConnection>>> idle_;
+    std::map<boost::asio::ip::tcp::endpoint, IdleConnections> idle_;
     std::map<boost::asio::ip::tcp::endpoint, std::size_t> idleLimits_;
 };
 
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -43,7 +43,7 @@
 
 awaitable<CallProgress> EndpointCall::open(tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time attemptDeadline)
 {
-    const bool connected = co_await connect(address, attemptDeadline);
+    const bool connected = co_await connect(address, id, attemptDeadline);
     if (!connected) {
         co_return CallProgress::NotConnected;
     }
@@ -58,11 +58,11 @@
     co_return received ? CallProgress::HeadReceived : CallProgress::OutcomeUnknown;
 }
 
-awaitable<bool> EndpointCall::connect(tcp::endpoint address, Time attemptDeadline)
+awaitable<bool> EndpointCall::connect(tcp::endpoint address, const RequestId &id, Time attemptDeadline)
 {
     const Time now = MilliClock::now();
-    connection_ = pool_.take(address, now);
-    connectionUse_ = {address, connection_->number, connection_->requests++, 0};
+    connection_ = pool_.take(address, id, now);
+    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0};
     connection_->buffer.onGrown([this] {
         updateReservation();
     });
@@ -97,8 +97,8 @@
             continue;
         }
         const bool success = answer_.status >= FIRST_SUCCESS_STATUS && answer_.status < FIRST_REDIRECT_STATUS;
-        // An answer without an id may belong to an earlier request, unless the connection is new.
-        const bool withoutId = answer_.request.empty() && !success && !connection_->reused;
+        // An answer without an id may belong to an earlier request, unless it is the first one on a new connection.
+        const bool withoutId = answer_.request.empty() && !success && !connection_->reused && connectionUse_.skippedAnswers == 0;
         if (answer_.request == id || withoutId) {
             failure_.clear();
             co_return true;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -51,7 +51,8 @@
     EndpointCall(const EndpointCall &) = delete;
     EndpointCall &operator=(const EndpointCall &) = delete;
 
-    /// \brief Sends \a request and reads the head of its answer. Answers to other requests are skipped.
+    /// \brief Sends \a request with the id \a id and reads the head of its answer. Answers to other requests are skipped; the connection has not carried this
+    /// id before, so the id of an answer tells.
     boost::asio::awaitable<CallProgress> open(boost::asio::ip::tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time attemptDeadline);
 
     /// \brief Reads the next piece of the body; the view is valid until the next call. It may be empty although the body has not
@@ -101,7 +102,7 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint address, Time attemptDeadline);
+    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint address, const RequestId &id, Time attemptDeadline);
     boost::asio::awaitable<bool> readHead(const RequestId &id);
     boost::asio::awaitable<bool> readOneHead();
     boost::asio::awaitable<bool> skipBody();
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -62,8 +62,17 @@
 {
 public:
     using Script = std::function<AnswerSteps(const HttpRequest &)>;
+    /// \brief Script whose answers depend on the connection.
+    using ArrivalScript = std::function<AnswerSteps(const Arrival &)>;
 
     EndpointStandin(boost::asio::io_context &io, Script script)
+        : EndpointStandin(io, ArrivalScript([script = std::move(script)](const Arrival &arrival) {
+                              return script(arrival.request);
+                          }))
+    {
+    }
+
+    EndpointStandin(boost::asio::io_context &io, ArrivalScript script)
         : io_(io)
         , acceptor_(io, parseAddress("127.0.0.1:0"))
         , script_(std::move(script))
@@ -112,11 +121,12 @@
             if (error) {
                 co_return;
             }
+            const Arrival arrival {request, number};
             {
                 const std::lock_guard lock(mutex_);
-                arrivals_.push_back({request, number});
+                arrivals_.push_back(arrival);
             }
-            const AnswerSteps steps = script_(request);
+            const AnswerSteps steps = script_(arrival);
             for (const AnswerStep &step : steps) {
                 open = co_await perform(socket, step);
                 if (!open) {
@@ -199,7 +209,7 @@
     boost::asio::io_context &io_;
     std::shared_ptr<OpenSockets> sockets_ = std::make_shared<OpenSockets>();
     boost::asio::ip::tcp::acceptor acceptor_;
-    Script script_;
+    ArrivalScript script_;
     mutable std::mutex mutex_;
     std::vector<Arrival> arrivals_;
     std::atomic<int> abandoned_ = 0;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -48,7 +48,8 @@
         return result.get();
     }
 
-    EndpointStandin &addEndpoint(const std::string &id, const std::string &service, EndpointStandin::Script script, const std::string &extraFields = {})
+    template<class Script>
+    EndpointStandin &addEndpoint(const std::string &id, const std::string &service, Script script, const std::string &extraFields = {})
     {
         return onStandins([&]() -> EndpointStandin & {
             endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
