Forget what a skipped answer says

Callers whose endpoint ended within a call were not protected: if a late answer to an earlier request came first on the connection, its fields stayed in the call's state. An old `Server-Leaving` then made the end of the endpoint count as planned, so the crash was not counted against the request, and the log line on the failed attempt stated the old status and an old "not run".

Cause: EndpointCall decoded each head into the same members and did not reset them when the answer belonged to another request.

Change: forgetAnswer() drops status, fields, framing and times of a skipped answer. The new test waits for the line on the crash: with the code before it does not come within the wait, now it does.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -106,6 +106,7 @@
         failure_ = "answer to another request";
         ++connectionUse_.skippedAnswers;
         const bool skippedBody = co_await skipBody();
+        forgetAnswer();
         if (!skippedBody) {
             break;
         }
@@ -114,6 +115,16 @@
     co_return false;
 }
 
+void EndpointCall::forgetAnswer()
+{
+    answer_ = EndpointAnswer();
+    framing_ = BodyFraming::NoBody;
+    bodyBytes_ = 0;
+    bodyBegun_.reset();
+    bodyEnded_.reset();
+    complete_ = false;
+}
+
 awaitable<bool> EndpointCall::readOneHead()
 {
     parser_ = std::make_unique<Parser>();
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -106,6 +106,8 @@
     boost::asio::awaitable<bool> readHead(const RequestId &id);
     boost::asio::awaitable<bool> readOneHead();
     boost::asio::awaitable<bool> skipBody();
+    /// \brief Drops what an answer to another request says: nothing in it is about this call or the endpoint's present state.
+    void forgetAnswer();
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
--- a/tests/gateway/refusalcopytest.cpp
+++ b/tests/gateway/refusalcopytest.cpp
@@ -224,3 +224,19 @@
     }
     CHECK(runs == 2);
 }
+
+// Guards against a late answer to an earlier request that says something about the present call: here that its endpoint leaves, so that the end of the endpoint
+// within the call is not counted as a crash.
+TEST_CASE("A skipped answer says nothing about the endpoint of the call", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [](const HttpRequest &) -> AnswerSteps {
+        return {
+            bytes(wholeAnswer("earlier", "late", 503, "Server-Leaving: 1\r\nX-Mimosatally-Not-Executed: 1\r\nRetry-After: 30\r\n")), pauseFor(50), crashing()};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    CHECK(fixture.call(GatewayFixture::request(http::verb::post, "/post/x", "r1")).result_int() == 502);
+    fixture.gateway().waitForOutput("EndpointCrashSeen");
+}
