--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -43,7 +43,7 @@
 
 awaitable<CallProgress> EndpointCall::open(tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time attemptDeadline)
 {
-    const bool connected = co_await connect(address, attemptDeadline);
+    const bool connected = co_await connect(address, id, attemptDeadline);
     if (!connected) {
         co_return CallProgress::NotConnected;
     }
@@ -58,10 +58,11 @@
     co_return received ? CallProgress::HeadReceived : CallProgress::OutcomeUnknown;
 }
 
-awaitable<bool> EndpointCall::connect(tcp::endpoint address, Time attemptDeadline)
+awaitable<bool> EndpointCall::connect(tcp::endpoint address, const RequestId &id, Time attemptDeadline)
 {
     const Time now = MilliClock::now();
-    connection_ = pool_.take(address, now);
+    connection_ = pool_.take(address, id, now);
+    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0};
     connection_->buffer.onGrown([this] {
         updateReservation();
     });
@@ -96,14 +97,16 @@
             continue;
         }
         const bool success = answer_.status >= FIRST_SUCCESS_STATUS && answer_.status < FIRST_REDIRECT_STATUS;
-        // An answer without an id may belong to an earlier request, unless the connection is new.
-        const bool withoutId = answer_.request.empty() && !success && !connection_->reused;
+        // An answer without an id may belong to an earlier request, unless it is the first one on a new connection.
+        const bool withoutId = answer_.request.empty() && !success && !connection_->reused && connectionUse_.skippedAnswers == 0;
         if (answer_.request == id || withoutId) {
             failure_.clear();
             co_return true;
         }
         failure_ = "answer to another request";
+        ++connectionUse_.skippedAnswers;
         const bool skippedBody = co_await skipBody();
+        forgetAnswer();
         if (!skippedBody) {
             break;
         }
@@ -112,6 +115,16 @@
     co_return false;
 }
 
+void EndpointCall::forgetAnswer()
+{
+    answer_ = EndpointAnswer();
+    framing_ = BodyFraming::NoBody;
+    bodyBytes_ = 0;
+    bodyBegun_.reset();
+    bodyEnded_.reset();
+    complete_ = false;
+}
+
 awaitable<bool> EndpointCall::readOneHead()
 {
     parser_ = std::make_unique<Parser>();
@@ -281,6 +294,11 @@
     return parser_->get().base();
 }
 
+const ConnectionUse &EndpointCall::connectionUse() const
+{
+    return connectionUse_;
+}
+
 BodyFraming EndpointCall::framing() const
 {
     return framing_;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -29,6 +29,16 @@
     HeadReceived,
 };
 
+/// \brief Connection of a call, for the log: two attempts of one request over the same connection cannot be told apart by the ids of their answers.
+struct ConnectionUse {
+    boost::asio::ip::tcp::endpoint address;
+    std::uint64_t connection = 0;
+    /// \brief Requests that were sent over the connection before.
+    std::size_t earlierRequests = 0;
+    /// \brief Answers to other requests that were skipped before the answer to this one.
+    int skippedAnswers = 0;
+};
+
 /// \brief One call over one connection to an endpoint.
 ///
 /// Call open(), then read() until the body has ended, then confirmWhole(). The guard closes the connection to cancel the call.
@@ -41,7 +51,8 @@
     EndpointCall(const EndpointCall &) = delete;
     EndpointCall &operator=(const EndpointCall &) = delete;
 
-    /// \brief Sends \a request and reads the head of its answer. Answers to other requests are skipped.
+    /// \brief Sends \a request with the id \a id and reads the head of its answer. Answers to other requests are skipped; the connection has not carried this
+    /// id before, so the id of an answer tells.
     boost::asio::awaitable<CallProgress> open(boost::asio::ip::tcp::endpoint address, platform::EndpointRequest request, RequestId id, Time attemptDeadline);
 
     /// \brief Reads the next piece of the body; the view is valid until the next call. It may be empty although the body has not
@@ -70,6 +81,9 @@
     /// \brief Returns whether the endpoint refuses a connection: its process has ended, not only the connection of this call.
     boost::asio::awaitable<bool> refusesConnection();
 
+    /// \brief Returns the connection that was used, also after release().
+    [[nodiscard]] const ConnectionUse &connectionUse() const;
+
     /// \brief Returns how the answer states where its body ends; NoBody before its head was received.
     [[nodiscard]] BodyFraming framing() const;
     [[nodiscard]] BodyEnd bodyEnd() const;
@@ -88,10 +102,12 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint address, Time attemptDeadline);
+    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint address, const RequestId &id, Time attemptDeadline);
     boost::asio::awaitable<bool> readHead(const RequestId &id);
     boost::asio::awaitable<bool> readOneHead();
     boost::asio::awaitable<bool> skipBody();
+    /// \brief Drops what an answer to another request says: nothing in it is about this call or the endpoint's present state.
+    void forgetAnswer();
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
@@ -106,6 +122,7 @@
     /// \brief Bytes of the body that the caller of read() keeps.
     std::size_t keptBytes_ = 0;
     std::unique_ptr<EndpointConnection> connection_;
+    ConnectionUse connectionUse_;
     std::unique_ptr<Parser> parser_;
     EndpointAnswer answer_;
     std::string failure_;
