Bound the reads of answers to other requests that are skipped

What callers saw: while an endpoint answered other requests in tiny chunks, calls at the same gateway got no answer before their deadline on a busy machine. The test of bytes without end failed at load 22 and 27 on 8 cores.

Cause: Beast returns from a read of a body after each chunk, and each read costs turns of the event loop. The bound of 1 MB on a skipped answer counts the bytes of the body and neither reads nor the framing of chunks.

Change: EndpointCall::read() and HttpClient::stream() parse all chunks that arrived together at once, without waiting for more; Beast's eager mode would wait and delay events.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -1,5 +1,7 @@
 #include "endpointcall.h"
 
+#include "http/receivedchunks.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -23,6 +25,8 @@
 constexpr int MAX_SKIPPED_ANSWERS = 3;
 /// \brief Size limit of an answer to another request, which is skipped to reach the right one; beyond it a new connection costs less.
 constexpr std::size_t MAX_SKIPPED_BYTES = std::size_t(1024) * 1024;
+/// \brief Limit on the reads of an answer to another request. An endpoint that sends each chunk by itself makes every one cost a read.
+constexpr int MAX_SKIPPED_READS = 4096;
 constexpr unsigned FIRST_SUCCESS_STATUS = 200;
 constexpr unsigned FIRST_REDIRECT_STATUS = 300;
 } // namespace
@@ -128,6 +132,8 @@
     }
     framing_ = bodyFraming(*parser_);
     bodyBytes_ = 0;
+    framedBytes_ = 0;
+    bodyReads_ = 0;
     bodyBegun_.reset();
     bodyEnded_.reset();
     complete_ = parser_->is_done();
@@ -140,7 +146,7 @@
     const bool endsWithConnection = parser_->need_eof();
     while (!endsWithConnection && !complete_ && !broken_) {
         co_await read();
-        if (bodyBytes_ > MAX_SKIPPED_BYTES) {
+        if (framedBytes_ > MAX_SKIPPED_BYTES || bodyReads_ > MAX_SKIPPED_READS) {
             failOverLimit("answer to another request is too large to skip");
         }
     }
@@ -153,7 +159,11 @@
     parser_->get().body().size = data_.size();
     parser_->get().body().more = true;
     boost::system::error_code error;
-    co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
+    framedBytes_ += co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_, redirect_error(use_awaitable, error));
+    ++bodyReads_;
+    if (!error) {
+        framedBytes_ += parseReceivedChunks(*parser_, connection_->buffer);
+    }
     const std::size_t count = data_.size() - parser_->get().body().size;
     if (count > 0 && !bodyBegun_) {
         bodyBegun_ = MilliClock::now();
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -112,6 +112,9 @@
     BodyFraming framing_ = BodyFraming::NoBody;
     BodyEnd bodyEnd_ = BodyEnd::NotReached;
     std::size_t bodyBytes_ = 0;
+    /// \brief Bytes of the body with the framing of its chunks.
+    std::size_t framedBytes_ = 0;
+    int bodyReads_ = 0;
     std::optional<Time> bodyBegun_;
     std::optional<Time> bodyEnded_;
     std::string_view proof_;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include <mimosatally/Http>
 
+#include "receivedchunks.h"
+
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -183,6 +185,7 @@
         if (error && error != http::error::need_buffer) {
             throwUnreachable(server_, error);
         }
+        internal::parseReceivedChunks(parser, buffer);
         const std::size_t count = data.size() - parser.get().body().size;
         if (count > 0) {
             co_await onData(std::string_view(data.data(), count));
