Send reports and orders to engines over connections of their own

What an operator saw, in a test: an engine rejected an order with 412, and the gateway logged result=already-holds and counted the order as carried out.

Cause: report and order went over one connection, and their answers bear no id. The copy of a report's 200 that an engine wrote late was taken for the answer to the order. An old 202 or 412 would have been, too.

Evidence, the new test on the code before:

CHECK( fixture.gateway().hasOutput("result=fenced") ) with expansion: false CHECK_FALSE( fixture.gateway().hasOutput("result=already-holds") ) with expansion: !true

Change: the client of an order keeps no idle connections, so each call has a connection that carries nothing else. A client that keeps none states Connection: close. Price: two connections for an order that is sent in place of one; one, as before, where the report shows that no order is needed.

Measured: the new test passes.

--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -163,6 +163,8 @@
     }
     HttpClient::Options options;
     options.maxResponseBytes = MAX_ENGINE_ANSWER_BYTES;
+    // Nothing in an answer ties it to its call, so the report and the order each have a connection of their own (docs/answers.md).
+    options.maxIdleConnections = 0;
     HttpClient client(gateway_.io, record->second.address, options);
     std::string result;
     bool accepted = false;
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -127,7 +127,8 @@
 void HttpClient::prepare(HttpRequest &request) const
 {
     request.set(http::field::host, toString(server_));
-    request.keep_alive(true);
+    // The server closes a connection that serves one call, so that no port of this client waits for late packets.
+    request.keep_alive(options_.maxIdleConnections > 0);
     request.prepare_payload();
 }
 
