Send the agent's reports, orders and cancellations over connections of their own

What an operator saw, in a test: an engine refused an order with 409, and the agent reported it as done; an engine that carried out an order reported so, and the agent took it for free and let the next order pass.

Cause: load reports, orders and cancellations share kept connections, and their answers bear no id. The copy of an answer that the engine wrote late was taken for the answer to the next call: a load report's 200 for an order's, an order's or a cancellation's 200 for a report without an order in progress.

Change: these calls keep no idle connections. Price: a connection for each load report, two a second, and for each order and cancellation, to a process on the same machine.

--- a/src/agent/endpointclient.cpp
+++ b/src/agent/endpointclient.cpp
@@ -16,6 +16,14 @@
 constexpr Duration CONTROL_TIMEOUT(2000);
 constexpr unsigned STATUS_OK = 200;
 
+/// \brief Options of a client whose calls have a connection each: nothing in an answer of the endpoint ties it to its call (docs/answers.md).
+HttpClient::Options singleCallOptions()
+{
+    HttpClient::Options options;
+    options.maxIdleConnections = 0;
+    return options;
+}
+
 HttpClient::Options requestOptions(std::size_t maxIdleConnections)
 {
     HttpClient::Options options;
@@ -59,7 +67,7 @@
 
 EndpointClient::EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address, std::size_t maxIdleConnections)
     : client_(io, address, requestOptions(maxIdleConnections))
-    , control_(io, address)
+    , control_(io, address, singleCallOptions())
 {
 }
 
