--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include <mimosatally/Http>
 
+#include "receivedchunks.h"
+
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -125,7 +127,8 @@
 void HttpClient::prepare(HttpRequest &request) const
 {
     request.set(http::field::host, toString(server_));
-    request.keep_alive(true);
+    // The server closes a connection that serves one call, so that no port of this client waits for late packets.
+    request.keep_alive(options_.maxIdleConnections > 0);
     request.prepare_payload();
 }
 
@@ -183,6 +186,7 @@
         if (error && error != http::error::need_buffer) {
             throwUnreachable(server_, error);
         }
+        internal::parseReceivedChunks(parser, buffer);
         const std::size_t count = data.size() - parser.get().body().size;
         if (count > 0) {
             co_await onData(std::string_view(data.data(), count));
