--- a/include/mimosatally/core/strongid.h
+++ b/include/mimosatally/core/strongid.h
@@ -54,6 +54,14 @@
 using RegionId = StrongId<struct RegionTag>;
 using RequestId = StrongId<struct RequestTag>;
 using ServiceId = StrongId<struct ServiceTag>;
+/// \brief Version of an endpoint's software, not of the weights of its models; empty if it is not known.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
+
+/// \brief Returns whether what endpoints of both versions write fits together; false if one of them is not known.
+[[nodiscard]] inline bool isSameVersion(const SoftwareVersion &left, const SoftwareVersion &right)
+{
+    return !left.empty() && left == right;
+}
 
 } // namespace mimosatally
 
--- a/include/mimosatally/serving/callrequest.h
+++ b/include/mimosatally/serving/callrequest.h
@@ -16,6 +16,12 @@
     Tokens tokens;
 };
 
+/// \brief Stream that a call continues because an earlier attempt of its caller broke off.
+struct ResumedStream {
+    /// \brief Request that brought the stream's first event; empty if the call does not name it, or names none that can be.
+    RequestId root;
+};
+
 /// \brief Properties of a call, decoded from its header.
 struct CallRequest {
     RequestId id;
@@ -28,6 +34,8 @@
     Tokens maxOutputTokens;
     /// \brief Parts in the order of the prompt.
     std::vector<PromptPart> promptParts;
+    /// \brief Set if the caller has received events of the stream in an earlier attempt.
+    std::optional<ResumedStream> resumed;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/serving/endpointrecord.h
+++ b/include/mimosatally/serving/endpointrecord.h
@@ -21,6 +21,7 @@
     ServiceId service;
     boost::asio::ip::tcp::endpoint address;
     DataCentreId dataCentre;
+    SoftwareVersion version;
     /// \brief Maximum number of requests that it runs concurrently.
     int slots = 1;
     /// \brief The endpoint accepts no new calls and will exit.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -151,7 +151,8 @@
     for (const auto &[id, record] : registry.endpoints()) {
         const auto logged = loggedEndpoints_.find(id);
         const bool unchanged = logged != loggedEndpoints_.end() && logged->second.leaving == record.leaving && logged->second.phase == record.phase
-                               && logged->second.startedAt == record.startedAt && logged->second.address == record.address;
+                               && logged->second.startedAt == record.startedAt && logged->second.address == record.address
+                               && logged->second.version == record.version;
         if (unchanged) {
             continue;
         }
@@ -164,6 +165,7 @@
                   {"service", record.service},
                   {"address", toString(record.address)},
                   {"state", record.leaving ? "leaving" : "ready"},
+                  {"version", record.version},
                   {"phase", phase},
                   {"started", record.startedAt}});
     }
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -190,12 +190,12 @@
     for (const char *bad : {"not json",
                             "[]",
                             R"({"service":"s"})",
-                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"sleeping"})",
-                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"8","state":"ready"})",
-                            R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"})",
-                            R"({"service":"s","address":"nowhere","zone":"z","slots":8,"state":"ready"})",
-                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":1.5})",
-                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","phase":"odd"})"}) {
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"sleeping"})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":"8","state":"ready"})",
+                            R"({"service":7,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready"})",
+                            R"({"service":"s","address":"nowhere","zone":"z","version":"v1","slots":8,"state":"ready"})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","born":1.5})",
+                            R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","phase":"odd"})"}) {
         CHECK_THROWS_AS(platform::decodeEndpoint("i-1", bad), MalformedInputError);
     }
 }
@@ -246,7 +246,7 @@
 TEST_CASE("An odd heartbeat is rejected with a short error", "[platform]")
 {
     const auto heartbeat = [](const std::string &address, const std::string &slots, const std::string &extra = {}) {
-        return R"({"service":"s","address":")" + address + R"(","zone":"z","state":"ready","slots":)" + slots + extra + "}";
+        return R"({"service":"s","address":")" + address + R"(","zone":"z","version":"v1","state":"ready","slots":)" + slots + extra + "}";
     };
     const std::string good = "10.0.0.1:80";
     CHECK(platform::decodeEndpoint("i-1", heartbeat(good, "8")).slots == 8);
