Record which software version wrote a stream's first event

Interface only, for the code that joins streams: a call reports the first event and the end of a stream to StreamTracker and StreamLookup, and asks StreamLookup::lookUp() for the origin of a stream that it continues. Nothing calls them yet, and gateways do not exchange origins yet.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -49,6 +49,8 @@
     , limitReport(router, metrics)
     , suspects(seedOf(settings))
     , crashWatch(suspects, metrics)
+    , streams(metrics)
+    , streamLookup(context, streams, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -4,6 +4,7 @@
 #include "connectionpool.h"
 #include "crashwatch.h"
 #include "limitreport.h"
+#include "streamlookup.h"
 
 #include <mimosatally/Gateway>
 #include <mimosatally/Membership>
@@ -60,6 +61,9 @@
     LimitReport limitReport;
     CrashSuspects suspects;
     CrashWatch crashWatch;
+    /// \brief Versions that wrote the first events of streams.
+    StreamTracker streams;
+    StreamLookup streamLookup;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     /// \brief Bytes of endpoints' answers that all calls hold together.
--- /dev/null
+++ b/src/gateway/streamlookup.cpp
@@ -0,0 +1,127 @@
+#include "streamlookup.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+/// \brief Label of a lookup's result for the metric.
+const char *outcomeOf(const StreamTracker::Knowledge &knowledge)
+{
+    if (!knowledge.origin) {
+        return knowledge.neverJoined ? "outcome=\"conflicting\"" : "outcome=\"unknown\"";
+    }
+    return knowledge.fromOnlyVersion ? "outcome=\"only_version\"" : "outcome=\"recorded\"";
+}
+} // namespace
+
+StreamLookup::StreamLookup(boost::asio::io_context &io, StreamTracker &tracker, Metrics &metrics)
+    : io_(io)
+    , tracker_(tracker)
+    , metrics_(metrics)
+{
+}
+
+void StreamLookup::setAsk(Ask ask)
+{
+    ask_ = std::move(ask);
+}
+
+void StreamLookup::setCover(Cover cover)
+{
+    cover_ = std::move(cover);
+}
+
+void StreamLookup::setAnnounce(Announce announce)
+{
+    announce_ = std::move(announce);
+}
+
+void StreamLookup::streamEnded(const RequestId &root, StreamTracker::End end)
+{
+    const bool mustTell = tracker_.streamEnded(root, end, MilliClock::now());
+    if (mustTell && announce_) {
+        announce_();
+    }
+}
+
+bool StreamLookup::isOpen(const RequestId &root, const ServiceId &service) const
+{
+    const StreamTracker::Knowledge knowledge = tracker_.find(root, service, MilliClock::now());
+    return !knowledge.origin && !knowledge.neverJoined;
+}
+
+awaitable<std::optional<StreamOrigin>> StreamLookup::lookUp(RequestId root, ServiceId service)
+{
+    const bool recordable = !root.empty() && root.value().size() <= StreamOrigins::MAX_ROOT_BYTES;
+    bool asked = false;
+    if (recordable && isOpen(root, service)) {
+        asked = true;
+        co_await waitForPeers(root, service);
+    }
+    const StreamTracker::Knowledge knowledge = recordable ? tracker_.find(root, service, MilliClock::now()) : StreamTracker::Knowledge();
+    const bool fromPeer = asked && knowledge.origin && !knowledge.fromOnlyVersion;
+    metrics_.increment("mimosatally_stream_lookups_total", fromPeer ? "outcome=\"peer\"" : outcomeOf(knowledge));
+    co_return knowledge.origin;
+}
+
+awaitable<void> StreamLookup::waitForPeers(RequestId root, ServiceId service)
+{
+    const std::vector<RequestId> roots {root};
+    const bool hasPeers = ask_ && waiting_.size() < MAX_WAITING && ask_(roots);
+    const Time asked = MilliClock::now();
+    if (cover_ && !tracker_.versions().isCovered(asked) && !tracker_.versions().isMixed(service, asked)) {
+        co_await cover_();
+    }
+    if (!hasPeers) {
+        co_return;
+    }
+    if (isOpen(root, service)) {
+        co_await waitOnce(root, asked + MAX_WAIT / 2);
+    }
+    if (isOpen(root, service) && MilliClock::now() < asked + MAX_WAIT) {
+        ask_(roots);
+        co_await waitOnce(root, asked + MAX_WAIT);
+    }
+}
+
+awaitable<void> StreamLookup::waitOnce(const RequestId &root, Time end)
+{
+    const Time now = MilliClock::now();
+    if (now >= end) {
+        co_return;
+    }
+    std::shared_ptr<Waiting> &entry = waiting_[root];
+    if (!entry) {
+        entry = std::make_shared<Waiting>(io_);
+    }
+    const std::shared_ptr<Waiting> waiting = entry;
+    if (waiting->lookups == 0) {
+        waiting->timer.expires_after(end - now);
+    }
+    ++waiting->lookups;
+    boost::system::error_code ignored;
+    co_await waiting->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    --waiting->lookups;
+    if (waiting->lookups == 0) {
+        waiting_.erase(root);
+    }
+}
+
+void StreamLookup::wake(const std::vector<RequestId> &roots)
+{
+    for (const RequestId &root : roots) {
+        const auto found = waiting_.find(root);
+        if (found != waiting_.end()) {
+            found->second->timer.cancel();
+        }
+    }
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/streamtracker.cpp
@@ -0,0 +1,165 @@
+#include "streamtracker.h"
+
+#include <algorithm>
+
+namespace mimosatally::internal
+{
+
+namespace
+{
+/// \brief A process that has heard neither the store nor another gateway for longer may not know of a new version.
+constexpr Duration MAX_SILENCE = Duration(3000);
+
+/// \brief Adds \a root to the notice with its origin.
+void addTo(std::vector<StreamNotice> &notices, const StreamOrigin &origin, const RequestId &root)
+{
+    auto notice = std::ranges::find(notices, origin, &StreamNotice::origin);
+    if (notice == notices.end()) {
+        notice = notices.insert(notices.end(), StreamNotice {origin, {}});
+    }
+    notice->roots.push_back(root);
+}
+} // namespace
+
+StreamTracker::StreamTracker(Metrics &metrics)
+    : metrics_(metrics)
+{
+}
+
+void StreamTracker::setLifetime(Duration lifetime)
+{
+    origins_.setLifetime(lifetime);
+    versions_.setLifetime(lifetime);
+}
+
+VersionHistory &StreamTracker::versions()
+{
+    return versions_;
+}
+
+void StreamTracker::streamBegan(const RequestId &root, const StreamOrigin &origin, Time now)
+{
+    versions_.observe(origin.service, origin.version, now);
+    record(root, origin, now);
+    const auto [own, isNew] = ownStreams_.try_emplace(root);
+    ++own->second.attempts;
+    if (isNew) {
+        own->second.origin = origin;
+        unannounced_[origin.service].insert(root);
+    }
+}
+
+bool StreamTracker::streamEnded(const RequestId &root, End end, Time now)
+{
+    const auto own = ownStreams_.find(root);
+    if (own == ownStreams_.end()) {
+        return false;
+    }
+    const StreamOrigin origin = own->second.origin;
+    const bool mustTell = end == End::Broken && !own->second.announced && versions_.isMixed(origin.service, now);
+    if (mustTell) {
+        own->second.announced = true;
+        broken_.emplace_back(root, origin);
+    }
+    --own->second.attempts;
+    const bool finished = own->second.attempts == 0;
+    if (finished || own->second.announced) {
+        unannounced_[origin.service].erase(root);
+    }
+    if (finished) {
+        // The attempt's end, not its start, begins the time in which the caller may continue the stream.
+        record(root, origin, now);
+        ownStreams_.erase(own);
+    }
+    return mustTell;
+}
+
+void StreamTracker::record(const RequestId &root, const StreamOrigin &origin, Time now)
+{
+    const StreamOrigins::Stream *known = origins_.find(root, now);
+    const bool wasJoinable = known == nullptr || known->joinable;
+    if (origins_.record(root, origin, now) != StreamOrigins::Result::Conflicting || !wasJoinable) {
+        return;
+    }
+    metrics_.increment("mimosatally_stream_origin_conflicts_total", {});
+    logEvent(LogEvent::StreamOriginConflicting, {{"request", root}, {"service", origin.service}, {"version", origin.version}});
+}
+
+void StreamTracker::recordNotice(const StreamNotice &notice, Time now)
+{
+    if (!notice.origin.version.empty()) {
+        versions_.observe(notice.origin.service, notice.origin.version, now);
+    }
+    for (const RequestId &root : notice.roots) {
+        record(root, notice.origin, now);
+    }
+    metrics_.increment("mimosatally_stream_notices_total", "direction=\"received\"", notice.roots.size());
+}
+
+void StreamTracker::recordContact(Time now)
+{
+    lastContact_ = now;
+}
+
+StreamTracker::Knowledge StreamTracker::find(const RequestId &root, const ServiceId &service, Time now) const
+{
+    Knowledge knowledge;
+    const StreamOrigins::Stream *known = origins_.find(root, now);
+    if (known != nullptr) {
+        knowledge.neverJoined = !known->joinable;
+        if (known->joinable) {
+            knowledge.origin = known->origin;
+        }
+        return knowledge;
+    }
+    const bool inContact = lastContact_ && now - *lastContact_ <= MAX_SILENCE;
+    const std::optional<SoftwareVersion> only = inContact ? versions_.onlyVersion(service, now) : std::nullopt;
+    if (only) {
+        knowledge.origin = StreamOrigin {service, *only};
+        knowledge.fromOnlyVersion = true;
+    }
+    return knowledge;
+}
+
+std::optional<StreamNotice> StreamTracker::answerTo(const RequestId &root, Time now) const
+{
+    const StreamOrigins::Stream *known = origins_.find(root, now);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    StreamOrigin origin = known->origin;
+    if (!known->joinable) {
+        origin.version = SoftwareVersion();
+    }
+    return StreamNotice {origin, {root}};
+}
+
+std::vector<StreamNotice> StreamTracker::takeNotices(std::size_t maxRoots, Time now)
+{
+    std::vector<StreamNotice> notices;
+    std::size_t taken = 0;
+    while (!broken_.empty() && taken < maxRoots) {
+        addTo(notices, broken_.back().second, broken_.back().first);
+        broken_.pop_back();
+        ++taken;
+    }
+    for (auto &[service, roots] : unannounced_) {
+        if (!versions_.isMixed(service, now)) {
+            continue;
+        }
+        while (!roots.empty() && taken < maxRoots) {
+            const auto own = ownStreams_.find(*roots.begin());
+            own->second.announced = true;
+            addTo(notices, own->second.origin, own->first);
+            roots.erase(roots.begin());
+            ++taken;
+        }
+    }
+    metrics_.increment("mimosatally_stream_notices_total", "direction=\"sent\"", taken);
+    std::erase_if(unannounced_, [](const auto &item) {
+        return item.second.empty();
+    });
+    return notices;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/streamtracker.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "versionhistory.h"
+
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace mimosatally::internal
+{
+
+/// \brief Knows which version wrote the first events of streams, and which of the own streams other gateways have to be told of.
+///
+/// Performs no I/O apart from log lines. Other gateways are told of a stream while its service has several versions, so one version everywhere costs nothing.
+class StreamTracker
+{
+public:
+    /// \brief How an attempt to deliver a stream has ended.
+    enum class End {
+        /// \brief The caller has all of it.
+        Complete,
+        /// \brief It broke off, was cut, or the caller is gone; another attempt of the caller may continue it.
+        Broken,
+    };
+
+    /// \brief What is known of the origin of a stream.
+    struct Knowledge {
+        /// \brief Set if the version of the first event is known.
+        std::optional<StreamOrigin> origin;
+        /// \brief The version is unknown and remains so; asking other gateways cannot help.
+        bool neverJoined = false;
+        /// \brief The origin was concluded from the only version of the service.
+        bool fromOnlyVersion = false;
+    };
+
+    explicit StreamTracker(Metrics &metrics);
+
+    /// \brief Sets for how long the origin of a stream is needed; see originLifetime().
+    void setLifetime(Duration lifetime);
+
+    /// \brief Records the first event that this process forwards of a stream, before it is written to the caller. Each call needs one to streamEnded().
+    /// \param root request that brought the stream's first event: the one that the call continues, else the call itself.
+    void streamBegan(const RequestId &root, const StreamOrigin &origin, Time now);
+
+    /// \brief Records the end of an attempt, before the caller's connection is closed.
+    /// \return whether other gateways have to be told of the stream now; see takeNotices().
+    bool streamEnded(const RequestId &root, End end, Time now);
+
+    /// \brief Records what another gateway tells.
+    void recordNotice(const StreamNotice &notice, Time now);
+
+    /// \brief Records that the store has answered or that a datagram of another gateway was received, so that the known versions are not outdated.
+    void recordContact(Time now);
+
+    /// \brief Returns what is known of a stream that a call to \a service continues. Its origin can be another service.
+    [[nodiscard]] Knowledge find(const RequestId &root, const ServiceId &service, Time now) const;
+
+    /// \brief Returns what to tell an asking gateway; empty if nothing is known.
+    [[nodiscard]] std::optional<StreamNotice> answerTo(const RequestId &root, Time now) const;
+
+    /// \brief Returns the origins of at most \a maxRoots own streams that other gateways have to be told of. They count as told from then on.
+    std::vector<StreamNotice> takeNotices(std::size_t maxRoots, Time now);
+
+    VersionHistory &versions();
+
+private:
+    struct OwnStream {
+        StreamOrigin origin;
+        /// \brief Attempts in flight; a caller may continue a stream while its last attempt still runs.
+        int attempts = 0;
+        bool announced = false;
+    };
+
+    void record(const RequestId &root, const StreamOrigin &origin, Time now);
+
+    Metrics &metrics_;
+    StreamOrigins origins_;
+    VersionHistory versions_;
+    std::unordered_map<RequestId, OwnStream> ownStreams_;
+    /// \brief Streams in flight that other gateways have not been told of.
+    std::map<ServiceId, std::unordered_set<RequestId>> unannounced_;
+    /// \brief Streams that broke off and have to be announced at once.
+    std::vector<std::pair<RequestId, StreamOrigin>> broken_;
+    std::optional<Time> lastContact_;
+};
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/versionhistory.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "streamorigins.h"
+
+#include <map>
+#include <optional>
+
+namespace mimosatally::internal
+{
+
+/// \brief Software versions of each service that were registered recently.
+///
+/// Performs no I/O. It answers whether the origin of a stream follows from the service alone because there was only one version since before the stream began.
+class VersionHistory
+{
+public:
+    /// \brief Bounds the memory that forged notices of other processes can take up.
+    static constexpr std::size_t MAX_SERVICES = 1024;
+    /// \brief Versions of one service; of more, those that were seen last are kept.
+    static constexpr std::size_t MAX_VERSIONS = 8;
+    /// \brief An endpoint whose entry was removed can still write the first event of a call that was placed before.
+    static constexpr Duration FIRST_EVENT_DELAY = Duration(5000);
+
+    /// \brief Sets how long before now the first event of a stream that is taken up can be.
+    void setLifetime(Duration lifetime);
+
+    /// \brief Records that an endpoint of this version is registered. \param version empty if the endpoint states none.
+    void observe(const ServiceId &service, const SoftwareVersion &version, Time now);
+
+    /// \brief Records that from \a since on all versions that were registered have been observed.
+    void recordCoverage(Time since);
+
+    /// \brief Records that versions which were registered before \a now may have been missed.
+    void recordGap(Time now);
+
+    /// \brief Returns whether all versions of the lifetime before \a now were observed.
+    [[nodiscard]] bool isCovered(Time now) const;
+
+    /// \brief Returns the version of \a service if there was no other one during the lifetime before \a now.
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceId &service, Time now) const;
+
+    /// \brief Returns whether several versions of \a service were registered recently.
+    [[nodiscard]] bool isMixed(const ServiceId &service, Time now) const;
+
+    /// \brief Returns the recent versions of the services that have several.
+    [[nodiscard]] std::vector<StreamOrigin> mixedVersions(Time now) const;
+
+private:
+    /// \brief Versions with the times at which they were last seen.
+    using Versions = std::map<SoftwareVersion, Time>;
+
+    [[nodiscard]] bool isRecent(Time seen, Time now) const;
+    [[nodiscard]] std::size_t countRecent(const Versions &versions, Time now) const;
+    /// \return whether there is room for another service.
+    bool makeRoom(Time now);
+
+    std::map<ServiceId, Versions> services_;
+    Duration lifetime_ = originLifetime(Duration(0));
+    std::optional<Time> coveredSince_;
+};
+
+} // namespace mimosatally::internal
