Exchange the origins of streams between gateways

While a service has several software versions, a gateway tells the others which version wrote the first events of its streams in flight, and at once of one that breaks off; it asks them for origins that it does not know. A process that has just started reads from the store's history which versions were registered.

--- a/include/mimosatally/gateway/gatewaysettings.h
+++ b/include/mimosatally/gateway/gatewaysettings.h
@@ -35,6 +35,8 @@
     Duration graceTime = Duration(8000);
     /// \brief Duration of the lease under which one gateway orders engines to change phase.
     Duration orderLease = Duration(3000);
+    /// \brief Approximate time between the heartbeats of an endpoint.
+    Duration heartbeatInterval = Duration(1200);
     /// \brief Maximum fraction of the requests to a service that are retried, over all gateways.
     double retryRatio = 0.2;
     /// \brief Number of retries in a window that are allowed beyond the ratio, over all gateways.
--- /dev/null
+++ b/src/gateway/endpointhistory.cpp
@@ -0,0 +1,139 @@
+#include "endpointhistory.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <platform/recordcodec.h>
+
+namespace mimosatally::internal
+{
+
+using boost::asio::awaitable;
+
+namespace
+{
+constexpr Duration ANSWER_TIMEOUT = Duration(500);
+constexpr Duration MIN_READ_INTERVAL = Duration(1000);
+/// \brief Bounds the pages, of at most a megabyte each, that one read of the history fetches.
+constexpr int MAX_PAGES = 8;
+} // namespace
+
+EndpointHistory::EndpointHistory(GatewayState &gateway)
+    : gateway_(gateway)
+    , store_(gateway.io, parseAddress(gateway.settings.store))
+    , readEnd_(gateway.io, boost::asio::steady_timer::time_point::max())
+{
+}
+
+awaitable<void> EndpointHistory::cover()
+{
+    const Time now = MilliClock::now();
+    const bool wasRead = readAtGap_ && *readAtGap_ == gateway_.streams.versions().gapCount();
+    if (reading_) {
+        boost::system::error_code ignored;
+        co_await readEnd_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    } else if (!wasRead && now >= nextRead_) {
+        nextRead_ = now + MIN_READ_INTERVAL;
+        reading_ = true;
+        co_await read();
+        reading_ = false;
+        readEnd_.cancel();
+    }
+}
+
+awaitable<void> EndpointHistory::read()
+{
+    std::string failure;
+    try {
+        co_await readPages();
+    } catch (const Error &error) {
+        failure = error.what();
+    }
+    if (!failure.empty()) {
+        gateway_.metrics.increment("mimosatally_store_failures_total", "topic=\"endpoint_history\"");
+        logEvent(LogEvent::EndpointHistoryRead, {{"error", failure}});
+    }
+}
+
+awaitable<void> EndpointHistory::readPages()
+{
+    const std::uint64_t gaps = gateway_.streams.versions().gapCount();
+    HeartbeatSpan span;
+    Offset from(0);
+    std::optional<StoreEra> era;
+    std::size_t count = 0;
+    bool complete = false;
+    bool more = true;
+    for (int page = 0; more; ++page) {
+        if (page == MAX_PAGES) {
+            throw UnreachableError("the history of the endpoints is too long");
+        }
+        const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from, Duration(0), ANSWER_TIMEOUT);
+        if (const auto *deleted = std::get_if<platform::OffsetUnavailable>(&answer)) {
+            if (!deleted->first || *deleted->first <= from || count > 0) {
+                throw UnreachableError("the history of the endpoints was deleted while it was read");
+            }
+            from = *deleted->first;
+            continue;
+        }
+        const auto &records = std::get<platform::KeyedRecords>(answer);
+        if (count > 0 && records.era != era) {
+            throw UnreachableError("the store was restored while the history of the endpoints was read");
+        }
+        era = records.era;
+        for (const platform::KeyedRecord &record : records.records) {
+            observe(record, span);
+        }
+        count += records.records.size();
+        more = records.next < records.end && !records.records.empty();
+        complete = complete || (from == Offset(0) && !records.records.empty());
+        from = records.next;
+    }
+    recordCoverage(span, complete, count);
+    readAtGap_ = gaps;
+}
+
+void EndpointHistory::observe(const platform::KeyedRecord &record, HeartbeatSpan &span)
+{
+    if (!record.value) {
+        return;
+    }
+    try {
+        const EndpointRecord endpoint = platform::decodeEndpoint(record.key, *record.value);
+        gateway_.streams.versions().observe(endpoint.service, endpoint.version, MilliClock::now());
+        span.add(endpoint);
+    } catch (const MalformedInputError &error) {
+        // An entry that cannot be read names no endpoint, so no stream comes from it.
+        gateway_.metrics.increment("mimosatally_endpoint_history_unreadable_total", {});
+    }
+}
+
+void EndpointHistory::recordCoverage(const HeartbeatSpan &span, bool complete, std::size_t records)
+{
+    const Time now = MilliClock::now();
+    const Duration covered = complete ? originLifetime(Duration::max()) : gateway_.settings.heartbeatInterval * span.intervals();
+    gateway_.streams.versions().recordCoverage(now - covered);
+    logEvent(LogEvent::EndpointHistoryRead, {{"records", records}, {"covered_ms", covered}, {"complete", complete}});
+}
+
+void HeartbeatSpan::add(const EndpointRecord &record)
+{
+    Counted &counted = endpoints_[record.id];
+    const EndpointRecord &last = counted.last;
+    // Records that tell of a change are written between the regular ones.
+    const bool regular = last.startedAt == record.startedAt && last.leaving == record.leaving && last.phase == record.phase && last.heartbeat
+                         && record.heartbeat && *record.heartbeat > *last.heartbeat;
+    counted.intervals += regular ? 1 : 0;
+    counted.last = record;
+}
+
+int HeartbeatSpan::intervals() const
+{
+    int longest = 0;
+    for (const auto &[id, counted] : endpoints_) {
+        longest = std::max(longest, counted.intervals);
+    }
+    return longest;
+}
+
+} // namespace mimosatally::internal
--- /dev/null
+++ b/src/gateway/endpointhistory.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "gatewaystate.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <platform/storeclient.h>
+
+namespace mimosatally::internal
+{
+
+/// \brief Estimates how far the records of a history reach back, from the number of heartbeats that one endpoint has written in it.
+class HeartbeatSpan
+{
+public:
+    void add(const EndpointRecord &record);
+
+    /// \brief Returns the number of heartbeat intervals that the history covers at least.
+    [[nodiscard]] int intervals() const;
+
+private:
+    struct Counted {
+        EndpointRecord last;
+        int intervals = 0;
+    };
+
+    std::map<EndpointId, Counted> endpoints_;
+};
+
+/// \brief Learns from the records that the store still has which versions were registered before this process watched.
+class EndpointHistory
+{
+public:
+    explicit EndpointHistory(GatewayState &gateway);
+
+    /// \brief Reads the kept heartbeats of all endpoints, once unless versions were missed since, and at most once a second. Concurrent calls share one read.
+    /// A failure of the store is logged; the history then stays as it was.
+    boost::asio::awaitable<void> cover();
+
+private:
+    boost::asio::awaitable<void> read();
+    /// \brief Reads all pages. \throws UnreachableError \throws MalformedInputError
+    boost::asio::awaitable<void> readPages();
+    void observe(const platform::KeyedRecord &record, HeartbeatSpan &span);
+    /// \param complete the store still has all records that it ever had.
+    void recordCoverage(const HeartbeatSpan &span, bool complete, std::size_t records);
+
+    GatewayState &gateway_;
+    platform::StoreClient store_;
+    bool reading_ = false;
+    /// \brief Never expires; it is cancelled when a read ends.
+    boost::asio::steady_timer readEnd_;
+    Time nextRead_ = Time::min();
+    /// \brief VersionHistory::gapCount() at the last complete read.
+    std::optional<std::uint64_t> readAtGap_;
+};
+
+} // namespace mimosatally::internal
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,4 +1,5 @@
 #include "callhandler.h"
+#include "endpointhistory.h"
 #include "loopmonitor.h"
 #include "noticeexchange.h"
 #include "ordercontroller.h"
@@ -91,6 +92,7 @@
         , gateway_(io_, settings)
         , callHandler_(gateway_)
         , storeFollower_(gateway_, rpc_)
+        , endpointHistory_(gateway_)
         , orderController_(gateway_)
         , supervisor_(io_,
                       static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count()),
@@ -113,6 +115,9 @@
                            })
         , settingsReload_(gateway_, io_)
     {
+        gateway_.streamLookup.setCover([this] {
+            return endpointHistory_.cover();
+        });
         if (!settings.peerListen.empty()) {
             peerServer_.emplace(rpc_, parseAddress(settings.peerListen), kj::heap<PeerService>(storeFollower_.newestRecords()), MAX_PEER_MESSAGE_BYTES);
         }
@@ -344,6 +349,7 @@
     GatewayState gateway_;
     CallHandler callHandler_;
     StoreFollower storeFollower_;
+    EndpointHistory endpointHistory_;
     OrderController orderController_;
     Supervisor supervisor_;
     HttpServer callerServer_;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -60,6 +60,7 @@
     result.peers = root.addresses("peers");
     result.graceTime = root.fractionalDuration("grace_time", result.graceTime);
     result.orderLease = root.fractionalDuration("order_lease", result.orderLease);
+    result.heartbeatInterval = root.fractionalDuration("heartbeat_interval", result.heartbeatInterval);
     result.retryRatio = numberUpTo(root, "retry_ratio", result.retryRatio, 1);
     result.retrySlack = static_cast<std::int64_t>(numberUpTo(root, "retry_slack", static_cast<double>(result.retrySlack), MAX_RETRY_SLACK));
     result.retryWindow = root.fractionalDuration("retry_window", result.retryWindow);
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -36,6 +36,16 @@
     return {settings.dataCentre, settings.regions};
 }
 
+/// \brief Longest timeout of the routes whose answers are streams.
+Duration longestStream(const ServingConfiguration &configuration)
+{
+    Duration longest(0);
+    for (const Route &route : configuration.routes) {
+        longest = route.form == AnswerForm::Events ? std::max(longest, route.timeout) : longest;
+    }
+    return longest;
+}
+
 std::uint64_t seedOf(const GatewaySettings &settings)
 {
     return std::hash<std::string>()(settings.process.value()) ^ static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count());
@@ -83,12 +93,16 @@
     routes = RouteTable(configuration);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
     limitIdleConnections();
+    streams.extendLifetime(originLifetime(longestStream(*configuration)));
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
 }
 
 void GatewayState::applyEndpoints(Time now)
 {
     registry.expire(now);
+    for (const auto &[id, record] : registry.endpoints()) {
+        streams.versions().observe(record.service, record.version, now);
+    }
     if (!configuration || registry.changeCount() == appliedChanges_) {
         return;
     }
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -25,6 +25,11 @@
 constexpr Duration STALE_DRAIN_TIME = Duration(50);
 /// \brief Bounds the datagrams to each peer after an engine has ended with many calls in flight; the next heartbeat repeats the first ones.
 constexpr std::size_t MAX_SUSPECT_DATAGRAMS = 4;
+/// \brief Bounds the datagrams to each peer when a service gets a second version with many streams in flight; the next send tells of the others.
+constexpr std::size_t MAX_STREAMS_PER_SEND = 512;
+/// \brief Bounds the answers to queries, whose senders can be forged: streams of which one peer is told within ANSWER_BOUND_INTERVAL.
+constexpr std::size_t MAX_ANSWERS_TO_PEER = 1024;
+constexpr Duration ANSWER_BOUND_INTERVAL = Duration(1000);
 constexpr Duration RECEIVE_RETRY = Duration(200);
 
 udp::endpoint ownAddress(const GatewaySettings &settings)
@@ -65,6 +70,18 @@
     , peers_(ownAddress(gateway.settings), region_, seedsOf(gateway.settings))
 {
     socket_.non_blocking(true);
+    gateway_.streamLookup.setAsk([this](const std::vector<RequestId> &roots) {
+        return askForOrigins(roots);
+    });
+    gateway_.streamLookup.setAnnounce([this] {
+        sendStreamNotices(MilliClock::now());
+    });
+}
+
+NoticeExchange::~NoticeExchange()
+{
+    gateway_.streamLookup.setAsk(nullptr);
+    gateway_.streamLookup.setAnnounce(nullptr);
 }
 
 Duration NoticeExchange::interval() const
@@ -82,6 +99,8 @@
         }
         lastSend_ = now;
         sendNotices(now);
+        sendVersions(gateway_.streams.takeChangedVersions(now));
+        sendStreamNotices(now);
         gateway_.setProcessCount(peers_.processCount(now), now);
         if (gateway_.suspects.takeChanged()) {
             sendSuspectNotices(now);
@@ -90,6 +109,7 @@
             peers_.setSeeds(seedsOf(gateway_.settings));
             peers_.expire(now);
             sendHeartbeat(now);
+            sendVersions(gateway_.streams.mixedVersions(now));
             sendSuspectNotices(now);
             nextHeartbeat_ = now + peers_.heartbeatInterval();
         }
@@ -149,6 +169,70 @@
     }
 }
 
+std::vector<udp::endpoint> NoticeExchange::activePeers() const
+{
+    std::vector<udp::endpoint> result = peers_.sameRegionPeers();
+    const std::vector<udp::endpoint> others = peers_.otherRegionPeers();
+    result.insert(result.end(), others.begin(), others.end());
+    return result;
+}
+
+void NoticeExchange::sendStreamNotices(Time now)
+{
+    const std::vector<udp::endpoint> targets = activePeers();
+    if (targets.empty()) {
+        return;
+    }
+    for (const PeerDatagram &datagram : batchStreamNotices(region_, gateway_.streams.takeNotices(MAX_STREAMS_PER_SEND, now))) {
+        sendTo(targets, datagram);
+    }
+}
+
+void NoticeExchange::sendVersions(const std::vector<StreamNotice> &versions)
+{
+    for (const PeerDatagram &datagram : batchStreamNotices(region_, versions)) {
+        sendTo(peers_.heartbeatTargets(), datagram);
+    }
+}
+
+bool NoticeExchange::askForOrigins(const std::vector<RequestId> &roots)
+{
+    const std::vector<udp::endpoint> targets = activePeers();
+    for (const PeerDatagram &datagram : batchStreamQueries(region_, roots)) {
+        sendTo(targets, datagram);
+    }
+    return !targets.empty();
+}
+
+void NoticeExchange::answerStreamQueries(const std::vector<RequestId> &roots, const udp::endpoint &sender, Time now)
+{
+    if (now - answersSince_ >= ANSWER_BOUND_INTERVAL) {
+        answersToPeers_.clear();
+        answersSince_ = now;
+    }
+    const bool bounded = !answersToPeers_.contains(sender) && answersToPeers_.size() >= PeerTable::MAX_PEERS;
+    std::vector<StreamNotice> notices;
+    for (const RequestId &root : roots) {
+        std::optional<StreamNotice> notice = gateway_.streams.answerTo(root, now);
+        if (!notice || bounded || answersToPeers_[sender] >= MAX_ANSWERS_TO_PEER) {
+            continue;
+        }
+        ++answersToPeers_[sender];
+        notices.push_back(std::move(*notice));
+    }
+    for (const PeerDatagram &datagram : batchStreamNotices(region_, notices)) {
+        sendTo({sender}, datagram);
+    }
+}
+
+void NoticeExchange::recordStreamNotices(const std::vector<StreamNotice> &notices, Time now)
+{
+    for (const StreamNotice &notice : notices) {
+        gateway_.streams.recordNotice(notice, now);
+        gateway_.streamLookup.wake(notice.roots);
+    }
+}
+
 void NoticeExchange::sendTo(const std::vector<udp::endpoint> &targets, const PeerDatagram &datagram)
 {
     const std::string bytes = encodeDatagram(datagram);
@@ -188,7 +272,13 @@
         for (const PeerAddress &peer : datagram.peers) {
             peers_.introduce(peer, now);
         }
+        // An origin stays true, so a notice on it counts also if it was queued during a stall.
+        recordStreamNotices(datagram.streamNotices, now);
         if (!stale) {
+            if (datagram.processCount > 0) {
+                gateway_.streams.recordContact(now);
+            }
+            answerStreamQueries(datagram.streamQueries, sender, now);
             gateway_.router.recordPeerDatagram(now);
             for (const PrefillNotice &notice : datagram.prefillNotices) {
                 gateway_.router.recordPrefillNotice(notice, now);
--- a/src/gateway/peerdatagram.cpp
+++ b/src/gateway/peerdatagram.cpp
@@ -8,6 +8,7 @@
 #include <capnp/serialize.h>
 #include <cmath>
 #include <cstring>
+#include <utility>
 
 namespace mimosatally::internal
 {
@@ -131,6 +132,96 @@
     return notice;
 }
 
+void writeStreamNotice(const StreamNotice &notice, schema::StreamNotice::Builder message)
+{
+    message.setService(notice.origin.service.value());
+    message.setVersion(notice.origin.version.value());
+    auto roots = message.initRoots(static_cast<unsigned>(notice.roots.size()));
+    for (unsigned i = 0; i < roots.size(); ++i) {
+        roots.set(i, notice.roots[i].value());
+    }
+}
+
+std::vector<RequestId> readRoots(capnp::List<capnp::Text>::Reader message)
+{
+    if (message.size() > MAX_STREAMS_PER_DATAGRAM) {
+        throw MalformedInputError("a datagram names too many streams");
+    }
+    std::vector<RequestId> roots;
+    roots.reserve(message.size());
+    for (const capnp::Text::Reader root : message) {
+        if (root.size() == 0 || root.size() > StreamOrigins::MAX_ROOT_BYTES) {
+            throw MalformedInputError("the id of a stream is empty or too long");
+        }
+        roots.emplace_back(std::string(root.begin(), root.size()));
+    }
+    return roots;
+}
+
+StreamNotice readStreamNotice(schema::StreamNotice::Reader message)
+{
+    const auto service = message.getService();
+    const auto version = message.getVersion();
+    if (service.size() == 0 || service.size() > MAX_ORIGIN_NAME_BYTES || version.size() > MAX_ORIGIN_NAME_BYTES) {
+        throw MalformedInputError("a stream notice has no service or too long a name");
+    }
+    StreamNotice notice;
+    notice.origin.service = ServiceId(std::string(service.begin(), service.size()));
+    notice.origin.version = SoftwareVersion(std::string(version.begin(), version.size()));
+    notice.roots = readRoots(message.getRoots());
+    return notice;
+}
+
+/// \brief Bytes of a text in a message: its pointer, its characters and the terminating zero, in whole words.
+std::size_t encodedBytes(const std::string &text)
+{
+    return sizeof(capnp::word) * (2 + text.size() / sizeof(capnp::word));
+}
+
+/// \brief Bytes that streams may take up in a datagram; the rest is left for the message around them and for the origin of the first one.
+constexpr std::size_t MAX_STREAM_BYTES = MAX_DATAGRAM_BYTES - 400;
+
+/// \brief Fills datagrams one after another up to the bounds on their content.
+class StreamBatches
+{
+public:
+    explicit StreamBatches(RegionId region)
+        : region_(std::move(region))
+    {
+    }
+
+    /// \brief Returns the datagram that has room for \a bytes more and one stream.
+    PeerDatagram &datagramFor(std::size_t bytes)
+    {
+        if (datagrams_.empty() || bytes_ + bytes > MAX_STREAM_BYTES || streams_ == MAX_STREAMS_PER_DATAGRAM
+            || datagrams_.back().streamNotices.size() == MAX_STREAM_NOTICES_PER_DATAGRAM) {
+            datagrams_.emplace_back().region = region_;
+            bytes_ = 0;
+            streams_ = 0;
+        }
+        bytes_ += bytes;
+        ++streams_;
+        return datagrams_.back();
+    }
+
+    std::vector<PeerDatagram> take()
+    {
+        return std::move(datagrams_);
+    }
+
+private:
+    RegionId region_;
+    std::vector<PeerDatagram> datagrams_;
+    std::size_t bytes_ = 0;
+    std::size_t streams_ = 0;
+};
+
+std::size_t encodedBytes(const StreamOrigin &origin)
+{
+    constexpr std::size_t structBytes = 3 * sizeof(capnp::word);
+    return structBytes + encodedBytes(origin.service.value()) + encodedBytes(origin.version.value());
+}
+
 PeerDatagram readDatagram(schema::PeerDatagram::Reader message)
 {
     PeerDatagram datagram;
@@ -152,10 +243,50 @@
     for (const auto suspectNotice : message.getSuspectNotices()) {
         datagram.suspectNotices.push_back(readSuspectNotice(suspectNotice));
     }
+    if (message.getStreamNotices().size() > MAX_STREAM_NOTICES_PER_DATAGRAM) {
+        throw MalformedInputError("a datagram has too many stream notices");
+    }
+    for (const auto streamNotice : message.getStreamNotices()) {
+        datagram.streamNotices.push_back(readStreamNotice(streamNotice));
+    }
+    datagram.streamQueries = readRoots(message.getStreamQueries());
     return datagram;
 }
 } // namespace
 
+std::vector<PeerDatagram> batchStreamNotices(const RegionId &region, const std::vector<StreamNotice> &notices)
+{
+    StreamBatches batches(region);
+    for (const StreamNotice &notice : notices) {
+        const StreamOrigin &origin = notice.origin;
+        if (origin.service.empty() || origin.service.value().size() > MAX_ORIGIN_NAME_BYTES || origin.version.value().size() > MAX_ORIGIN_NAME_BYTES) {
+            continue;
+        }
+        if (notice.roots.empty()) {
+            batches.datagramFor(encodedBytes(origin)).streamNotices.push_back(notice);
+        }
+        std::size_t originBytes = encodedBytes(origin);
+        for (const RequestId &root : notice.roots) {
+            PeerDatagram &datagram = batches.datagramFor(std::exchange(originBytes, 0) + encodedBytes(root.value()));
+            std::vector<StreamNotice> &sent = datagram.streamNotices;
+            if (sent.empty() || sent.back().origin != origin) {
+                sent.push_back({origin, {}});
+            }
+            sent.back().roots.push_back(root);
+        }
+    }
+    return batches.take();
+}
+
+std::vector<PeerDatagram> batchStreamQueries(const RegionId &region, const std::vector<RequestId> &roots)
+{
+    StreamBatches batches(region);
+    for (const RequestId &root : roots) {
+        batches.datagramFor(encodedBytes(root.value())).streamQueries.push_back(root);
+    }
+    return batches.take();
+}
+
 std::string encodeDatagram(const PeerDatagram &datagram)
 {
     capnp::MallocMessageBuilder builder;
@@ -179,6 +310,14 @@
     for (unsigned i = 0; i < suspectNotices.size(); ++i) {
         writeSuspectNotice(datagram.suspectNotices[i], suspectNotices[i]);
     }
+    auto streamNotices = message.initStreamNotices(static_cast<unsigned>(datagram.streamNotices.size()));
+    for (unsigned i = 0; i < streamNotices.size(); ++i) {
+        writeStreamNotice(datagram.streamNotices[i], streamNotices[i]);
+    }
+    auto streamQueries = message.initStreamQueries(static_cast<unsigned>(datagram.streamQueries.size()));
+    for (unsigned i = 0; i < streamQueries.size(); ++i) {
+        streamQueries.set(i, datagram.streamQueries[i].value());
+    }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const auto bytes = words.asChars();
     return {bytes.begin(), bytes.size()};
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "streamorigins.h"
+
 #include <mimosatally/Membership>
 #include <mimosatally/Routing>
 
@@ -20,6 +22,9 @@
     int processCount = 0;
     std::vector<LimitNotice> limitNotices;
     std::vector<SuspectNotice> suspectNotices;
+    std::vector<StreamNotice> streamNotices;
+    /// \brief Requests that brought the first events of streams whose origins the sender does not know.
+    std::vector<RequestId> streamQueries;
 };
 
 /// \brief Maximum size of a datagram, small enough that none is fragmented.
@@ -35,6 +40,19 @@
 /// \brief Maximum number of notices on suspects in one datagram; with all their crashes, they fit into it without other notices.
 constexpr std::size_t MAX_SUSPECT_NOTICES_PER_DATAGRAM = 8;
 
+/// \brief Maximum number of stream notices in one datagram.
+constexpr std::size_t MAX_STREAM_NOTICES_PER_DATAGRAM = 16;
+/// \brief Maximum number of streams that one datagram names, in its notices and as queries.
+constexpr std::size_t MAX_STREAMS_PER_DATAGRAM = 64;
+/// \brief Maximum length of the names of services and versions in stream notices; longer ones are not sent.
+constexpr std::size_t MAX_ORIGIN_NAME_BYTES = 64;
+
+/// \brief Distributes notices over datagrams that are not longer than MAX_DATAGRAM_BYTES. What cannot be sent because a name is too long is left out.
+std::vector<PeerDatagram> batchStreamNotices(const RegionId &region, const std::vector<StreamNotice> &notices);
+
+/// \brief Distributes queries over datagrams that are not longer than MAX_DATAGRAM_BYTES.
+std::vector<PeerDatagram> batchStreamQueries(const RegionId &region, const std::vector<RequestId> &roots);
+
 std::string encodeDatagram(const PeerDatagram &datagram);
 
 /// \throws MalformedInputError if \a bytes are not a valid datagram.
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -237,6 +237,7 @@
         return !present.contains(item.first);
     });
     registry.retain(present, end, now);
+    recordEndpointsRead(false, now);
     std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
         return item.second.position() < end && !present.contains(EndpointId(item.first));
     });
@@ -271,10 +272,17 @@
         }
         cursor.next = StorePosition {from.era, records->next};
         nextEndpoint_ = *cursor.next;
+        recordEndpointsRead(true, now);
     }
     co_return ReadResult::UpToDate;
 }
 
+void StoreFollower::recordEndpointsRead(bool complete, Time now)
+{
+    gateway_.streams.recordContact(now);
+    gateway_.streams.versions().recordRead(complete, now);
+}
+
 void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era)
 {
     if (record.key != platform::CONFIGURATION_KEY || !record.value) {
@@ -310,6 +318,9 @@
             logEvent(LogEvent::EndpointRecordUnreadable, {{"endpoint", id}, {"offset", record.offset}, {"error", error.what()}});
         }
     }
+    if (endpoint) {
+        gateway_.streams.versions().observe(endpoint->service, endpoint->version, now);
+    }
     const PositionedRecord positioned {era, record};
     const auto known = newestRecords_.endpoints.find(record.key);
     if (known == newestRecords_.endpoints.end() || known->second.position() < positioned.position()) {
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -60,6 +60,8 @@
     void logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing);
     void applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era);
     void applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now);
+    /// \brief Records that the endpoints are known up to \a now. \param complete see VersionHistory::recordRead().
+    void recordEndpointsRead(bool complete, Time now);
     void recordSuccess(TopicCursor &cursor);
     void recordFailure(TopicCursor &cursor, const std::string &error);
     Duration backoffAfterFailure(const TopicCursor &cursor);
--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -26,10 +26,11 @@
 {
 }
 
-void StreamTracker::setLifetime(Duration lifetime)
+void StreamTracker::extendLifetime(Duration lifetime)
 {
-    origins_.setLifetime(lifetime);
-    versions_.setLifetime(lifetime);
+    lifetime_ = std::max(lifetime_, lifetime);
+    origins_.setLifetime(lifetime_);
+    versions_.setLifetime(lifetime_);
 }
 
 VersionHistory &StreamTracker::versions()
@@ -162,4 +163,33 @@
     return notices;
 }
 
+std::vector<StreamNotice> StreamTracker::mixedVersions(Time now) const
+{
+    std::vector<StreamNotice> notices;
+    for (const StreamOrigin &origin : versions_.mixedVersions(now)) {
+        notices.push_back({origin, {}});
+    }
+    return notices;
+}
+
+std::vector<StreamNotice> StreamTracker::takeChangedVersions(Time now)
+{
+    std::vector<StreamOrigin> versions = versions_.mixedVersions(now);
+    if (versions == lastVersions_) {
+        return {};
+    }
+    for (const StreamOrigin &origin : versions) {
+        if (std::ranges::find(lastVersions_, origin) == lastVersions_.end()) {
+            logEvent(LogEvent::ServiceVersionsMixed, {{"service", origin.service}, {"version", origin.version}, {"mixed", true}});
+        }
+    }
+    for (const StreamOrigin &origin : lastVersions_) {
+        if (!versions_.isMixed(origin.service, now)) {
+            logEvent(LogEvent::ServiceVersionsMixed, {{"service", origin.service}, {"version", origin.version}, {"mixed", false}});
+        }
+    }
+    lastVersions_ = std::move(versions);
+    return mixedVersions(now);
+}
+
 } // namespace mimosatally::internal
--- a/src/gateway/streamtracker.h
+++ b/src/gateway/streamtracker.h
@@ -35,8 +35,8 @@
 
     explicit StreamTracker(Metrics &metrics);
 
-    /// \brief Sets for how long the origin of a stream is needed; see originLifetime().
-    void setLifetime(Duration lifetime);
+    /// \brief Extends the time for which the origin of a stream is needed; see originLifetime(). It never becomes shorter, for the streams that began before.
+    void extendLifetime(Duration lifetime);
 
     /// \brief Records the first event that this process forwards of a stream, before it is written to the caller. Each call needs one to streamEnded().
     /// \param root request that brought the stream's first event: the one that the call continues, else the call itself.
@@ -61,6 +61,12 @@
     /// \brief Returns the origins of at most \a maxRoots own streams that other gateways have to be told of. They count as told from then on.
     std::vector<StreamNotice> takeNotices(std::size_t maxRoots, Time now);
 
+    /// \brief Returns the versions of services that have several, if these have changed since the last call; else nothing.
+    std::vector<StreamNotice> takeChangedVersions(Time now);
+
+    /// \brief Returns the versions of services that have several.
+    [[nodiscard]] std::vector<StreamNotice> mixedVersions(Time now) const;
+
     VersionHistory &versions();
 
 private:
@@ -82,6 +88,9 @@
     /// \brief Streams that broke off and have to be announced at once.
     std::vector<std::pair<RequestId, StreamOrigin>> broken_;
     std::optional<Time> lastContact_;
+    Duration lifetime_ = originLifetime(Duration(0));
+    /// \brief Versions of mixed services at the last call of takeChangedVersions().
+    std::vector<StreamOrigin> lastVersions_;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -5,6 +5,12 @@
 namespace mimosatally::internal
 {
 
+namespace
+{
+/// \brief An endpoint registers repeatedly while it runs, so a shorter gap hides only one that both started and ended within it.
+constexpr Duration MAX_HARMLESS_GAP = Duration(3000);
+} // namespace
+
 void VersionHistory::setLifetime(Duration lifetime)
 {
     lifetime_ = lifetime;
@@ -33,6 +39,22 @@
 void VersionHistory::recordGap(Time now)
 {
     coveredSince_ = now;
+    ++gaps_;
+}
+
+void VersionHistory::recordRead(bool complete, Time now)
+{
+    if (!lastRead_) {
+        recordCoverage(now);
+    } else if (!complete && now - *lastRead_ > MAX_HARMLESS_GAP) {
+        recordGap(now);
+    }
+    lastRead_ = now;
+}
+
+std::uint64_t VersionHistory::gapCount() const
+{
+    return gaps_;
 }
 
 bool VersionHistory::isCovered(Time now) const
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -2,6 +2,7 @@
 
 #include "streamorigins.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -30,8 +31,12 @@
     /// \brief Records that from \a since on all versions that were registered have been observed.
     void recordCoverage(Time since);
 
-    /// \brief Records that versions which were registered before \a now may have been missed.
-    void recordGap(Time now);
+    /// \brief Records that the registered versions have been read up to \a now. \param complete false if a version that was registered only between the last
+    /// read and this one may have been missed.
+    void recordRead(bool complete, Time now);
+
+    /// \brief Returns how often versions may have been missed.
+    [[nodiscard]] std::uint64_t gapCount() const;
 
     /// \brief Returns whether all versions of the lifetime before \a now were observed.
     [[nodiscard]] bool isCovered(Time now) const;
@@ -51,12 +56,16 @@
 
     [[nodiscard]] bool isRecent(Time seen, Time now) const;
     [[nodiscard]] std::size_t countRecent(const Versions &versions, Time now) const;
+    /// \brief Records that versions which were registered before \a now may have been missed.
+    void recordGap(Time now);
     /// \return whether there is room for another service.
     bool makeRoom(Time now);
 
     std::map<ServiceId, Versions> services_;
     Duration lifetime_ = originLifetime(Duration(0));
     std::optional<Time> coveredSince_;
+    std::optional<Time> lastRead_;
+    std::uint64_t gaps_ = 0;
 };
 
 } // namespace mimosatally::internal
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -215,6 +215,15 @@
   cleared @2;
 }
 
+struct StreamNotice {
+  # Origin of the first event of streams. Without streams: the version is registered.
+  service @0 :Text;
+  version @1 :Text;
+  # Software version of the endpoint; empty if nothing may be joined to the streams.
+  roots @2 :List(Text);
+  # Ids of the requests that brought the first events.
+}
+
 struct PeerDatagram {
   # One datagram between gateways. It is not answered, and a lost one is not sent again.
   region @0 :Text;
@@ -226,4 +235,7 @@
   limitNotices @4 :List(LimitNotice);
   # In a heartbeat: one for each request limit that the sender knows, also if it uses all of its part.
   suspectNotices @5 :List(SuspectNotice);
+  streamNotices @6 :List(StreamNotice);
+  streamQueries @7 :List(Text);
+  # Ids of requests that brought the first events of streams whose origins the sender does not know. Gateways that know one send it a notice.
 }
