--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -11,13 +11,19 @@
 
 namespace
 {
-/// \brief Label of a lookup's result for the metric.
-const char *outcomeOf(const StreamTracker::Knowledge &knowledge)
+/// \brief Name of a lookup's result for metrics and log.
+const char *outcomeOf(const StreamTracker::Knowledge &knowledge, bool asked)
 {
+    if (knowledge.neverJoined) {
+        return "conflicting";
+    }
     if (!knowledge.origin) {
-        return knowledge.neverJoined ? "outcome=\"conflicting\"" : "outcome=\"unknown\"";
+        return "unknown";
+    }
+    if (knowledge.fromOnlyVersion) {
+        return "only_version";
     }
-    return knowledge.fromOnlyVersion ? "outcome=\"only_version\"" : "outcome=\"recorded\"";
+    return asked ? "peer" : "recorded";
 }
 } // namespace
 
@@ -25,6 +31,7 @@
     : io_(io)
     , tracker_(tracker)
     , metrics_(metrics)
+    , askTimer_(io)
 {
 }
 
@@ -59,6 +66,7 @@
 
 awaitable<std::optional<StreamOrigin>> StreamLookup::lookUp(RequestId root, ServiceId service)
 {
+    const Time began = MilliClock::now();
     const bool recordable = !root.empty() && root.value().size() <= StreamOrigins::MAX_ROOT_BYTES;
     bool asked = false;
     if (recordable && isOpen(root, service)) {
@@ -66,15 +74,27 @@
         co_await waitForPeers(root, service);
     }
     const StreamTracker::Knowledge knowledge = recordable ? tracker_.find(root, service, MilliClock::now()) : StreamTracker::Knowledge();
-    const bool fromPeer = asked && knowledge.origin && !knowledge.fromOnlyVersion;
-    metrics_.increment("mimosatally_stream_lookups_total", fromPeer ? "outcome=\"peer\"" : outcomeOf(knowledge));
+    logLookup(root, service, knowledge.origin, outcomeOf(knowledge, asked), began);
     co_return knowledge.origin;
 }
 
+void StreamLookup::logLookup(const RequestId &root, const ServiceId &service, const std::optional<StreamOrigin> &origin, const char *outcome, Time began)
+{
+    metrics_.increment("mimosatally_stream_lookups_total", std::string("outcome=\"") + outcome + '"');
+    logEvent(LogEvent::StreamOriginLookedUp,
+             {{"request", root},
+              {"service", origin ? origin->service : service},
+              {"version", origin ? origin->version : SoftwareVersion()},
+              {"outcome", outcome},
+              {"after_ms", MilliClock::now() - began}});
+}
+
 awaitable<void> StreamLookup::waitForPeers(RequestId root, ServiceId service)
 {
-    const std::vector<RequestId> roots {root};
-    const bool hasPeers = ask_ && waiting_.size() < MAX_WAITING && ask_(roots);
+    const bool hasPeers = ask_ && waiting_.size() < MAX_WAITING && ask_({});
+    if (hasPeers) {
+        queueQuestion(root);
+    }
     const Time asked = MilliClock::now();
     if (cover_ && !tracker_.versions().isCovered(asked) && !tracker_.versions().isMixed(service, asked)) {
         co_await cover_();
@@ -86,7 +106,8 @@
         co_await waitOnce(root, asked + MAX_WAIT / 2);
     }
     if (isOpen(root, service) && MilliClock::now() < asked + MAX_WAIT) {
-        ask_(roots);
+        // A datagram may have been lost.
+        queueQuestion(root);
         co_await waitOnce(root, asked + MAX_WAIT);
     }
 }
@@ -114,6 +135,30 @@
     }
 }
 
+void StreamLookup::queueQuestion(const RequestId &root)
+{
+    const bool isFirst = questions_.empty();
+    questions_.insert(root);
+    if (!isFirst) {
+        return;
+    }
+    askTimer_.expires_after(ASK_DELAY);
+    askTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            askQueued();
+        }
+    });
+}
+
+void StreamLookup::askQueued()
+{
+    const std::vector<RequestId> roots(questions_.begin(), questions_.end());
+    questions_.clear();
+    if (ask_) {
+        ask_(roots);
+    }
+}
+
 void StreamLookup::wake(const std::vector<RequestId> &roots)
 {
     for (const RequestId &root : roots) {
--- a/src/gateway/streamlookup.h
+++ b/src/gateway/streamlookup.h
@@ -20,7 +20,10 @@
     /// \brief Bounds the lookups that wait at one time; further ones know only what is recorded.
     static constexpr std::size_t MAX_WAITING = 1024;
 
-    /// \brief Asks all known gateways for origins. \return whether there are any.
+    /// \brief Lookups that begin within this time ask together.
+    static constexpr Duration ASK_DELAY = Duration(5);
+
+    /// \brief Asks all known gateways for the origins of \a roots, which may be empty. \return whether there are any gateways.
     using Ask = std::function<bool(const std::vector<RequestId> &roots)>;
     /// \brief Completes the version history from the store if it can; ends without an error if it cannot.
     using Cover = std::function<boost::asio::awaitable<void>()>;
@@ -61,6 +64,10 @@
 
     boost::asio::awaitable<void> waitForPeers(RequestId root, ServiceId service);
     boost::asio::awaitable<void> waitOnce(const RequestId &root, Time end);
+    /// \brief Asks for \a root after ASK_DELAY.
+    void queueQuestion(const RequestId &root);
+    void askQueued();
+    void logLookup(const RequestId &root, const ServiceId &service, const std::optional<StreamOrigin> &origin, const char *outcome, Time began);
 
     boost::asio::io_context &io_;
     StreamTracker &tracker_;
@@ -69,6 +76,8 @@
     Cover cover_;
     Announce announce_;
     std::unordered_map<RequestId, std::shared_ptr<Waiting>> waiting_;
+    std::unordered_set<RequestId> questions_;
+    boost::asio::steady_timer askTimer_;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -10,6 +10,9 @@
 /// \brief A process that has heard neither the store nor another gateway for longer may not know of a new version.
 constexpr Duration MAX_SILENCE = Duration(3000);
 
+/// \brief Bounds the memory while there is nobody to tell; others can still ask.
+constexpr std::size_t MAX_BROKEN = 1024;
+
 /// \brief Adds \a root to the notice with its origin.
 void addTo(std::vector<StreamNotice> &notices, const StreamOrigin &origin, const RequestId &root)
 {
@@ -60,7 +63,9 @@
     const bool mustTell = end == End::Broken && !own->second.announced && versions_.isMixed(origin.service, now);
     if (mustTell) {
         own->second.announced = true;
-        broken_.emplace_back(root, origin);
+        if (broken_.size() < MAX_BROKEN) {
+            broken_.emplace_back(root, origin);
+        }
     }
     --own->second.attempts;
     const bool finished = own->second.attempts == 0;
--- a/tests/gateway/noticeexchangetest.cpp
+++ b/tests/gateway/noticeexchangetest.cpp
@@ -1,60 +1,13 @@
 #include "gatewayfixture.h"
-
-#include "gateway/peerdatagram.h"
+#include "peerstandin.h"
 
 #include <catch2/catch.hpp>
 
 using namespace mimosatally;
 using namespace mimosatally::test;
-using boost::asio::ip::udp;
 
 namespace
 {
-/// \brief Stand-in for another gateway that only exchanges datagrams, with its own address on the loopback network.
-class PeerStandin
-{
-public:
-    explicit PeerStandin(const std::string &host)
-        : socket_(io_, udp::endpoint(boost::asio::ip::make_address(host), 0))
-    {
-    }
-
-    [[nodiscard]] unsigned short port() const
-    {
-        return socket_.local_endpoint().port();
-    }
-
-    void sendTo(const std::string &host, const std::string &bytes)
-    {
-        socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(boost::asio::ip::make_address(host), port()));
-    }
-
-    /// \brief Returns the next datagram that \a matches accepts; fails after two seconds.
-    template<class Predicate>
-    internal::PeerDatagram await(Predicate matches)
-    {
-        std::optional<internal::PeerDatagram> found;
-        std::array<char, 2000> buffer {};
-        socket_.non_blocking(true);
-        waitUntil("a matching datagram is received", [&] {
-            boost::system::error_code error;
-            const std::size_t size = socket_.receive(boost::asio::buffer(buffer), 0, error);
-            if (!error) {
-                internal::PeerDatagram datagram = internal::decodeDatagram(std::string_view(buffer.data(), size));
-                if (matches(datagram)) {
-                    found = std::move(datagram);
-                }
-            }
-            return found.has_value();
-        });
-        return *found;
-    }
-
-private:
-    boost::asio::io_context io_;
-    udp::socket socket_;
-};
-
 std::string heartbeat()
 {
     internal::PeerDatagram datagram;
--- /dev/null
+++ b/tests/unit/streamorigintest.cpp
@@ -0,0 +1,323 @@
+#include "gateway/endpointhistory.h"
+#include "gateway/streamtracker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosatally;
+using internal::StreamNotice;
+using internal::StreamOrigin;
+using internal::StreamOrigins;
+using internal::StreamTracker;
+using internal::VersionHistory;
+
+namespace
+{
+const ServiceId MODEL("model");
+const ServiceId OTHER_MODEL("other-model");
+const StreamOrigin OLD = {MODEL, SoftwareVersion("v1")};
+const StreamOrigin NEW = {MODEL, SoftwareVersion("v2")};
+constexpr Duration LIFETIME = Duration(15'000);
+
+Time at(std::int64_t ms)
+{
+    return Time(Duration(ms));
+}
+
+RequestId stream(std::size_t number)
+{
+    return RequestId("stream-" + std::to_string(number));
+}
+
+std::size_t countRoots(const std::vector<StreamNotice> &notices)
+{
+    std::size_t count = 0;
+    for (const StreamNotice &notice : notices) {
+        count += notice.roots.size();
+    }
+    return count;
+}
+
+EndpointRecord heartbeat(const char *endpoint, std::int64_t number, std::int64_t startedAt = 1)
+{
+    EndpointRecord record;
+    record.id = EndpointId(endpoint);
+    record.startedAt = startedAt;
+    record.heartbeat = number;
+    return record;
+}
+} // namespace
+
+// Guards against streams that are joined although the version of their first event is in doubt: two gateways recorded different ones.
+TEST_CASE("A stream with two recorded origins is never joinable again", "[streams]")
+{
+    StreamOrigins origins;
+    CHECK(origins.record(stream(1), OLD, at(0)) == StreamOrigins::Result::Recorded);
+    CHECK(origins.record(stream(1), OLD, at(1)) == StreamOrigins::Result::Recorded);
+    REQUIRE(origins.find(stream(1), at(2)) != nullptr);
+    CHECK(origins.find(stream(1), at(2))->joinable);
+    CHECK(origins.record(stream(1), NEW, at(2)) == StreamOrigins::Result::Conflicting);
+    CHECK_FALSE(origins.find(stream(1), at(3))->joinable);
+    CHECK(origins.record(stream(1), OLD, at(4)) == StreamOrigins::Result::Recorded);
+    CHECK_FALSE(origins.find(stream(1), at(5))->joinable);
+    CHECK(origins.record(stream(2), {OTHER_MODEL, OLD.version}, at(5)) == StreamOrigins::Result::Recorded);
+    CHECK(origins.record(stream(2), OLD, at(5)) == StreamOrigins::Result::Conflicting);
+}
+
+// Guards against a stream of an endpoint without a version that is joined to one of another endpoint without a version.
+TEST_CASE("A stream without a version is not joinable", "[streams]")
+{
+    StreamOrigins origins;
+    origins.record(stream(1), {MODEL, SoftwareVersion()}, at(0));
+    CHECK_FALSE(origins.find(stream(1), at(0))->joinable);
+    origins.record(stream(1), {MODEL, SoftwareVersion()}, at(1));
+    CHECK_FALSE(origins.find(stream(1), at(1))->joinable);
+}
+
+// Guards against memory that grows with the number of streams or with forged notices, and against origins that are forgotten too early.
+TEST_CASE("Origins are kept for their lifetime and up to a bound, the oldest are forgotten first", "[streams]")
+{
+    StreamOrigins origins;
+    origins.setLifetime(LIFETIME);
+    origins.record(stream(1), OLD, at(0));
+    CHECK(origins.find(stream(1), at(15'000)) != nullptr);
+    CHECK(origins.find(stream(1), at(15'001)) == nullptr);
+    for (std::size_t i = 0; i <= StreamOrigins::MAX_STREAMS; ++i) {
+        origins.record(stream(i), OLD, at(20'000));
+    }
+    CHECK(origins.size() == StreamOrigins::MAX_STREAMS);
+    CHECK(origins.find(stream(0), at(20'000)) == nullptr);
+    CHECK(origins.find(stream(1), at(20'000)) != nullptr);
+    // Recording a stream again keeps it longer than the others.
+    origins.record(stream(1), OLD, at(20'001));
+    origins.record(RequestId("further"), OLD, at(20'001));
+    CHECK(origins.find(stream(1), at(20'001)) != nullptr);
+    CHECK(origins.find(stream(2), at(20'001)) == nullptr);
+    CHECK(origins.record(RequestId(std::string(129, 'x')), OLD, at(20'001)) == StreamOrigins::Result::Rejected);
+    CHECK(origins.record(RequestId(), OLD, at(20'001)) == StreamOrigins::Result::Rejected);
+}
+
+// Guards against the conclusion that a stream comes from the version at hand when another one served shortly before.
+TEST_CASE("The only version of a service is known after the whole lifetime without another one", "[streams]")
+{
+    VersionHistory history;
+    history.setLifetime(LIFETIME);
+    history.observe(MODEL, OLD.version, at(0));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(0)));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(60'000)));
+    history.recordRead(false, at(0));
+    history.observe(MODEL, OLD.version, at(14'999));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(14'999)));
+    CHECK(history.onlyVersion(MODEL, at(15'000)) == OLD.version);
+    CHECK_FALSE(history.onlyVersion(OTHER_MODEL, at(15'000)));
+    CHECK_FALSE(history.isMixed(MODEL, at(15'000)));
+
+    history.observe(MODEL, NEW.version, at(16'000));
+    CHECK(history.isMixed(MODEL, at(16'000)));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(16'000)));
+    CHECK(history.mixedVersions(at(16'000)).size() == 2);
+    // The old version is last seen at 20 s; its first events can come 5 s later.
+    history.observe(MODEL, OLD.version, at(20'000));
+    history.observe(MODEL, NEW.version, at(40'000));
+    CHECK(history.isMixed(MODEL, at(40'000)));
+    history.observe(MODEL, NEW.version, at(40'001));
+    CHECK(history.onlyVersion(MODEL, at(40'001)) == NEW.version);
+}
+
+// Guards against equal version names of two services that count as one, and against an endpoint without a version that counts as the known one.
+TEST_CASE("Versions belong to their services, and an unknown version is a version of its own", "[streams]")
+{
+    VersionHistory history;
+    history.recordCoverage(at(-60'000));
+    history.observe(MODEL, OLD.version, at(0));
+    history.observe(OTHER_MODEL, NEW.version, at(0));
+    CHECK(history.onlyVersion(MODEL, at(0)) == OLD.version);
+    CHECK(history.onlyVersion(OTHER_MODEL, at(0)) == NEW.version);
+    history.observe(MODEL, SoftwareVersion(), at(1));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(1)));
+    CHECK(history.isMixed(MODEL, at(1)));
+    VersionHistory unknown;
+    unknown.recordCoverage(at(-60'000));
+    unknown.observe(MODEL, SoftwareVersion(), at(0));
+    CHECK_FALSE(unknown.onlyVersion(MODEL, at(0)));
+}
+
+// Guards against a version that was registered only while this process did not read the store and is taken for one that never was.
+TEST_CASE("A long gap between reads begins the lifetime anew unless the read was complete", "[streams]")
+{
+    VersionHistory history;
+    history.setLifetime(LIFETIME);
+    history.recordRead(false, at(0));
+    history.observe(MODEL, OLD.version, at(20'000));
+    history.recordRead(true, at(20'000));
+    CHECK(history.onlyVersion(MODEL, at(20'000)) == OLD.version);
+    history.recordRead(false, at(23'000));
+    CHECK(history.onlyVersion(MODEL, at(23'000)) == OLD.version);
+    CHECK(history.gapCount() == 0);
+    history.recordRead(false, at(26'001));
+    CHECK(history.gapCount() == 1);
+    history.observe(MODEL, OLD.version, at(41'000));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(41'000)));
+    CHECK(history.onlyVersion(MODEL, at(41'001)) == OLD.version);
+    // What the store's history shows counts as watched.
+    history.recordRead(false, at(50'000));
+    CHECK_FALSE(history.onlyVersion(MODEL, at(50'000)));
+    history.recordCoverage(at(35'000));
+    CHECK(history.onlyVersion(MODEL, at(50'000)) == OLD.version);
+}
+
+// Guards against memory that grows with forged notices, and against a conclusion from a history that had no room for a service.
+TEST_CASE("The history of versions is bounded, and what had no room counts as a gap", "[streams]")
+{
+    VersionHistory history;
+    history.recordCoverage(at(-60'000));
+    for (std::size_t i = 0; i < 20; ++i) {
+        history.observe(MODEL, SoftwareVersion("v" + std::to_string(i)), at(static_cast<std::int64_t>(i)));
+    }
+    CHECK(history.mixedVersions(at(20)).size() == VersionHistory::MAX_VERSIONS);
+    for (std::size_t i = 1; i < VersionHistory::MAX_SERVICES; ++i) {
+        history.observe(ServiceId("s" + std::to_string(i)), OLD.version, at(20));
+    }
+    CHECK(history.onlyVersion(ServiceId("s1"), at(20)) == OLD.version);
+    history.observe(ServiceId("one-more"), OLD.version, at(21));
+    CHECK_FALSE(history.onlyVersion(ServiceId("s1"), at(21)));
+    // Services that are not seen any more make room.
+    history.observe(ServiceId("one-more"), OLD.version, at(40'000));
+    CHECK(history.onlyVersion(ServiceId("one-more"), at(40'000)) == OLD.version);
+}
+
+// Guards against datagrams for each stream in the usual case of one version, and against streams in flight that nobody is told of when a second one comes.
+TEST_CASE("Streams in flight are announced while their service has several versions, each once", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.streamBegan(stream(1), OLD, at(0));
+    tracker.streamBegan(stream(2), OLD, at(0));
+    tracker.streamBegan(stream(3), {OTHER_MODEL, OLD.version}, at(0));
+    CHECK(tracker.takeNotices(100, at(1)).empty());
+    CHECK_FALSE(tracker.streamEnded(stream(2), StreamTracker::End::Broken, at(2)));
+
+    tracker.versions().observe(MODEL, NEW.version, at(10));
+    CHECK(tracker.takeChangedVersions(at(10)).size() == 2);
+    CHECK(tracker.takeChangedVersions(at(11)).empty());
+    tracker.streamBegan(stream(4), NEW, at(11));
+    // Ends within one interval of sending, so nobody is told of it.
+    tracker.streamBegan(stream(5), NEW, at(11));
+    CHECK_FALSE(tracker.streamEnded(stream(5), StreamTracker::End::Complete, at(12)));
+    const std::vector<StreamNotice> notices = tracker.takeNotices(100, at(12));
+    REQUIRE(notices.size() == 2);
+    CHECK(countRoots(notices) == 2);
+    for (const StreamNotice &notice : notices) {
+        CHECK(notice.roots == std::vector<RequestId> {notice.origin == OLD ? stream(1) : stream(4)});
+    }
+    CHECK(tracker.takeNotices(100, at(13)).empty());
+    // It was announced before, so its end needs no datagram.
+    CHECK_FALSE(tracker.streamEnded(stream(4), StreamTracker::End::Broken, at(14)));
+}
+
+// Guards against a stream whose caller continues it at another gateway before that gateway has been told of it.
+TEST_CASE("A stream that breaks off before it was announced is announced at once", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.versions().observe(MODEL, OLD.version, at(0));
+    tracker.streamBegan(stream(1), NEW, at(0));
+    CHECK(tracker.streamEnded(stream(1), StreamTracker::End::Broken, at(1)));
+    const std::vector<StreamNotice> notices = tracker.takeNotices(100, at(1));
+    REQUIRE(notices.size() == 1);
+    CHECK(notices[0].origin == NEW);
+    CHECK(notices[0].roots == std::vector<RequestId> {stream(1)});
+    CHECK_FALSE(tracker.streamEnded(stream(1), StreamTracker::End::Broken, at(2)));
+}
+
+// Guards against a stream that is not announced because its caller continues it here while the first attempt still runs.
+TEST_CASE("A stream with two attempts stays in flight until both have ended", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.streamBegan(stream(1), OLD, at(0));
+    tracker.streamBegan(stream(1), OLD, at(1));
+    CHECK_FALSE(tracker.streamEnded(stream(1), StreamTracker::End::Complete, at(2)));
+    tracker.versions().observe(MODEL, NEW.version, at(3));
+    CHECK(countRoots(tracker.takeNotices(100, at(3))) == 1);
+    CHECK_FALSE(tracker.streamEnded(stream(1), StreamTracker::End::Complete, at(4)));
+    CHECK(countRoots(tracker.takeNotices(100, at(5))) == 0);
+}
+
+// Guards against a burst of datagrams when a service with many streams in flight gets a second version.
+TEST_CASE("A call for notices takes no more streams than it asks for, and the next one the others", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.versions().observe(MODEL, NEW.version, at(0));
+    for (std::size_t i = 0; i < 250; ++i) {
+        tracker.streamBegan(stream(i), OLD, at(0));
+    }
+    CHECK(countRoots(tracker.takeNotices(100, at(1))) == 100);
+    CHECK(countRoots(tracker.takeNotices(100, at(2))) == 100);
+    CHECK(countRoots(tracker.takeNotices(100, at(3))) == 50);
+}
+
+// Guards against a gateway that is cut off, does not know of a new version, and joins a stream of that version to the only one that it knows.
+TEST_CASE("The only version is assumed only by a process that hears the store or another gateway", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.versions().recordCoverage(at(-60'000));
+    tracker.versions().observe(MODEL, OLD.version, at(0));
+    CHECK_FALSE(tracker.find(stream(1), MODEL, at(0)).origin);
+    tracker.recordContact(at(0));
+    CHECK(tracker.find(stream(1), MODEL, at(3000)).origin == OLD);
+    CHECK(tracker.find(stream(1), MODEL, at(3000)).fromOnlyVersion);
+    CHECK_FALSE(tracker.find(stream(1), MODEL, at(3001)).origin);
+    // What is recorded holds without any contact.
+    tracker.streamBegan(stream(2), OLD, at(3001));
+    CHECK(tracker.find(stream(2), MODEL, at(3001)).origin == OLD);
+}
+
+// Guards against a conflict that only one gateway knows of: the one that asks must not conclude the only version instead.
+TEST_CASE("A conflicting origin is told to others as one that is never joined", "[streams]")
+{
+    Metrics metrics;
+    StreamTracker tracker(metrics);
+    tracker.recordNotice({OLD, {stream(1)}}, at(0));
+    tracker.recordNotice({NEW, {stream(1)}}, at(0));
+    CHECK(tracker.find(stream(1), MODEL, at(0)).neverJoined);
+    const std::optional<StreamNotice> answer = tracker.answerTo(stream(1), at(0));
+    REQUIRE(answer);
+    CHECK(answer->origin.version.empty());
+    CHECK_FALSE(tracker.answerTo(stream(2), at(0)));
+
+    StreamTracker asking(metrics);
+    asking.versions().recordCoverage(at(-60'000));
+    asking.versions().observe(MODEL, OLD.version, at(0));
+    asking.recordContact(at(0));
+    asking.recordNotice(*answer, at(0));
+    CHECK(asking.find(stream(1), MODEL, at(0)).neverJoined);
+    CHECK_FALSE(asking.find(stream(1), MODEL, at(0)).origin);
+    // The notice without a version names no version that is registered.
+    CHECK_FALSE(asking.versions().isMixed(MODEL, at(0)));
+}
+
+// Guards against a history of the store that counts as reaching back further than it does.
+TEST_CASE("The span of a history is counted in heartbeats of one start of an endpoint", "[streams]")
+{
+    internal::HeartbeatSpan span;
+    CHECK(span.intervals() == 0);
+    span.add(heartbeat("e1", 7));
+    CHECK(span.intervals() == 0);
+    // Another writer can name any number, so the numbers themselves do not count.
+    span.add(heartbeat("e1", 1000));
+    CHECK(span.intervals() == 1);
+    span.add(heartbeat("e1", 1000));
+    CHECK(span.intervals() == 1);
+    EndpointRecord leaving = heartbeat("e1", 1001);
+    leaving.leaving = true;
+    span.add(leaving);
+    CHECK(span.intervals() == 1);
+    span.add(heartbeat("e2", 1));
+    span.add(heartbeat("e2", 2));
+    span.add(heartbeat("e2", 3));
+    CHECK(span.intervals() == 2);
+    span.add(heartbeat("e2", 4, 2));
+    CHECK(span.intervals() == 2);
+}
