--- a/src/gateway/endpointhistory.cpp
+++ b/src/gateway/endpointhistory.cpp
@@ -12,7 +12,8 @@
 
 namespace
 {
-constexpr Duration ANSWER_TIMEOUT = Duration(500);
+/// \brief Calls wait for the whole read.
+constexpr Duration READ_TIMEOUT = Duration(800);
 constexpr Duration MIN_READ_INTERVAL = Duration(1000);
 /// \brief Bounds the pages, of at most a megabyte each, that one read of the history fetches.
 constexpr int MAX_PAGES = 8;
@@ -64,11 +65,13 @@
     std::size_t count = 0;
     bool complete = false;
     bool more = true;
+    const Time end = MilliClock::now() + READ_TIMEOUT;
     for (int page = 0; more; ++page) {
-        if (page == MAX_PAGES) {
-            throw UnreachableError("the history of the endpoints is too long");
+        const Duration left = end - MilliClock::now();
+        if (page == MAX_PAGES || left <= Duration(0)) {
+            throw UnreachableError("the history of the endpoints is too long or takes too long");
         }
-        const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from, Duration(0), ANSWER_TIMEOUT);
+        const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from, Duration(0), left);
         if (const auto *deleted = std::get_if<platform::OffsetUnavailable>(&answer)) {
             if (!deleted->first || *deleted->first <= from || count > 0) {
                 throw UnreachableError("the history of the endpoints was deleted while it was read");
