--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -36,6 +36,16 @@
     return {settings.dataCentre, settings.regions};
 }
 
+/// \brief Longest timeout of the routes whose answers are streams.
+Duration longestStream(const ServingConfiguration &configuration)
+{
+    Duration longest(0);
+    for (const Route &route : configuration.routes) {
+        longest = route.form == AnswerForm::Events ? std::max(longest, route.timeout) : longest;
+    }
+    return longest;
+}
+
 std::uint64_t seedOf(const GatewaySettings &settings)
 {
     return std::hash<std::string>()(settings.process.value()) ^ static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count());
@@ -49,6 +59,8 @@
     , limitReport(router, metrics)
     , suspects(seedOf(settings))
     , crashWatch(suspects, metrics)
+    , streams(metrics)
+    , streamLookup(context, streams, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
@@ -81,12 +93,16 @@
     routes = RouteTable(configuration);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
     limitIdleConnections();
+    streams.extendLifetime(originLifetime(longestStream(*configuration)));
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
 }
 
 void GatewayState::applyEndpoints(Time now)
 {
     registry.expire(now);
+    for (const auto &[id, record] : registry.endpoints()) {
+        streams.versions().observe(record.service, record.version, now);
+    }
     if (!configuration || registry.changeCount() == appliedChanges_) {
         return;
     }
@@ -151,7 +167,8 @@
     for (const auto &[id, record] : registry.endpoints()) {
         const auto logged = loggedEndpoints_.find(id);
         const bool unchanged = logged != loggedEndpoints_.end() && logged->second.leaving == record.leaving && logged->second.phase == record.phase
-                               && logged->second.startedAt == record.startedAt && logged->second.address == record.address;
+                               && logged->second.startedAt == record.startedAt && logged->second.address == record.address
+                               && logged->second.version == record.version;
         if (unchanged) {
             continue;
         }
@@ -164,6 +181,7 @@
                   {"service", record.service},
                   {"address", toString(record.address)},
                   {"state", record.leaving ? "leaving" : "ready"},
+                  {"version", record.version},
                   {"phase", phase},
                   {"started", record.startedAt}});
     }
