Place calls by software version, and combine engines of one version only

What callers saw: streams that hold events of two software versions, whose endpoints do not check it.

Cause: placement did not know the version. A prompt that an engine of one version had prefilled was decoded by one of another, KV caches were fetched across versions and services, and a call could not be restricted to one version.

Change: PlacementRequest::version restricts a call to engines of that version; Placement::versionGone tells that no endpoint of it is registered, apart from those that leave, from endpoints that are paused, limited or failed. For every call a prefill engine, a decode engine and a cache source are combined only if they have the same service and the same known version; prefix affinity and the compared holders of a prefix are kept for each version. A call that requires a version samples the endpoints of that version, so two of 36 or of 402 are found. An id that returns with another version starts with an empty cache. New calls leave a quarter of the slots of a rare version (under a quarter of the endpoints of the most common one) to streams that can go on only there, while other endpoints take calls.

The fleets of the unit tests now state a version, since engines of unknown version are not combined.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -27,6 +27,9 @@
     std::vector<PromptPart> promptParts;
     /// \brief Endpoints to which this call must not be sent again.
     std::vector<EndpointId> excluded;
+    /// \brief Software version that the engines of the call must have, because an engine of this version wrote the events before; empty if any may run
+    /// the call. No engine fits a version that is not known.
+    std::optional<SoftwareVersion> version = std::nullopt;
 };
 
 /// \brief Reason why an engine is expected to have a prompt prefix in its cache.
@@ -62,6 +65,8 @@
     /// \brief Engine from which the engine doing the prefill fetches a longer prefix than it has itself.
     std::optional<EndpointId> cacheSource;
     std::string_view reason = "no-endpoint";
+    /// \brief Set if there is no endpoint because none of the required version is registered, apart from those that leave.
+    bool versionGone = false;
     /// \brief Time until an endpoint is expected to take this call; set if there is no endpoint only because of pauses that endpoints have asked for
     /// or limits that they have named.
     std::optional<Duration> retryAfter;
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -47,7 +47,7 @@
 
 bool PhaseRouter::Impl::canServe(const Endpoint &endpoint, const PlacementRequest &request, Time now)
 {
-    return acceptsCalls(endpoint, now) && endpoint.limit.permits(now) && !isExcluded(endpoint, request);
+    return acceptsCalls(endpoint, now) && endpoint.limit.permits(now) && hasVersion(endpoint, request) && !isExcluded(endpoint, request);
 }
 
 bool PhaseRouter::Impl::isHealthy(const Endpoint &endpoint, Time now)
@@ -87,21 +87,18 @@
 {
     const auto service = impl_->services.find(request.service);
     if (service == impl_->services.end()) {
-        return {};
+        return impl_->notPlaced({}, request, now);
     }
     const Impl::ServiceFleet &fleet = service->second;
     const Impl::PromptContext prompt = impl_->promptContextFor(request, fleet, now);
     std::vector<const Impl::Endpoint *> candidates = Impl::usableEndpoints(impl_->sampleEndpoints(fleet, prompt), request, now);
     if (candidates.empty()) {
-        std::vector<const Impl::Endpoint *> all = fleet.near;
-        all.insert(all.end(), fleet.far.begin(), fleet.far.end());
-        candidates = Impl::usableEndpoints(all, request, now);
-    }
-    Placement placement = impl_->engineProfiles.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
-    if (!placement.run) {
-        placement.retryAfter = impl_->returnTime(request.service, fleet, now);
+        candidates = Impl::usableEndpoints(Impl::endpointsOfVersion(fleet, request), request, now);
     }
-    return placement;
+    impl_->keepRoomOnRareVersions(candidates, fleet, request, now);
+    const Placement placement =
+        impl_->engineProfiles.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
+    return placement.run ? placement : impl_->notPlaced(fleet, request, now);
 }
 
 Placement PhaseRouter::placeDecode(const PlacementRequest &request, const EndpointId &prefillEngine, Time now) const
@@ -111,8 +108,7 @@
     if (service == impl_->services.end() || source == impl_->endpoints.end()) {
         return {};
     }
-    std::vector<const Impl::Endpoint *> all = service->second.near;
-    all.insert(all.end(), service->second.far.begin(), service->second.far.end());
+    const std::vector<const Impl::Endpoint *> all = Impl::endpointsOfVersion(service->second, request);
     return impl_->placeOnDecodeEngine(Impl::usableEndpoints(all, request, now), source->second, request.promptTokens, now);
 }
 
--- a/src/routing/phaserouterfleet.cpp
+++ b/src/routing/phaserouterfleet.cpp
@@ -39,6 +39,9 @@
         cache.clear(index);
         endpoint = Endpoint();
         endpoint.cacheIndex = index;
+    } else if (endpoint.record.version != record.version) {
+        // What is in the cache was computed by the other version.
+        cache.clear(endpoint.cacheIndex);
     }
     return endpoint;
 }
@@ -62,8 +65,10 @@
     endpointOfHash[hash] = &endpoint;
     ServiceFleet &fleet = services[endpoint.record.service];
     (endpoint.distance == internal::Distance::OtherRegion ? fleet.far : fleet.near).push_back(&endpoint);
+    const bool runsCalls = !endpoint.record.leaving && endpoint.record.phase != EnginePhase::Prefill;
+    fleet.versions[endpoint.record.version] += runsCalls ? 1 : 0;
     if (endpoint.record.phase == EnginePhase::Prefill) {
-        fleet.prefillEngines[location.regionOf(endpoint.record.dataCentre)].push_back({hash, &endpoint});
+        fleet.prefillEngines[{location.regionOf(endpoint.record.dataCentre), endpoint.record.version}].push_back({hash, &endpoint});
     }
 }
 
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -161,16 +161,19 @@
         double prefillMs = 0;
     };
 
+    /// \brief Region and software version of engines that share prompt prefixes; what engines of two versions write does not fit together.
+    using EngineGroup = std::pair<RegionId, SoftwareVersion>;
+
     /// \brief A prompt with the data that is the same for all engines it is compared on.
     struct PromptContext {
         const PlacementRequest &request;
         std::vector<std::uint64_t> prefixHashes;
         /// \brief Tokens of all parts but the last one, which belongs to the call or its session.
         Tokens sharedTokens;
-        /// \brief Engine in each region that all processes prefer for the shared parts.
-        std::map<RegionId, const Endpoint *> regionAffinityEngines;
-        /// \brief Engine of `regionAffinityEngines` that all processes prefer in the whole fleet.
-        const Endpoint *fleetAffinityEngine = nullptr;
+        /// \brief Engine of each group that all processes prefer for the shared parts.
+        std::map<EngineGroup, const Endpoint *> groupAffinityEngines;
+        /// \brief Engine of `groupAffinityEngines` that all processes prefer among those of its version in the whole fleet.
+        std::map<SoftwareVersion, const Endpoint *> fleetAffinityEngines;
         /// \brief Engines that are expected to have a cached prefix of the prompt because it was sent to them.
         std::vector<const Endpoint *> holders;
     };
@@ -187,7 +190,9 @@
         std::vector<const Endpoint *> near;
         /// \brief Endpoints in other regions.
         std::vector<const Endpoint *> far;
-        std::map<RegionId, std::vector<PrefillEngine>> prefillEngines;
+        std::map<EngineGroup, std::vector<PrefillEngine>> prefillEngines;
+        /// \brief All versions, with the number of endpoints that run calls and do not leave.
+        std::map<SoftwareVersion, std::size_t> versions;
     };
 
     Impl(NetworkLocation where, std::uint64_t seed);
@@ -197,14 +202,30 @@
     /// \brief Returns true if the endpoint takes new calls apart from its request limit.
     [[nodiscard]] static bool acceptsCalls(const Endpoint &endpoint, Time now);
     [[nodiscard]] static bool isExcluded(const Endpoint &endpoint, const PlacementRequest &request);
+    /// \brief Returns whether \a endpoint has the version that the call requires, if it requires one.
+    [[nodiscard]] static bool hasVersion(const Endpoint &endpoint, const PlacementRequest &request);
     [[nodiscard]] static bool canServe(const Endpoint &endpoint, const PlacementRequest &request, Time now);
+    /// \brief Returns whether an endpoint of \a fleet that does not leave has the version that the call requires.
+    [[nodiscard]] static bool isVersionRegistered(const ServiceFleet &fleet, const PlacementRequest &request);
+    /// \brief Returns whether a prompt's KV cache in one of the engines fits into the other: they have the same service and version.
+    [[nodiscard]] static bool canExchangeCache(const Endpoint &first, const Endpoint &second);
+    [[nodiscard]] EngineGroup groupOf(const Endpoint &endpoint) const;
+    /// \brief Returns the near and far endpoints that have the version that the call requires.
+    [[nodiscard]] static ServiceFleet fleetOfVersion(const ServiceFleet &fleet, const PlacementRequest &request);
+    /// \brief Returns the same endpoints in one list, those of the own region first.
+    [[nodiscard]] static std::vector<const Endpoint *> endpointsOfVersion(const ServiceFleet &fleet, const PlacementRequest &request);
+    /// \brief Returns the placement of a call that no endpoint may get.
+    [[nodiscard]] Placement notPlaced(const ServiceFleet &fleet, const PlacementRequest &request, Time now);
+    /// \brief Removes from \a candidates nearly full endpoints of rare versions if others can run a call that requires no version, so that streams
+    /// that can go on only there find room.
+    void keepRoomOnRareVersions(std::vector<const Endpoint *> &candidates, const ServiceFleet &fleet, const PlacementRequest &request, Time now) const;
     /// \brief Returns the endpoint of an attempt; null if it has been removed or replaced by another incarnation.
     [[nodiscard]] Endpoint *targetOf(const Attempt &attempt);
-    /// \brief Returns the time until the first endpoint of \a fleet that is not leaving takes a call; empty if none is paused or limited.
-    [[nodiscard]] static std::optional<Duration> timeToAcceptance(const ServiceFleet &fleet, Time now);
-    /// \brief Returns the time after which a call that no endpoint of the service may get now should come back. Calls that are refused one after
-    /// the other get later times, at the rate at which the limited endpoints take calls from this process.
-    [[nodiscard]] std::optional<Duration> returnTime(const ServiceId &service, const ServiceFleet &fleet, Time now);
+    /// \brief Returns the time until the first of \a fitting that is not leaving takes a call; empty if none is paused or limited.
+    [[nodiscard]] static std::optional<Duration> timeToAcceptance(const std::vector<const Endpoint *> &fitting, Time now);
+    /// \brief Returns the time after which a call that none of \a fitting, the endpoints of the service that may run it, may get now should come back. Calls
+    /// that are refused one after the other get later times, at the rate at which the limited endpoints take calls from this process.
+    [[nodiscard]] std::optional<Duration> returnTime(const ServiceId &service, const std::vector<const Endpoint *> &fitting, Time now);
     [[nodiscard]] static bool isHealthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &prefixHashes) const;
     [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
@@ -222,7 +243,7 @@
     [[nodiscard]] CacheEstimate affinityEstimate(const Endpoint &endpoint, const PromptContext &prompt) const;
     /// \brief Prefix that an engine is expected to have in its own cache.
     [[nodiscard]] CachedPrefix ownPrefix(const Endpoint &endpoint, const PromptContext &prompt) const;
-    /// \brief Prefix that \a endpoint is expected to have, or to fetch from another engine if that is faster.
+    /// \brief Prefix that \a endpoint is expected to have, or to fetch from another engine of its version if that is faster.
     [[nodiscard]] PrefixSource prefixFor(const Endpoint &endpoint, AttemptWork work, const PromptContext &prompt) const;
     [[nodiscard]] PromptContext promptContextFor(const PlacementRequest &request, const ServiceFleet &fleet, Time now) const;
     /// \brief Endpoints that are compared for one call: all of a small fleet; of a large one a sample and the engines with affinity or a cached prefix.
@@ -236,7 +257,7 @@
     [[nodiscard]] double transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const;
     /// \brief Returns \a decode with the transfer of the prompt from \a source added.
     [[nodiscard]] AttemptEstimate withTransfer(const AttemptEstimate &decode, const Endpoint &source, Tokens tokens) const;
-    /// \brief Returns the cheapest pair of a prefill of \a prefills and a decode at one of \a decodeEngines.
+    /// \brief Returns the cheapest pair of a prefill of \a prefills and a decode at one of \a decodeEngines of the same version.
     [[nodiscard]] std::optional<std::pair<AttemptEstimate, AttemptEstimate>> bestSplit(const std::vector<AttemptEstimate> &prefills,
                                                                                        const std::vector<const Endpoint *> &decodeEngines,
                                                                                        Tokens tokens,
@@ -246,7 +267,7 @@
     [[nodiscard]] Placement placePlain(const std::vector<const Endpoint *> &candidates, Time now) const;
     [[nodiscard]] Placement placeEngine(const std::vector<const Endpoint *> &candidates, const PromptContext &prompt, Time now) const;
 
-    /// \brief Chooses the best of \a candidates for the decode after the prefill on \a source.
+    /// \brief Chooses the best of \a candidates of the same version for the decode after the prefill on \a source.
     [[nodiscard]] Placement placeOnDecodeEngine(const std::vector<const Endpoint *> &candidates, const Endpoint &source, Tokens tokens, Time now) const;
 
     static void updateLimit(Endpoint &endpoint, int processCount, Time now);
--- a/src/routing/phaserouterlimits.cpp
+++ b/src/routing/phaserouterlimits.cpp
@@ -111,29 +111,25 @@
     return result;
 }
 
-std::optional<Duration> PhaseRouter::Impl::timeToAcceptance(const ServiceFleet &fleet, Time now)
+std::optional<Duration> PhaseRouter::Impl::timeToAcceptance(const std::vector<const Endpoint *> &fitting, Time now)
 {
     std::optional<Duration> shortest;
-    for (const auto *part : {&fleet.near, &fleet.far}) {
-        for (const Endpoint *endpoint : *part) {
-            const Duration wait = std::max(endpoint->pausedUntil == Time::min() ? Duration(0) : endpoint->pausedUntil - now, endpoint->limit.timeToPermit(now));
-            const bool remainsInService = !endpoint->record.leaving && !endpoint->announcedLeaving && endpoint->record.phase != EnginePhase::Prefill;
-            if (remainsInService && wait > Duration(0) && (!shortest || wait < *shortest)) {
-                shortest = wait;
-            }
+    for (const Endpoint *endpoint : fitting) {
+        const Duration wait = std::max(endpoint->pausedUntil == Time::min() ? Duration(0) : endpoint->pausedUntil - now, endpoint->limit.timeToPermit(now));
+        const bool remainsInService = !endpoint->record.leaving && !endpoint->announcedLeaving && endpoint->record.phase != EnginePhase::Prefill;
+        if (remainsInService && wait > Duration(0) && (!shortest || wait < *shortest)) {
+            shortest = wait;
         }
     }
     return shortest;
 }
 
-std::optional<Duration> PhaseRouter::Impl::returnTime(const ServiceId &service, const ServiceFleet &fleet, Time now)
+std::optional<Duration> PhaseRouter::Impl::returnTime(const ServiceId &service, const std::vector<const Endpoint *> &fitting, Time now)
 {
-    const std::optional<Duration> wait = timeToAcceptance(fleet, now);
+    const std::optional<Duration> wait = timeToAcceptance(fitting, now);
     double perSecond = 0;
-    for (const auto *part : {&fleet.near, &fleet.far}) {
-        for (const Endpoint *endpoint : *part) {
-            perSecond += endpoint->record.phase == EnginePhase::Prefill ? 0 : endpoint->limit.ownPerSecond();
-        }
+    for (const Endpoint *endpoint : fitting) {
+        perSecond += endpoint->record.phase == EnginePhase::Prefill ? 0 : endpoint->limit.ownPerSecond();
     }
     if (!wait || perSecond <= 0) {
         return wait;
--- a/src/routing/placementestimates.cpp
+++ b/src/routing/placementestimates.cpp
@@ -85,25 +85,24 @@
     const std::vector<AttemptEstimate> &prefills, const std::vector<const Endpoint *> &decodeEngines, Tokens tokens, Time now) const
 {
     // Each prefill is paired only with the best decode engine of its region, which avoids a slow transfer, and with the best of all regions.
-    std::map<RegionId, AttemptEstimate> bestOfRegion;
-    AttemptEstimate bestOfAll;
+    std::map<EngineGroup, AttemptEstimate> bestOfGroup;
+    std::map<SoftwareVersion, AttemptEstimate> bestOfVersion;
     for (const Endpoint *endpoint : decodeEngines) {
         const AttemptEstimate estimate = decodeEstimate(*endpoint, now);
-        AttemptEstimate &best = bestOfRegion[location.regionOf(endpoint->record.dataCentre)];
-        if (best.endpoint == nullptr || estimate.costMs < best.costMs) {
-            best = estimate;
-        }
-        if (bestOfAll.endpoint == nullptr || estimate.costMs < bestOfAll.costMs) {
-            bestOfAll = estimate;
+        for (AttemptEstimate *best : {&bestOfGroup[groupOf(*endpoint)], &bestOfVersion[endpoint->record.version]}) {
+            if (best->endpoint == nullptr || estimate.costMs < best->costMs) {
+                *best = estimate;
+            }
         }
     }
     std::optional<std::pair<AttemptEstimate, AttemptEstimate>> result;
     for (const AttemptEstimate &prefill : prefills) {
-        const auto sameRegion = bestOfRegion.find(location.regionOf(prefill.endpoint->record.dataCentre));
-        for (const AttemptEstimate *decode : {sameRegion == bestOfRegion.end() ? &bestOfAll : &sameRegion->second, &bestOfAll}) {
-            if (decode->endpoint == nullptr) {
-                continue;
-            }
+        const auto ofVersion = bestOfVersion.find(prefill.endpoint->record.version);
+        if (ofVersion == bestOfVersion.end() || !canExchangeCache(*prefill.endpoint, *ofVersion->second.endpoint)) {
+            continue;
+        }
+        const auto ofGroup = bestOfGroup.find(groupOf(*prefill.endpoint));
+        for (const AttemptEstimate *decode : {ofGroup == bestOfGroup.end() ? &ofVersion->second : &ofGroup->second, &ofVersion->second}) {
             const AttemptEstimate complete = withTransfer(*decode, *prefill.endpoint, tokens);
             if (!result || prefill.costMs + complete.costMs < result->first.costMs + result->second.costMs) {
                 result = std::pair(prefill, complete);
@@ -156,7 +155,7 @@
     Placement placement;
     AttemptEstimate best;
     for (const Endpoint *candidate : candidates) {
-        if (candidate->record.phase == EnginePhase::Prefill) {
+        if (candidate->record.phase == EnginePhase::Prefill || !canExchangeCache(source, *candidate)) {
             continue;
         }
         const AttemptEstimate estimate = withTransfer(decodeEstimate(*candidate, now), source, tokens);
--- a/src/routing/promptprefix.cpp
+++ b/src/routing/promptprefix.cpp
@@ -32,11 +32,12 @@
 
 PhaseRouter::Impl::PromptContext PhaseRouter::Impl::promptContextFor(const PlacementRequest &request, const ServiceFleet &fleet, Time now) const
 {
-    PromptContext context {request, prefixHashesOf(request.promptParts), Tokens(0), {}, nullptr, {}};
-    for (const internal::CacheIndex::EndpointIndex index : cache.holders(context.prefixHashes, MAX_HOLDERS)) {
+    PromptContext context {request, prefixHashesOf(request.promptParts), Tokens(0), {}, {}, {}};
+    std::map<SoftwareVersion, std::size_t> holdersOfVersion;
+    for (const internal::CacheIndex::EndpointIndex index : cache.holders(context.prefixHashes, MAX_HOLDERS * fleet.versions.size())) {
         const auto id = endpointOfCacheIndex.find(index);
         const auto holder = id == endpointOfCacheIndex.end() ? endpoints.end() : endpoints.find(id->second);
-        if (holder != endpoints.end() && holder->second.listed) {
+        if (holder != endpoints.end() && ++holdersOfVersion[holder->second.record.version] <= MAX_HOLDERS && holder->second.listed) {
             context.holders.push_back(&holder->second);
         }
     }
@@ -49,20 +50,22 @@
     const std::uint64_t prefix = context.prefixHashes[context.prefixHashes.size() - 2];
     // Rendezvous hashing: processes with the same list of engines choose the same engine for a prefix. An engine without a request limit goes before
     // a limited one, which cannot take all calls of the prefix.
-    std::pair<bool, std::uint64_t> bestOfFleet;
-    for (const auto &[regionId, prefillEngines] : fleet.prefillEngines) {
-        std::pair<bool, std::uint64_t> bestOfRegion;
+    std::map<SoftwareVersion, std::pair<bool, std::uint64_t>> bestOfFleet;
+    for (const auto &[group, prefillEngines] : fleet.prefillEngines) {
+        std::pair<bool, std::uint64_t> bestOfGroup;
         for (const PrefillEngine &engine : prefillEngines) {
             const Endpoint &endpoint = *engine.endpoint;
             const std::pair rank(!endpoint.limit.rate(), mix(prefix ^ engine.hash));
-            if (rank >= bestOfRegion && acceptsCalls(endpoint, now) && !isExcluded(endpoint, request) && isHealthy(endpoint, now)) {
-                bestOfRegion = rank;
-                context.regionAffinityEngines[regionId] = &endpoint;
+            if (rank >= bestOfGroup && acceptsCalls(endpoint, now) && hasVersion(endpoint, request) && !isExcluded(endpoint, request)
+                && isHealthy(endpoint, now)) {
+                bestOfGroup = rank;
+                context.groupAffinityEngines[group] = &endpoint;
             }
         }
-        if (bestOfRegion > bestOfFleet) {
-            bestOfFleet = bestOfRegion;
-            context.fleetAffinityEngine = context.regionAffinityEngines[regionId];
+        const SoftwareVersion &version = group.second;
+        if (bestOfGroup > bestOfFleet[version]) {
+            bestOfFleet[version] = bestOfGroup;
+            context.fleetAffinityEngines[version] = context.groupAffinityEngines[group];
         }
     }
     return context;
@@ -83,10 +86,13 @@
             add(all[(start + i * all.size() / count) % all.size()]);
         }
     };
-    const bool isSmall = fleet.near.size() + fleet.far.size() <= MAX_COMPARED;
-    addSample(fleet.near, isSmall ? fleet.near.size() : NEAR_SAMPLE_SIZE);
-    addSample(fleet.far, isSmall ? fleet.far.size() : FAR_SAMPLE_SIZE);
-    for (const auto &[regionId, affinityEngine] : prompt.regionAffinityEngines) {
+    // A sample of the whole fleet would often hold no endpoint of a rare version.
+    const ServiceFleet ofVersion = prompt.request.version ? fleetOfVersion(fleet, prompt.request) : ServiceFleet();
+    const ServiceFleet &compared = prompt.request.version ? ofVersion : fleet;
+    const bool isSmall = compared.near.size() + compared.far.size() <= MAX_COMPARED;
+    addSample(compared.near, isSmall ? compared.near.size() : NEAR_SAMPLE_SIZE);
+    addSample(compared.far, isSmall ? compared.far.size() : FAR_SAMPLE_SIZE);
+    for (const auto &[group, affinityEngine] : prompt.groupAffinityEngines) {
         add(affinityEngine);
     }
     for (const Endpoint *holder : prompt.holders) {
@@ -99,11 +105,12 @@
 
 CacheEstimate PhaseRouter::Impl::affinityEstimate(const Endpoint &endpoint, const PromptContext &prompt) const
 {
-    if (&endpoint == prompt.fleetAffinityEngine) {
+    const auto ofFleet = prompt.fleetAffinityEngines.find(endpoint.record.version);
+    if (ofFleet != prompt.fleetAffinityEngines.end() && ofFleet->second == &endpoint) {
         return CacheEstimate::FleetAffinity;
     }
-    const auto affinityEngine = prompt.regionAffinityEngines.find(location.regionOf(endpoint.record.dataCentre));
-    return affinityEngine != prompt.regionAffinityEngines.end() && affinityEngine->second == &endpoint ? CacheEstimate::RegionAffinity : CacheEstimate::None;
+    const auto ofGroup = prompt.groupAffinityEngines.find(groupOf(endpoint));
+    return ofGroup != prompt.groupAffinityEngines.end() && ofGroup->second == &endpoint ? CacheEstimate::RegionAffinity : CacheEstimate::None;
 }
 
 CachedPrefix PhaseRouter::Impl::ownPrefix(const Endpoint &endpoint, const PromptContext &prompt) const
@@ -124,7 +131,7 @@
     best.prefillMs = expectedPrefillMs(endpoint, work, tokens, best.cache, 0);
     const Tokens ownTokens = cachedTokens(endpoint, prompt.request, prompt.prefixHashes);
     const auto consider = [&](const Endpoint *source) {
-        if (source == nullptr || source == &endpoint) {
+        if (source == &endpoint || !canExchangeCache(*source, endpoint)) {
             return;
         }
         const CachedPrefix available = ownPrefix(*source, prompt);
@@ -139,9 +146,14 @@
     for (const Endpoint *holder : prompt.holders) {
         consider(holder);
     }
-    const auto affinityEngine = prompt.regionAffinityEngines.find(location.regionOf(endpoint.record.dataCentre));
-    consider(affinityEngine == prompt.regionAffinityEngines.end() ? nullptr : affinityEngine->second);
-    consider(prompt.fleetAffinityEngine);
+    const auto ofGroup = prompt.groupAffinityEngines.find(groupOf(endpoint));
+    if (ofGroup != prompt.groupAffinityEngines.end()) {
+        consider(ofGroup->second);
+    }
+    const auto ofFleet = prompt.fleetAffinityEngines.find(endpoint.record.version);
+    if (ofFleet != prompt.fleetAffinityEngines.end()) {
+        consider(ofFleet->second);
+    }
     return best;
 }
 
--- a/tests/unit/phaseroutertest.cpp
+++ b/tests/unit/phaseroutertest.cpp
@@ -264,6 +264,7 @@
             record.id = EndpointId("e" + std::to_string(i));
             record.service = MODEL;
             record.dataCentre = i % 2 == 0 ? HERE : THERE;
+            record.version = V1;
             record.phase = i % 4 < 2 ? EnginePhase::Prefill : EnginePhase::Decode;
             record.slots = 128;
             fleet->records[record.id] = record;
--- a/tests/unit/routerfleet.h
+++ b/tests/unit/routerfleet.h
@@ -12,6 +12,8 @@
 inline const ServiceId PLAIN("plain");
 inline const DataCentreId HERE("here");
 inline const DataCentreId THERE("there");
+inline const SoftwareVersion V1("v1");
+inline const SoftwareVersion V2("v2");
 
 inline Time at(int milliseconds)
 {
@@ -32,12 +34,13 @@
         configuration.services[PLAIN] = {PLAIN, 100, std::nullopt};
     }
 
-    void add(const std::string &id, const ServiceId &service, const DataCentreId &where, std::optional<EnginePhase> phase)
+    void add(const std::string &id, const ServiceId &service, const DataCentreId &where, std::optional<EnginePhase> phase, const SoftwareVersion &version = V1)
     {
         EndpointRecord record;
         record.id = EndpointId(id);
         record.service = service;
         record.dataCentre = where;
+        record.version = version;
         record.phase = phase;
         record.slots = phase ? 128 : 6;
         records[record.id] = record;
@@ -88,4 +91,16 @@
     request.service = PLAIN;
     return request;
 }
+
+/// \brief Returns \a request for engines of \a version only.
+inline PlacementRequest ofVersion(PlacementRequest request, const SoftwareVersion &version)
+{
+    request.version = version;
+    return request;
+}
+
+inline SoftwareVersion versionOf(const Fleet &fleet, const EndpointId &endpoint)
+{
+    return fleet.router.record(endpoint)->version;
+}
 } // namespace mimosatally::test
