Resume a stream only at the software version that wrote its first event

What callers saw: one answer with events of endpoints of two software versions (ORDER), joined after the first endpoint had failed.

Cause: a stream of a resumable route was continued at any endpoint of the service.

Evidence: on the code before, "A stream that broke off goes on at the software version that began it" failed for a crash, a reset, garbled bytes and a close within an event, and "A stream is cut if no other endpoint of its software version can continue it" was failing when the run was stopped after 120 s:

streamversiontest.cpp:81: FAILED: CHECK( answer.find(event(2, version)) != std::string::npos ) with message: id: 1 data: v1 id: 2 data: v2 streamversiontest.cpp:99: FAILED: CHECK( answer.find("id: 2") == std::string::npos )

Change: CallFlow binds its StreamIdentity when the first event is written to the caller; every later placement of the answer requires that service and version, and an endpoint whose entry has changed since the attempt was sent adds no event. A decode after a prefill requires the version that the prefill engine had when the prefill was sent. MT5001 states `version` and `resumes`, MT5004 `root` and `version`. bindResumedStream() is the place at which a call that continues a stream of an earlier call is going to be bound; for now it binds nothing.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -40,6 +40,12 @@
     return "none";
 }
 
+/// \brief Returns \a version; `-` if there is none or it is not known.
+SoftwareVersion versionText(const std::optional<SoftwareVersion> &version)
+{
+    return version && !version->empty() ? *version : SoftwareVersion("-");
+}
+
 /// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
 /// its requests of the last four seconds; `-` if the endpoint has no limit.
 std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
@@ -56,12 +62,15 @@
 
 void CallFlow::logPlaced(const EndpointId &endpoint, const Placement &placement)
 {
+    const EndpointRecord *record = gateway_.router.record(endpoint);
     logEvent(LogEvent::GatewayCallPlaced,
              {{"request", call_.id},
               {"route", route_.id},
               {"repeat", route_.retryPolicy == RetryPolicy::Idempotent ? "idempotent" : "once"},
               {"attempt", attempts_},
               {"endpoint", endpoint},
+              {"version", versionText(record == nullptr ? std::nullopt : std::optional(record->version))},
+              {"resumes", call_.resumed && !call_.resumed->root.empty() ? call_.resumed->root : RequestId("-")},
               {"prefill", placement.prefill.value_or(EndpointId("-"))},
               {"reason", placement.reason},
               {"predicted_ms", truncatedMs(placement.firstByteMs)},
@@ -108,8 +117,7 @@
 awaitable<void> CallFlow::giveUp()
 {
     if (streaming_) {
-        logFailed(0, "stream-broken");
-        exchange_.abort();
+        cutStream("stream-broken");
         co_return;
     }
     if (!mayHaveRun_) {
@@ -123,6 +131,12 @@
     co_await respondError(status, reason, std::nullopt);
 }
 
+void CallFlow::cutStream(const char *reason)
+{
+    logFailed(0, reason);
+    exchange_.abort();
+}
+
 void CallFlow::logFailed(unsigned status, const char *reason)
 {
     logEvent(LogEvent::GatewayCallFailed,
@@ -131,6 +145,8 @@
               {"status", status},
               {"reason", reason},
               {"cause", lastFailure_},
+              {"root", stream_.root()},
+              {"version", versionText(stream_.version())},
               {"attempts", attempts_},
               {"runs", runs_},
               {"after_ms", MilliClock::now() - arrived_}});
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -102,6 +102,7 @@
         co_return NextStep::RetryNotReceived;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    stream_.recordSent(*record);
     EndpointAttempt attempt = attemptFor(endpoint);
     if (work == AttemptWork::PrefillAndRun) {
         attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cachedPrefix_.tokens);
@@ -166,7 +167,7 @@
     const bool asEvents = success && route_.form == AnswerForm::Events;
     bool delivered = false;
     if (asEvents) {
-        delivered = co_await deliverEvents(call, ticket);
+        delivered = co_await deliverEvents(call, endpoint, ticket);
     } else {
         delivered = co_await deliverBuffered(call);
     }
@@ -265,8 +266,11 @@
     co_return true;
 }
 
-awaitable<bool> CallFlow::deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket)
+awaitable<bool> CallFlow::deliverEvents(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket)
 {
+    if (!stream_.accepts(gateway_.router.record(endpoint))) {
+        co_return false;
+    }
     while (!call.hasEnded() && !framer_.repeatsEvents()) {
         const std::string_view data = co_await call.read();
         framer_.append(data);
@@ -274,6 +278,8 @@
         call.hold(framer_.heldBytes(), MAX_BUFFERED_ANSWER_BYTES);
         if (!events.empty()) {
             gateway_.router.recordFirstByte(ticket, MilliClock::now());
+            stream_.bind(gateway_.router.record(endpoint));
+            placementRequest_.version = stream_.version();
             co_await writeEvents(call, std::move(events));
         }
     }
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -33,13 +33,14 @@
     , call_(std::move(call))
     , configuration_(std::move(configuration))
     , route_(route)
+    , stream_(call_.id, chooseService())
     , arrived_(MilliClock::now())
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
     , activeEntry_(gateway.activeCalls.emplace(arrived_, guard_))
     , suspects_(gateway.suspects, exchange.request(), call_.promptParts)
 {
     placementRequest_.promptParts = call_.promptParts;
-    placementRequest_.service = chooseService();
+    placementRequest_.service = stream_.service();
     placementRequest_.promptTokens = call_.promptTokens;
 }
 
@@ -67,19 +68,27 @@
 awaitable<void> CallFlow::run()
 {
     ++gateway_.callsReceived;
-    gateway_.retries.recordRequest(placementRequest_.service, arrived_);
-    gateway_.suspects.recordCall(suspects_.parts(), arrived_);
     exchange_.onPeerClosed([weak = std::weak_ptr<CallGuard>(guard_)] {
         if (const auto guard = weak.lock()) {
             guard->callerDisconnected();
         }
     });
     bool retry = true;
+    if (call_.resumed) {
+        retry = co_await bindResumedStream();
+    }
+    gateway_.retries.recordRequest(placementRequest_.service, arrived_);
+    gateway_.suspects.recordCall(suspects_.parts(), arrived_);
     while (retry) {
         retry = co_await placeAndAttempt();
     }
 }
 
+awaitable<bool> CallFlow::bindResumedStream()
+{
+    co_return true;
+}
+
 awaitable<bool> CallFlow::placeAndAttempt()
 {
     // After a stall of the process, a request and the close by its caller arrive together; onPeerClosed() reports that only after the next wait.
@@ -103,12 +112,7 @@
     }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
-        if (attempts_ == 0) {
-            lastFailure_ = placement.retryAfter ? "endpoints are paused or take no more requests" : "";
-            co_await refuse(placement.retryAfter.value_or(DEFAULT_RETRY_AFTER), "no-endpoint");
-        } else {
-            co_await giveUp();
-        }
+        co_await endUnplaced(placement);
         co_return false;
     }
     if (attempts_ == 0) {
@@ -140,6 +144,18 @@
     co_return retry;
 }
 
+awaitable<void> CallFlow::endUnplaced(const Placement &placement)
+{
+    if (streaming_ && placement.versionGone) {
+        cutStream("version-gone");
+    } else if (attempts_ > 0) {
+        co_await giveUp();
+    } else {
+        lastFailure_ = placement.retryAfter ? "endpoints are paused or take no more requests" : "";
+        co_await refuse(placement.retryAfter.value_or(DEFAULT_RETRY_AFTER), placement.versionGone ? "version-gone" : "no-endpoint");
+    }
+}
+
 awaitable<bool> CallFlow::refuseBlocked(Time now)
 {
     const std::vector<SuspectId> &own = suspects_.known();
@@ -237,6 +253,8 @@
     AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
     if (placement.prefill) {
         const EndpointId prefillEngine = *placement.prefill;
+        const EndpointRecord *prefillRecord = gateway_.router.record(prefillEngine);
+        const SoftwareVersion prefillVersion = prefillRecord == nullptr ? SoftwareVersion() : prefillRecord->version;
         RequestReservation reservation(gateway_.router, endpoint);
         prompt = co_await prefill(prefillEngine, timeout);
         reservation.end();
@@ -249,7 +267,9 @@
             co_return NextStep::RetryNotRun;
         }
         // The prefill may have taken seconds, during which engines can leave, fill up or fail.
-        const Placement runPlacement = gateway_.router.placeDecode(placementRequest_, prefillEngine, MilliClock::now());
+        PlacementRequest decodeRequest = placementRequest_;
+        decodeRequest.version = prefillVersion;
+        const Placement runPlacement = gateway_.router.placeDecode(decodeRequest, prefillEngine, MilliClock::now());
         if (!runPlacement.run) {
             co_return NextStep::RetryNotRun;
         }
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -4,6 +4,7 @@
 #include "callsuspects.h"
 #include "endpointcall.h"
 #include "gatewaystate.h"
+#include "streamidentity.h"
 
 #include <mimosatally/Http>
 
@@ -52,7 +53,12 @@
         RetryOutcomeUnknown,
     };
 
+    /// \brief Binds a call that continues a stream of an earlier call to the service and version of the stream, or ends the call.
+    /// \return whether the call goes on.
+    boost::asio::awaitable<bool> bindResumedStream();
     boost::asio::awaitable<bool> placeAndAttempt();
+    /// \brief Ends a call that no endpoint may get.
+    boost::asio::awaitable<void> endUnplaced(const Placement &placement);
     /// \brief Ends the call if it has something that is blocked because it ends endpoints. \return whether the call has ended.
     boost::asio::awaitable<bool> refuseBlocked(Time now);
     /// \brief Records a crash if \a endpoint has ended and not only its connection.
@@ -65,7 +71,7 @@
     boost::asio::awaitable<NextStep> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     /// \return whether the caller has the complete answer.
     boost::asio::awaitable<bool> deliverBuffered(EndpointCall &call);
-    boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, PhaseRouter::Ticket ticket);
+    boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
     /// \brief Returns whether the rules and limits of the call allow another attempt; the retry budget is not considered.
@@ -89,6 +95,8 @@
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
     /// \brief Ends the call with an error when attempts or time are used up.
     boost::asio::awaitable<void> giveUp();
+    /// \brief Ends a stream visibly before its last event.
+    void cutStream(const char *reason);
     boost::asio::awaitable<void> respondError(unsigned status, const char *reason, std::optional<Duration> retryAfter);
 
     GatewayState &gateway_;
@@ -97,6 +105,7 @@
     std::shared_ptr<const ServingConfiguration> configuration_;
     const Route &route_;
     PlacementRequest placementRequest_;
+    StreamIdentity stream_;
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, std::weak_ptr<CallGuard>>::iterator activeEntry_;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -48,21 +48,30 @@
         return result.get();
     }
 
-    EndpointStandin &addEndpoint(const std::string &id, const std::string &service, EndpointStandin::Script script, const std::string &extraFields = {})
+    EndpointStandin &addEndpoint(const std::string &id,
+                                 const std::string &service,
+                                 EndpointStandin::Script script,
+                                 const std::string &extraFields = {},
+                                 const std::string &version = "v1")
     {
         return onStandins([&]() -> EndpointStandin & {
             endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
-            announce(id, service, endpoints_.back()->address(), "ready", extraFields);
+            announce(id, service, endpoints_.back()->address(), "ready", extraFields, version);
             return *endpoints_.back();
         });
     }
 
     /// \brief Writes a heartbeat of an endpoint. Must be called on the thread of the stand-ins.
-    void announce(const std::string &id, const std::string &service, const std::string &address, const std::string &state, const std::string &extraFields = {})
+    void announce(const std::string &id,
+                  const std::string &service,
+                  const std::string &address,
+                  const std::string &state,
+                  const std::string &extraFields = {},
+                  const std::string &version = "v1")
     {
         store_.put("keyed.servers",
                    id,
-                   R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"here","version":"v1","slots":8,"state":")" + state
+                   R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"here","version":")" + version + R"(","slots":8,"state":")" + state
                        + R"(","born":5)" + extraFields + "}");
     }
 
