--- a/tests/soak/soakfixture.h
+++ b/tests/soak/soakfixture.h
@@ -248,7 +248,8 @@
     {
         store_.put("keyed.servers",
                    "i-" + std::to_string(endpoint),
-                   R"({"service":"plain","address":")" + endpoints_[endpoint]->address() + R"(","zone":"here","version":"v1","slots":8,"state":")" + state + R"(","born":1})");
+                   R"({"service":"plain","address":")" + endpoints_[endpoint]->address() + R"(","zone":"here","version":"v1","slots":8,"state":")" + state
+                       + R"(","born":1})");
     }
 
     template<class Function>
