Bind a call that continues a stream to the version of its first event

Here CallFlow looks the origin up before the first placement, and registers its own streams from their first event to their end.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -137,6 +137,7 @@
 void CallFlow::cutStream(const char *reason)
 {
     logFailed(0, reason);
+    registration_.end(StreamTracker::End::Broken);
     exchange_.abort();
 }
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -284,6 +284,7 @@
             gateway_.router.recordFirstByte(ticket, MilliClock::now());
             stream_.bind(gateway_.router.record(endpoint));
             placementRequest_.version = stream_.version();
+            registration_.begin(stream_.root(), {stream_.service(), *stream_.version()});
             co_await writeEvents(call, std::move(events));
         }
     }
@@ -298,6 +299,7 @@
     call.release();
     co_await writeEvents(call, std::move(remainder));
     co_await exchange_.endStream();
+    registration_.end(StreamTracker::End::Complete);
     co_return true;
 }
 
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -34,6 +34,7 @@
     , configuration_(std::move(configuration))
     , route_(route)
     , stream_(call_.id, chooseService())
+    , registration_(gateway.streams, gateway.streamLookup)
     , arrived_(MilliClock::now())
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
     , activeEntry_(gateway.activeCalls.emplace(arrived_, guard_))
@@ -86,6 +87,22 @@
 
 awaitable<bool> CallFlow::bindResumedStream()
 {
+    if (route_.form != AnswerForm::Events) {
+        co_return true;
+    }
+    const RequestId root = call_.resumed->root;
+    const std::optional<StreamOrigin> origin = co_await gateway_.streamLookup.lookUp(root, stream_.service());
+    const bool isServed = origin && std::ranges::any_of(route_.services, [&origin](const WeightedService &candidate) {
+                              return candidate.service == origin->service;
+                          });
+    if (!isServed) {
+        // Events of another version would not fit those that the caller has.
+        co_await refuse(DEFAULT_RETRY_AFTER, "version-unknown");
+        co_return false;
+    }
+    stream_.resume(root.empty() ? call_.id : root, origin->service, origin->version);
+    placementRequest_.service = origin->service;
+    placementRequest_.version = origin->version;
     co_return true;
 }
 
@@ -98,6 +115,7 @@
     if (guard_->stopReason() == StopReason::CallerDisconnected) {
         logEvent(LogEvent::GatewayCallerGone, {{"request", call_.id}, {"after_ms", MilliClock::now() - arrived_}, {"runs", runs_}});
         gateway_.metrics.increment("mimosatally_calls_total", "result=\"caller_gone\"");
+        registration_.end(StreamTracker::End::Broken);
         exchange_.abort();
         co_return false;
     }
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -5,6 +5,7 @@
 #include "endpointcall.h"
 #include "gatewaystate.h"
 #include "streamidentity.h"
+#include "streamregistration.h"
 
 #include <mimosatally/Http>
 
@@ -106,6 +107,7 @@
     const Route &route_;
     PlacementRequest placementRequest_;
     StreamIdentity stream_;
+    StreamRegistration registration_;
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, std::weak_ptr<CallGuard>>::iterator activeEntry_;
--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -73,7 +73,8 @@
         asked = true;
         co_await waitForPeers(root, service);
     }
-    const StreamTracker::Knowledge knowledge = recordable ? tracker_.find(root, service, MilliClock::now()) : StreamTracker::Knowledge();
+    // A stream whose root is not named can only be one of the only version.
+    const StreamTracker::Knowledge knowledge = tracker_.find(recordable ? root : RequestId(), service, MilliClock::now());
     logLookup(root, service, knowledge.origin, outcomeOf(knowledge, asked), began);
     co_return knowledge.origin;
 }
