Reproduce streams that hold events of two software versions

Callers saw one stream continued with events from engines of another software version, within one answer and over several attempts. Gateways choose the engine that continues a stream without regard to the version that began it.

GatewayGroup can kill one gateway, or all at once and start them again at their addresses.

--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -90,11 +90,30 @@
         return abandoned_;
     }
 
+    /// \brief Closes all connections normally. Must be called on the thread of the stand-ins.
+    void closeConnections()
+    {
+        boost::system::error_code ignored;
+        for (boost::asio::ip::tcp::socket *socket : *sockets_) {
+            socket->close(ignored);
+        }
+    }
+
+    /// \brief Closes all connections normally and stops accepting new ones, as the end of the process does. Must be called on the thread of the stand-ins.
+    void crash()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        closeConnections();
+    }
+
 private:
     boost::asio::awaitable<void> accept()
     {
         for (;;) {
             boost::asio::ip::tcp::socket socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+            // Otherwise a step of some bytes waits for the acknowledgement of the step before, and pauses between steps have no effect.
+            socket.set_option(boost::asio::ip::tcp::no_delay(true));
             const int number = ++connections_;
             boost::asio::co_spawn(io_, serve(std::move(socket), number), boost::asio::detached);
         }
@@ -187,15 +206,6 @@
         boost::asio::ip::tcp::socket &socket_;
     };
 
-    void crash()
-    {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
-        for (boost::asio::ip::tcp::socket *socket : *sockets_) {
-            socket->close(ignored);
-        }
-    }
-
     boost::asio::io_context &io_;
     std::shared_ptr<OpenSockets> sockets_ = std::make_shared<OpenSockets>();
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -48,6 +48,15 @@
         return result.get();
     }
 
+    /// \brief Starts an endpoint without writing an entry of it.
+    EndpointStandin &addEndpoint(EndpointStandin::Script script)
+    {
+        return onStandins([&]() -> EndpointStandin & {
+            endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
+            return *endpoints_.back();
+        });
+    }
+
     EndpointStandin &addEndpoint(const std::string &id, const std::string &service, EndpointStandin::Script script, const std::string &extraFields = {})
     {
         return onStandins([&]() -> EndpointStandin & {
@@ -169,6 +178,15 @@
         return store_;
     }
 
+    /// \brief Starts a second, empty store, for a gateway that can be cut off while others are in touch.
+    StoreStandin &addStore()
+    {
+        return onStandins([&]() -> StoreStandin & {
+            furtherStores_.push_back(std::make_unique<StoreStandin>(io_));
+            return *furtherStores_.back();
+        });
+    }
+
 private:
     static bool canConnect(const std::string &address)
     {
@@ -182,6 +200,7 @@
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     StoreStandin store_;
+    std::vector<std::unique_ptr<StoreStandin>> furtherStores_;
     std::vector<std::unique_ptr<EndpointStandin>> endpoints_;
     std::thread thread_;
     std::string callerAddress_;
--- a/tests/gateway/gatewaygroup.h
+++ b/tests/gateway/gatewaygroup.h
@@ -11,15 +11,17 @@
 class GatewayGroup
 {
 public:
-    GatewayGroup(GatewayFixture &fixture, int count)
+    /// \param storeOfLast store of the last gateway, if it is not that of the fixture.
+    GatewayGroup(GatewayFixture &fixture, int count, const std::string &storeOfLast = {})
         : noticePort_(freePort())
     {
         for (int i = 1; i <= count; ++i) {
-            start(fixture, i, count);
+            writeSettings(i, count, i == count && !storeOfLast.empty() ? storeOfLast : fixture.store().address());
+            gateways_.emplace_back();
+            start(static_cast<std::size_t>(i) - 1);
         }
-        for (const auto &gateway : gateways_) {
-            gateway->waitForOutput("ServingConfigurationInForce");
-            gateway->waitForOutput("EndpointChanged");
+        for (std::size_t i = 0; i < size(); ++i) {
+            awaitServing(i);
         }
     }
 
@@ -43,6 +45,35 @@
         return *gateways_[index];
     }
 
+    /// \brief Kills one gateway, and returns when its process has ended.
+    void kill(std::size_t index)
+    {
+        gateways_[index]->send(SIGKILL);
+        gateways_[index]->wait();
+    }
+
+    /// \brief Kills all gateways at once, and returns when their processes have ended.
+    void killAll()
+    {
+        for (const auto &gateway : gateways_) {
+            gateway->send(SIGKILL);
+        }
+        for (const auto &gateway : gateways_) {
+            gateway->wait();
+        }
+    }
+
+    /// \brief Starts all gateways again, with the same settings and addresses, after killAll(). \return when they serve.
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < size(); ++i) {
+            start(i);
+        }
+        for (std::size_t i = 0; i < size(); ++i) {
+            awaitServing(i);
+        }
+    }
+
     /// \brief Waits until each gateway has received a datagram from another one.
     void awaitPeers()
     {
@@ -65,21 +96,37 @@
         return address.substr(address.rfind(':') + 1);
     }
 
-    void start(GatewayFixture &fixture, int number, int count)
+    /// \brief Path of the files of a gateway, without their endings.
+    static std::string nameOf(std::size_t index)
+    {
+        return std::string(BINARY_DIRECTORY) + "/gateway-" + std::to_string(getpid()) + "-" + std::to_string(index + 1);
+    }
+
+    void writeSettings(int number, int count, const std::string &store)
     {
-        const std::string name = std::string(BINARY_DIRECTORY) + "/gateway-" + std::to_string(getpid()) + "-" + std::to_string(number);
         callerAddresses_.push_back(freeAddress());
         metricsAddresses_.push_back(freeAddress());
         std::string peers;
         for (int i = 1; i <= std::min(count, MAX_SEEDS); ++i) {
             peers += (peers.empty() ? "\"" : ", \"") + hostOf(i) + ":1\"";
         }
-        std::ofstream(name + ".toml") << "process = \"g" << number << "\"\ndata_centre = \"here\"\nlisten = \"" << callerAddresses_.back()
-                                      << "\"\nreadiness = \"" << freeAddress() << "\"\nmetrics = \"" << metricsAddresses_.back() << "\"\nstore = \""
-                                      << fixture.store().address() << "\"\nnotices = \"" << hostOf(number) << ":" << noticePort_ << "\"\npeers = [" << peers
-                                      << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
-        gateways_.push_back(
-            std::make_unique<TestProgram>(std::string(BINARY_DIRECTORY) + "/mimosatally", std::vector<std::string> {"gateway", name + ".toml"}, name + ".log"));
+        std::ofstream(nameOf(static_cast<std::size_t>(number) - 1) + ".toml")
+            << "process = \"g" << number << "\"\ndata_centre = \"here\"\nlisten = \"" << callerAddresses_.back() << "\"\nreadiness = \"" << freeAddress()
+            << "\"\nmetrics = \"" << metricsAddresses_.back() << "\"\nstore = \"" << store << "\"\nnotices = \"" << hostOf(number) << ":" << noticePort_
+            << "\"\npeers = [" << peers << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
+    }
+
+    void start(std::size_t index)
+    {
+        const std::string name = nameOf(index);
+        gateways_[index] =
+            std::make_unique<TestProgram>(std::string(BINARY_DIRECTORY) + "/mimosatally", std::vector<std::string> {"gateway", name + ".toml"}, name + ".log");
+    }
+
+    void awaitServing(std::size_t index)
+    {
+        gateways_[index]->waitForOutput("ServingConfigurationInForce");
+        gateways_[index]->waitForOutput("EndpointChanged");
     }
 
     /// \brief The platform names at most three other processes to each.
--- a/tests/gateway/storestandin.h
+++ b/tests/gateway/storestandin.h
@@ -93,10 +93,17 @@
         return calls_;
     }
 
+    /// \brief Number of calls of each kind: method, path, and the topic if the call names one.
+    [[nodiscard]] const std::map<std::string, int> &callsByKind() const
+    {
+        return callsByKind_;
+    }
+
 private:
     boost::asio::awaitable<void> handle(HttpExchange &exchange)
     {
         ++calls_;
+        ++callsByKind_[kindOf(exchange.request())];
         if (mode_ == StoreMode::Unresponsive) {
             boost::asio::steady_timer timer(io_, std::chrono::seconds(30));
             co_await timer.async_wait(boost::asio::use_awaitable);
@@ -128,6 +135,12 @@
         return value.substr(0, value.find('&'));
     }
 
+    static std::string kindOf(const HttpRequest &request)
+    {
+        const std::string target(request.target());
+        return std::string(request.method_string()) + ' ' + target.substr(0, target.find('?')) + ' ' + topicOf(target);
+    }
+
     static std::string topicOf(const std::string &target)
     {
         return parameter(target, "topic");
@@ -215,6 +228,7 @@
     std::optional<std::int64_t> era_;
     StoreMode mode_ = StoreMode::Serving;
     int calls_ = 0;
+    std::map<std::string, int> callsByKind_;
 };
 
 } // namespace mimosatally::test
