Send each request of an agent over a connection of its own

What callers saw, in a test: a caller got the answer to another caller's request, and the outcome of a request was that of the one before, among them a success for one that its engine had refused with 503.

Cause: requests share kept connections, and engines and services behind agents repeat no request id. The copy of an answer that the endpoint wrote late was taken for the answer to the next request.

Evidence, the new test on the code before:

CHECK( answer == id ) with expansion: "second" == "refused", "first" == "second", "second" == "third" CHECK( statuses["refused"] == 503 ) with expansion: 200 == 503

--- a/src/agent/agentnode.cpp
+++ b/src/agent/agentnode.cpp
@@ -19,8 +19,6 @@
 constexpr Bytes MAX_BUFFERED_DECISIONS(16LL * 1024 * 1024);
 /// \brief Size limit of RPC messages, above the largest request body that entries accept; a longer message closes the connection.
 constexpr std::size_t MAX_RPC_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
-/// \brief Maximum number of idle connections to the endpoint that are kept for reuse.
-constexpr std::size_t MAX_ENDPOINT_CONNECTIONS = 64;
 constexpr Duration REPORT_INTERVAL(500);
 constexpr Duration REPORT_TIMEOUT(1000);
 constexpr Duration MAX_SLEEP(1000);
@@ -72,7 +70,7 @@
                      shipper_.recordAppend();
                  })
     , queue_(settings.endpoint, decisions_, QueueLimits {settings.maxQueuedRequests, settings.maxQueuedBytes})
-    , endpoint_(io, parseAddress(settings.endpointAddress), MAX_ENDPOINT_CONNECTIONS)
+    , endpoint_(io, parseAddress(settings.endpointAddress))
     , outcomes_(io, log_, seed_)
     , requests_(io, incarnation_, queue_, endpoint_, outcomes_)
     , orders_(io, incarnation_, settings.longestOrderLifetime, log_, endpoint_, queue_, decisions_)
--- a/src/agent/endpointclient.cpp
+++ b/src/agent/endpointclient.cpp
@@ -24,13 +24,6 @@
     return options;
 }
 
-HttpClient::Options requestOptions(std::size_t maxIdleConnections)
-{
-    HttpClient::Options options;
-    options.maxIdleConnections = maxIdleConnections;
-    return options;
-}
-
 HttpRequest toHttp(const AgentRequest &request)
 {
     HttpRequest message = makeHttpRequest(http::verb::post, request.path, request.contentType, request.body);
@@ -65,15 +58,14 @@
 }
 } // namespace
 
-EndpointClient::EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address, std::size_t maxIdleConnections)
-    : client_(io, address, requestOptions(maxIdleConnections))
-    , control_(io, address, singleCallOptions())
+EndpointClient::EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address)
+    : client_(io, address, singleCallOptions())
 {
 }
 
 awaitable<EndpointReport> EndpointClient::report(Duration timeout)
 {
-    const HttpResponse response = co_await control_.send(makeHttpRequest(http::verb::get, "/load"), timeout);
+    const HttpResponse response = co_await client_.send(makeHttpRequest(http::verb::get, "/load"), timeout);
     if (response.result_int() != STATUS_OK) {
         // A service need not report its load; any answer shows that it is alive.
         EndpointReport report;
@@ -94,7 +86,7 @@
 
 awaitable<bool> EndpointClient::acceptsConnection()
 {
-    const bool accepts = co_await control_.acceptsConnection();
+    const bool accepts = co_await client_.acceptsConnection();
     co_return accepts;
 }
 
@@ -102,7 +94,7 @@
 {
     try {
         const json body = {{"request", id.value()}};
-        co_await control_.send(makeHttpRequest(http::verb::post, "/cancel", "application/json", body.dump()), CONTROL_TIMEOUT);
+        co_await client_.send(makeHttpRequest(http::verb::post, "/cancel", "application/json", body.dump()), CONTROL_TIMEOUT);
     } catch (const UnreachableError &error) {
         logEvent(LogEvent::EndpointUnreachable, {{"request", id}, {"error", error.what()}});
     }
@@ -112,7 +104,7 @@
 {
     const json body = {{"id", order.id}, {"kind", order.kind}, {"argument", order.argument}, {"epoch", order.epoch.count()}};
     try {
-        const HttpResponse response = co_await control_.send(makeHttpRequest(http::verb::post, "/orders", "application/json", body.dump()), timeout);
+        const HttpResponse response = co_await client_.send(makeHttpRequest(http::verb::post, "/orders", "application/json", body.dump()), timeout);
         co_return response.result_int() == STATUS_OK ? EndpointOrderResult::Done : EndpointOrderResult::Refused;
     } catch (const ConnectError &) {
         co_return EndpointOrderResult::Refused;
--- a/src/agent/endpointclient.h
+++ b/src/agent/endpointclient.h
@@ -42,12 +42,11 @@
     Unknown,
 };
 
-/// \brief HTTP client of the agent's endpoint.
+/// \brief HTTP client of the agent's endpoint. Each call has a connection of its own (docs/answers.md).
 class EndpointClient
 {
 public:
-    /// \param maxIdleConnections maximum number of connections for requests that are kept for reuse.
-    EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address, std::size_t maxIdleConnections);
+    EndpointClient(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address);
 
     /// \throws UnreachableError, MalformedInputError
     boost::asio::awaitable<EndpointReport> report(Duration timeout);
@@ -65,8 +64,6 @@
 
 private:
     HttpClient client_;
-    /// \brief Connections for reports, cancels and orders, which must not wait behind requests.
-    HttpClient control_;
 };
 
 } // namespace mimosatally::internal
--- a/tests/unit/agentfixture.h
+++ b/tests/unit/agentfixture.h
@@ -49,7 +49,7 @@
         , chain(ProcessId("agent-1"), incarnation, Bytes(1 << 20))
         , decisions(chain, [] {})
         , queue(EndpointId("engine-1"), decisions, internal::QueueLimits())
-        , endpoint(io, server.address(), 4)
+        , endpoint(io, server.address())
         , outcomes(io, log, 1)
         , service(io, incarnation, queue, endpoint, outcomes)
     {
--- a/tests/unit/endpointanswerstest.cpp
+++ b/tests/unit/endpointanswerstest.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <map>
 
 using namespace mimosatally;
 using namespace mimosatally::internal;
@@ -90,7 +91,7 @@
     RepeatingEndpoint endpoint(io, [](const HttpRequest &request) {
         return request.target() == "/load" ? json(200, "{}") : json(409, "{}");
     });
-    EndpointClient client(io, endpoint.address(), 4);
+    EndpointClient client(io, endpoint.address());
     runCoroutine(io, [&]() -> awaitable<void> {
         const EndpointReport report = co_await client.report(TIMEOUT);
         CHECK(report.healthy);
@@ -108,7 +109,7 @@
     RepeatingEndpoint endpoint(io, [](const HttpRequest &request) {
         return request.target() == "/load" ? json(200, R"({"order_in_progress":"o-1"})") : json(200, "{}");
     });
-    EndpointClient client(io, endpoint.address(), 4);
+    EndpointClient client(io, endpoint.address());
     runCoroutine(io, [&]() -> awaitable<void> {
         EndpointOrder order;
         order.id = "o-1";
@@ -121,3 +122,41 @@
         CHECK(afterCancel.orderInProgress);
     });
 }
+
+// Guards against a caller that gets the answer of another caller's request, and against a request that counts as not run because the late copy of a refusal
+// was taken for its answer.
+TEST_CASE("The late copy of an answer is not delivered for the next request", "[agent][answers]")
+{
+    boost::asio::io_context io;
+    RepeatingEndpoint endpoint(io, [](const HttpRequest &request) {
+        const std::string id = headerValue(request, "X-Request-Id");
+        return json(id == "refused" ? 503 : 200, id);
+    });
+    EndpointClient client(io, endpoint.address());
+    std::map<std::string, unsigned> statuses;
+    std::map<std::string, std::string> answers;
+    runCoroutine(io, [&]() -> awaitable<void> {
+        for (const char *id : {"first", "second", "refused", "third"}) {
+            AgentRequest request(io);
+            request.id = RequestId(id);
+            request.method = "POST";
+            request.path = "/run";
+            co_await client.dispatch(
+                request,
+                [&](const HttpResponse &head) -> awaitable<void> {
+                    statuses[id] = head.result_int();
+                    co_return;
+                },
+                [&](std::string_view data) -> awaitable<void> {
+                    answers[id] += data;
+                    co_return;
+                });
+        }
+    });
+    CHECK(answers.size() == 4);
+    for (const auto &[id, answer] : answers) {
+        CHECK(answer == id);
+    }
+    CHECK(statuses["refused"] == 503);
+    CHECK(statuses["third"] == 200);
+}
--- a/tests/unit/orderrunnertest.cpp
+++ b/tests/unit/orderrunnertest.cpp
@@ -80,7 +80,7 @@
         , chain(ProcessId("agent-1"), incarnation, Bytes(1 << 20))
         , decisions(chain, [] {})
         , queue(EndpointId("engine-1"), decisions, QueueLimits())
-        , endpoint(io, server.address(), 4)
+        , endpoint(io, server.address())
         , runner(io, incarnation, Duration(200), log, endpoint, queue, decisions)
         , context(io)
     {
--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -263,7 +263,7 @@
     GatedAgent agent;
     const auto outcomeOf = [&agent](const std::string &id, const std::string &body, bool endpointEnds) {
         UnframedEndpoint endpoint(agent.AgentFixture::io, body, endpointEnds);
-        EndpointClient client(agent.AgentFixture::io, endpoint.address(), 1);
+        EndpointClient client(agent.AgentFixture::io, endpoint.address());
         auto writer = std::make_shared<AnswerWriter>(agent.AgentFixture::io, kj::heap<mimosatally::testing::RecordingSink>(agent.answers[id]));
         std::optional<RequestOutcome> outcome;
         Dispatch dispatch(client, agent.request(id), std::move(writer));
