Close a client's connection that has bytes after a complete answer

What a caller would see: the first bytes of an answer's copy that came in one read with the answer were dropped, and its rest was read where the next answer was due.

Cause: HttpClient's receive buffer lives as long as one call, and the connection was kept whatever was left in it.

Evidence, the new test on the code before, which sends the first bytes of a copy with each answer:

CHECK( connections == calls ) with expansion: 1 == 3

Change: such a connection is not kept, as connections to endpoints are not (EndpointCall::release()).

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -152,7 +152,8 @@
         throwUnreachable(server_, error);
     }
     HttpResponse response = parser->release();
-    if (response.keep_alive()) {
+    // Bytes after a complete answer belong to no call, so such a connection is not used again.
+    if (response.keep_alive() && buffer.size() == 0) {
         release(std::move(stream));
     }
     co_return response;
@@ -193,7 +194,7 @@
         }
     }
     const BodyFraming framing = bodyFraming(parser);
-    if (parser.get().keep_alive() && framing != BodyFraming::ConnectionEnd) {
+    if (parser.get().keep_alive() && framing != BodyFraming::ConnectionEnd && buffer.size() == 0) {
         release(std::move(stream));
     }
     co_return StreamedBody {framing, framing == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing};
--- a/tests/unit/httpanswerstest.cpp
+++ b/tests/unit/httpanswerstest.cpp
@@ -5,16 +5,20 @@
 #include <mimosatally/Core>
 #include <mimosatally/Http>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <thread>
 
 using namespace mimosatally;
 using boost::asio::awaitable;
+using boost::asio::use_awaitable;
 using boost::asio::ip::tcp;
 using mimosatally::test::runCoroutine;
 
@@ -141,3 +145,60 @@
     });
     CHECK(body == "abcdabcdabcdabcdabcd");
 }
+
+namespace
+{
+/// \brief Answers each request of each connection, and sends the first bytes of a copy with each answer. \param[out] connections number of connections.
+awaitable<void> answerWithExtraBytes(tcp::acceptor &acceptor, int &connections)
+{
+    for (;;) {
+        auto socket = std::make_shared<tcp::socket>(co_await acceptor.async_accept(use_awaitable));
+        ++connections;
+        boost::asio::co_spawn(
+            acceptor.get_executor(),
+            [socket]() -> awaitable<void> {
+                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200";
+                std::string requests;
+                for (;;) {
+                    const std::size_t size = co_await boost::asio::async_read_until(*socket, boost::asio::dynamic_buffer(requests), "\r\n\r\n", use_awaitable);
+                    requests.erase(0, size);
+                    co_await boost::asio::async_write(*socket, boost::asio::buffer(answer), use_awaitable);
+                }
+            },
+            boost::asio::detached);
+    }
+}
+} // namespace
+
+// Guards against a copy of an answer whose first bytes come with the answer: they were dropped, and the rest was read where the next answer was due.
+TEST_CASE("A connection with bytes after a complete answer is not used again", "[http][answers]")
+{
+    const bool streamed = GENERATE(false, true);
+    CAPTURE(streamed);
+    constexpr int calls = 3;
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    int connections = 0;
+    boost::asio::co_spawn(io, answerWithExtraBytes(acceptor, connections), boost::asio::detached);
+    HttpClient client(io, acceptor.local_endpoint());
+    runCoroutine(io, [&]() -> awaitable<void> {
+        for (int i = 0; i < calls; ++i) {
+            HttpRequest request = makeHttpRequest(boost::beast::http::verb::get, "/");
+            if (streamed) {
+                co_await client.stream(
+                    std::move(request),
+                    TIMEOUT,
+                    [](const HttpResponse &) -> awaitable<void> {
+                        co_return;
+                    },
+                    [](std::string_view) -> awaitable<void> {
+                        co_return;
+                    });
+            } else {
+                const HttpResponse response = co_await client.send(std::move(request), TIMEOUT);
+                CHECK(response.body() == "a");
+            }
+        }
+    });
+    CHECK(connections == calls);
+}
