Reject a head in which another head begins

Callers would be told "not run" for calls that run, or get a failure as a success: if an answer too many is cut off within its head, the head of the call's own answer continues its last line, and the two parse as one answer with the status of the first and the id of the second. Found by the review of copies of refusals, whose test fails on the code before (421 within its reason, 503 within its not-executed field, 200 within a field).

Cause: the parser accepts any text in a reason or a field. Change: an answer whose reason or fields hold the start of a status line is no answer to the call; its outcome is unknown and the connection is closed.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -2,6 +2,7 @@
 
 #include "http/receivedchunks.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -29,6 +30,19 @@
 constexpr int MAX_SKIPPED_READS = 4096;
 constexpr unsigned FIRST_SUCCESS_STATUS = 200;
 constexpr unsigned FIRST_REDIRECT_STATUS = 300;
+
+/// \brief Returns whether the head of another answer begins within \a header. If an answer is cut off within its head, what is written next continues its last
+/// line: the status is then that of one answer and the fields are those of another.
+bool holdsAnotherHead(const http::response_header<> &header)
+{
+    constexpr boost::beast::string_view statusLine = "HTTP/1.";
+    const auto holdsStatusLine = [](boost::beast::string_view text) {
+        return text.find(statusLine) != boost::beast::string_view::npos;
+    };
+    return holdsStatusLine(header.reason()) || std::ranges::any_of(header, [&](const auto &field) {
+               return holdsStatusLine(field.value()) || holdsStatusLine(field.name_string());
+           });
+}
 } // namespace
 
 EndpointCall::EndpointCall(ConnectionPool &pool, CallGuard &guard, ByteBudget &budget)
@@ -94,10 +108,15 @@
         if (!received) {
             co_return false;
         }
+        if (holdsAnotherHead(parser_->get().base())) {
+            failure_ = "head of an answer within another head";
+            break;
+        }
         answer_ = platform::decodeAnswer(parser_->get().base());
         if (answer_.status < FIRST_SUCCESS_STATUS) {
             // An interim answer has no body; the final one follows on this connection.
             failure_ = "too many interim answers";
+            forgetAnswer();
             continue;
         }
         const bool success = answer_.status >= FIRST_SUCCESS_STATUS && answer_.status < FIRST_REDIRECT_STATUS;
--- a/tests/gateway/refusalcopytest.cpp
+++ b/tests/gateway/refusalcopytest.cpp
@@ -99,9 +99,11 @@
 private:
     RunLedger &ledger_;
     std::map<int, std::string> refusedOn_;
-    int copies_ = 0;
+    std::atomic<int> copies_ = 0;
 };
 
+/// \brief Longer than a stall of a busy machine, so that the sound endpoint's idle connections are not dropped.
+constexpr const char *KEEP_ALIVE = "Keep-Alive: timeout=60\r\n";
 constexpr int CALLERS = 6;
 constexpr int CALLS_PER_CALLER = 250;
 
@@ -142,7 +144,7 @@
     });
     EndpointStandin &sound = fixture.addEndpoint("i-sound", "plain", [&ledger](const HttpRequest &request) -> AnswerSteps {
         ledger.recordRun(requestIdOf(request));
-        return {bytes(wholeAnswer(requestIdOf(request), "ran " + requestIdOf(request)))};
+        return {bytes(wholeAnswer(requestIdOf(request), "ran " + requestIdOf(request), 200, KEEP_ALIVE))};
     });
     fixture.onStandins([&] {
         for (int i = 0; i < 40; ++i) {
