Balance the phases of engines within each software version

Cause: the balance of prefill and decode engines was kept over the whole service, so the prefill engines could all be of one version, and the engines of the other one had to prefill by themselves at half the speed.

Change: OrderController keeps a balance for each version of a service. With one version everywhere nothing changes.

--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -111,13 +111,13 @@
     logEvent(holdsNow ? LogEvent::OrderLeaseHeld : LogEvent::OrderLeaseLost, {{"generation", generation_}, {"era", generationEra_}});
 }
 
-std::vector<BalancedEngine> OrderController::enginesOf(const ServiceId &service) const
+std::map<SoftwareVersion, std::vector<BalancedEngine>> OrderController::enginesOf(const ServiceId &service) const
 {
-    std::vector<BalancedEngine> engines;
+    std::map<SoftwareVersion, std::vector<BalancedEngine>> engines;
     for (const auto &[id, record] : gateway_.registry.endpoints()) {
         if (record.service == service && record.phase && !record.leaving) {
             const auto region = gateway_.settings.regions.find(record.dataCentre);
-            engines.push_back({id, region == gateway_.settings.regions.end() ? RegionId() : region->second, *record.phase, record.startedAt});
+            engines[record.version].push_back({id, region == gateway_.settings.regions.end() ? RegionId() : region->second, *record.phase, record.startedAt});
         }
     }
     return engines;
@@ -144,12 +144,17 @@
             continue;
         }
         const double share = PhaseBalancer::prefillShareFor(gateway_.settings.prefillShare, service.engine->slots);
-        PhaseBalancer &balancer = balancers_.try_emplace(id, share).first->second;
-        balancer.setPrefillShare(share);
-        const std::vector<BalancedEngine> engines = enginesOf(id);
-        const std::vector<PhaseChange> changes = balancer.plan(engines, pressureOf(id), MilliClock::now());
-        for (const PhaseChange &change : changes) {
-            co_await orderPhaseChange(balancer, change);
+        const std::map<SoftwareVersion, std::vector<BalancedEngine>> engines = enginesOf(id);
+        std::erase_if(balancers_, [&](const auto &entry) {
+            return entry.first.first == id && !engines.contains(entry.first.second);
+        });
+        for (const auto &[version, enginesOfVersion] : engines) {
+            PhaseBalancer &balancer = balancers_.try_emplace({id, version}, share).first->second;
+            balancer.setPrefillShare(share);
+            const std::vector<PhaseChange> changes = balancer.plan(enginesOfVersion, pressureOf(id), MilliClock::now());
+            for (const PhaseChange &change : changes) {
+                co_await orderPhaseChange(balancer, change);
+            }
         }
     }
 }
--- a/src/gateway/ordercontroller.h
+++ b/src/gateway/ordercontroller.h
@@ -31,7 +31,7 @@
     /// \return true if the engine carries out the order. \throws UnreachableError \throws MalformedInputError
     boost::asio::awaitable<bool> sendOrder(HttpClient &client, PhaseChange change, std::string &result);
     [[nodiscard]] PhasePressure pressureOf(const ServiceId &service) const;
-    [[nodiscard]] std::vector<BalancedEngine> enginesOf(const ServiceId &service) const;
+    [[nodiscard]] std::map<SoftwareVersion, std::vector<BalancedEngine>> enginesOf(const ServiceId &service) const;
     [[nodiscard]] std::int64_t fencingToken() const;
     /// \brief Returns true if the lease covers an order that is sent now.
     [[nodiscard]] bool holdsLease(Time now) const;
@@ -48,7 +48,8 @@
     /// \brief Token that an engine has rejected as outdated.
     std::int64_t rejectedToken_ = -1;
     Time leaseUntil_ = Time::min();
-    std::map<ServiceId, PhaseBalancer> balancers_;
+    /// \brief Engines of one version only work together, so each version needs its own share of prefill engines.
+    std::map<std::pair<ServiceId, SoftwareVersion>, PhaseBalancer> balancers_;
 };
 
 } // namespace mimosatally::internal
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -58,11 +58,8 @@
     }
 
     template<class Script>
-    EndpointStandin &addEndpoint(const std::string &id,
-                                 const std::string &service,
-                                 Script script,
-                                 const std::string &extraFields = {},
-                                 const std::string &version = "v1")
+    EndpointStandin &addEndpoint(
+        const std::string &id, const std::string &service, Script script, const std::string &extraFields = {}, const std::string &version = "v1")
     {
         return onStandins([&]() -> EndpointStandin & {
             endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
