Tell other gateways only of versions that this one has observed

Found by the review, by reading: after a rollout two gateways would tell each other of the old version with each heartbeat for ever. The service would count as mixed until both restart: streams of a killed gateway that it had not announced, and those that are not named, would be refused, and notices would go on.

Cause: a version that was heard of was recorded like one that was registered, and was told on. Change: VersionHistory keeps the two apart; a heard version expires with the last gateway that observed it. The new unit test tells two histories of each other's versions for 60 s.

Also by the review: on a route with several services, the only version of one drawn service was taken for the stream's. Now such a stream goes on only if its origin is recorded or another gateway knows it.

--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -91,7 +91,9 @@
         co_return true;
     }
     const RequestId root = call_.resumed ? call_.resumed->root : RequestId();
-    const std::optional<StreamOrigin> origin = co_await gateway_.streamLookup.lookUp(root, stream_.service());
+    // Of several services any may have begun the stream, so no conclusion is drawn from the versions of one of them.
+    const ServiceId service = route_.services.size() == 1 ? stream_.service() : ServiceId();
+    const std::optional<StreamOrigin> origin = co_await gateway_.streamLookup.lookUp(root, service);
     const bool isServed = origin && std::ranges::any_of(route_.services, [&origin](const WeightedService &candidate) {
                               return candidate.service == origin->service;
                           });
--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -94,7 +94,7 @@
 void StreamTracker::recordNotice(const StreamNotice &notice, Time now)
 {
     if (!notice.origin.version.empty()) {
-        versions_.observe(notice.origin.service, notice.origin.version, now);
+        versions_.recordHeard(notice.origin.service, notice.origin.version, now);
     }
     for (const RequestId &root : notice.roots) {
         record(root, notice.origin, now);
@@ -171,7 +171,7 @@
 std::vector<StreamNotice> StreamTracker::mixedVersions(Time now) const
 {
     std::vector<StreamNotice> notices;
-    for (const StreamOrigin &origin : versions_.mixedVersions(now)) {
+    for (const StreamOrigin &origin : versions_.observedMixedVersions(now)) {
         notices.push_back({origin, {}});
     }
     return notices;
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -17,18 +17,33 @@
 }
 
 void VersionHistory::observe(const ServiceId &service, const SoftwareVersion &version, Time now)
+{
+    if (Sighting *sighting = sightingOf(service, version, now)) {
+        sighting->observed = std::max(sighting->observed.value_or(now), now);
+    }
+}
+
+void VersionHistory::recordHeard(const ServiceId &service, const SoftwareVersion &version, Time now)
+{
+    sightingOf(service, version, now);
+}
+
+VersionHistory::Sighting *VersionHistory::sightingOf(const ServiceId &service, const SoftwareVersion &version, Time now)
 {
     if (!services_.contains(service) && !makeRoom(now)) {
         // The version is missed, so no conclusion is drawn from those that are known until the lifetime has passed.
         recordGap(now);
-        return;
+        return nullptr;
     }
     Versions &versions = services_[service];
-    Time &seen = versions.try_emplace(version, now).first->second;
-    seen = std::max(seen, now);
-    if (versions.size() > MAX_VERSIONS) {
-        versions.erase(std::ranges::min_element(versions, {}, &Versions::value_type::second));
+    if (!versions.contains(version) && versions.size() >= MAX_VERSIONS) {
+        versions.erase(std::ranges::min_element(versions, {}, [](const Versions::value_type &item) {
+            return item.second.seen;
+        }));
     }
+    Sighting &sighting = versions.try_emplace(version, Sighting {now, std::nullopt}).first->second;
+    sighting.seen = std::max(sighting.seen, now);
+    return &sighting;
 }
 
 void VersionHistory::recordCoverage(Time since)
@@ -69,7 +84,7 @@
         return std::nullopt;
     }
     const auto recent = std::ranges::find_if(found->second, [&](const auto &item) {
-        return isRecent(item.second, now);
+        return isRecent(item.second.seen, now);
     });
     return recent->first.empty() ? std::nullopt : std::optional(recent->first);
 }
@@ -87,8 +102,8 @@
         if (countRecent(versions, now) < 2) {
             continue;
         }
-        for (const auto &[version, seen] : versions) {
-            if (isRecent(seen, now)) {
+        for (const auto &[version, sighting] : versions) {
+            if (isRecent(sighting.seen, now)) {
                 result.push_back({service, version});
             }
         }
@@ -96,6 +111,16 @@
     return result;
 }
 
+std::vector<StreamOrigin> VersionHistory::observedMixedVersions(Time now) const
+{
+    std::vector<StreamOrigin> result = mixedVersions(now);
+    std::erase_if(result, [&](const StreamOrigin &origin) {
+        const std::optional<Time> observed = services_.at(origin.service).at(origin.version).observed;
+        return !observed || !isRecent(*observed, now);
+    });
+    return result;
+}
+
 bool VersionHistory::isRecent(Time seen, Time now) const
 {
     return now - seen <= lifetime_ + FIRST_EVENT_DELAY;
@@ -104,7 +129,7 @@
 std::size_t VersionHistory::countRecent(const Versions &versions, Time now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(versions, [&](const auto &item) {
-        return isRecent(item.second, now);
+        return isRecent(item.second.seen, now);
     }));
 }
 
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -28,6 +28,9 @@
     /// \brief Records that an endpoint of this version is registered. \param version empty if the endpoint states none.
     void observe(const ServiceId &service, const SoftwareVersion &version, Time now);
 
+    /// \brief Records that another gateway tells of this version. It is not told on, or else two gateways would keep a version alive that has left.
+    void recordHeard(const ServiceId &service, const SoftwareVersion &version, Time now);
+
     /// \brief Records that from \a since on all versions that were registered have been observed.
     void recordCoverage(Time since);
 
@@ -50,9 +53,20 @@
     /// \brief Returns the recent versions of the services that have several.
     [[nodiscard]] std::vector<StreamOrigin> mixedVersions(Time now) const;
 
+    /// \brief Returns those of mixedVersions() that this process has observed itself, to be told to other gateways.
+    [[nodiscard]] std::vector<StreamOrigin> observedMixedVersions(Time now) const;
+
 private:
-    /// \brief Versions with the times at which they were last seen.
-    using Versions = std::map<SoftwareVersion, Time>;
+    struct Sighting {
+        /// \brief Last time at which the version was observed or heard of.
+        Time seen;
+        std::optional<Time> observed;
+    };
+
+    using Versions = std::map<SoftwareVersion, Sighting>;
+
+    /// \brief Returns the record of a version, which is new if there was none; null if there is no room for another service.
+    Sighting *sightingOf(const ServiceId &service, const SoftwareVersion &version, Time now);
 
     [[nodiscard]] bool isRecent(Time seen, Time now) const;
     [[nodiscard]] std::size_t countRecent(const Versions &versions, Time now) const;
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -321,3 +321,25 @@
     span.add(heartbeat("e2", 4, 2));
     CHECK(span.intervals() == 2);
 }
+
+// Guards against gateways that tell each other for ever of a version that has left, so that no stream of an unknown origin goes on any more.
+TEST_CASE("A version that has left is forgotten although gateways tell each other of it", "[streams]")
+{
+    VersionHistory first;
+    VersionHistory second;
+    first.observe(MODEL, OLD.version, at(0));
+    const auto tell = [](const VersionHistory &from, VersionHistory &to, Time now) {
+        for (const StreamOrigin &origin : from.observedMixedVersions(now)) {
+            to.recordHeard(origin.service, origin.version, now);
+        }
+    };
+    for (int ms = 0; ms < 60'000; ms += 500) {
+        first.observe(MODEL, NEW.version, at(ms));
+        second.observe(MODEL, NEW.version, at(ms));
+        tell(first, second, at(ms));
+        tell(second, first, at(ms));
+        CHECK((ms > 15'000 || (first.isMixed(MODEL, at(ms)) && second.isMixed(MODEL, at(ms)))));
+    }
+    CHECK_FALSE(first.isMixed(MODEL, at(60'000)));
+    CHECK_FALSE(second.isMixed(MODEL, at(60'000)));
+}
