Log what a stream was joined from: root, incarnation, event ids and age of the connection

Cause: the lines of an answered stream and of a failed attempt do not tell an unframed stream that ended early from one that two incarnations or versions wrote, or from one that lost events at a resume. MT5002 and MT5005 now state the stream's root, the version and start of the endpoint as registered when the attempt was sent, the event after which it had to go on, the first and the last event, and the age of the connection.

--- a/include/mimosatally/http/eventframer.h
+++ b/include/mimosatally/http/eventframer.h
@@ -45,6 +45,9 @@
     /// \brief Returns the id of the last event that was taken; empty if the events have none.
     [[nodiscard]] const std::string &lastEventId() const;
 
+    /// \brief Returns the first id that was taken since the stream began or was last continued; empty if there was none.
+    [[nodiscard]] const std::string &firstEventId() const;
+
 private:
     /// \brief State of the event that is being read.
     struct OpenEvent {
@@ -71,6 +74,7 @@
     /// \brief The next id is the first one since the stream was continued.
     bool firstIdAfterCut_ = false;
     bool repeatsEvents_ = false;
+    std::string firstEventId_;
     std::string lastEventId_;
 };
 
--- a/include/mimosatally/serving/callrequest.h
+++ b/include/mimosatally/serving/callrequest.h
@@ -20,6 +20,8 @@
 struct ResumedStream {
     /// \brief Request that brought the stream's first event; empty if the call does not name it, or names none that can be.
     RequestId root;
+    /// \brief Id of the last event that the caller has; empty if it states none.
+    std::string lastEventId;
 };
 
 /// \brief Properties of a call, decoded from its header.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -1,5 +1,5 @@
 #include "callflow.h"
-#include "millisecondstext.h"
+#include "logtext.h"
 
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -40,12 +40,6 @@
     return "none";
 }
 
-/// \brief Returns \a version; `-` if there is none or it is not known.
-SoftwareVersion versionText(const std::optional<SoftwareVersion> &version)
-{
-    return version && !version->empty() ? *version : SoftwareVersion("-");
-}
-
 /// \brief Request limit of an endpoint as `limit/age/part/sent`: requests per second, milliseconds, this process's part in requests per second, and
 /// its requests of the last four seconds; `-` if the endpoint has no limit.
 std::string limitText(const PhaseRouter &router, const EndpointId &endpoint)
@@ -105,8 +99,15 @@
               {"partial_event_bytes", partialEventBytes_},
               {"ended", toString(call.bodyEnd())},
               {"events", framer_.takenEvents()},
+              {"resumed_after", eventIdText(resumedAfter_)},
+              {"first_event", eventIdText(framer_.firstEventId())},
+              {"last_event", eventIdText(framer_.lastEventId())},
+              {"root", stream_.root()},
+              {"version", versionText(stream_.sentVersion())},
+              {"started", stream_.sentStartedAt()},
               {"proof", call.proof()},
               {"connection", call.connectionUse().connection},
+              {"connection_age_ms", call.connectionUse().age},
               {"earlier_requests", call.connectionUse().earlierRequests},
               {"skipped_answers", call.connectionUse().skippedAnswers},
               {"attempts", attempts_}});
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -1,5 +1,6 @@
 #include "callflow.h"
 #include "engineorder.h"
+#include "logtext.h"
 
 namespace mimosatally::internal
 {
@@ -103,6 +104,7 @@
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
     stream_.recordSent(*record);
+    resumedAfter_ = streaming_ || !call_.resumed ? framer_.lastEventId() : call_.resumed->lastEventId;
     EndpointAttempt attempt = attemptFor(endpoint);
     if (work == AttemptWork::PrefillAndRun) {
         attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cachedPrefix_.tokens);
@@ -241,9 +243,16 @@
               {"partial_event_bytes", partialEventBytes_},
               {"ended", toString(call.bodyEnd())},
               {"events", framer_.takenEvents()},
+              {"resumed_after", eventIdText(resumedAfter_)},
+              {"first_event", eventIdText(framer_.firstEventId())},
+              {"last_event", eventIdText(framer_.lastEventId())},
+              {"root", stream_.root()},
+              {"version", versionText(stream_.sentVersion())},
+              {"started", stream_.sentStartedAt()},
               {"proof", call.proof()},
               {"address", toString(call.connectionUse().address)},
               {"connection", call.connectionUse().connection},
+              {"connection_age_ms", call.connectionUse().age},
               {"earlier_requests", call.connectionUse().earlierRequests},
               {"skipped_answers", call.connectionUse().skippedAnswers},
               {"prefill_ms", prefillTime_},
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -1,7 +1,7 @@
 #include "callflow.h"
 
 #include "admission.h"
-#include "millisecondstext.h"
+#include "logtext.h"
 #include "requestreservation.h"
 
 #include <algorithm>
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -139,6 +139,8 @@
     /// \brief Time from arrival until another engine had prefilled the prompt; zero if none has.
     Duration prefillTime_ = Duration(0);
     std::string lastFailure_;
+    /// \brief Id of the event after which the last attempt had to go on; empty if it began the stream.
+    std::string resumedAfter_;
     /// \brief Bytes of a partial event with which the last stream ended.
     std::size_t partialEventBytes_ = 0;
 };
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -70,6 +70,7 @@
 {
     auto connection = std::make_unique<EndpointConnection>(io_, address);
     connection->number = ++lastNumber_;
+    connection->madeAt = MilliClock::now();
     return connection;
 }
 
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -34,6 +34,8 @@
     bool reused = false;
     /// \brief Identifies the connection in the log of this process.
     std::uint64_t number = 0;
+    /// \brief Time from which on the peer can have accepted the connection.
+    Time madeAt;
     SentRequests sent;
 };
 
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -79,7 +79,7 @@
 {
     const Time now = MilliClock::now();
     connection_ = pool_.take(address, id, now);
-    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0};
+    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0, now - connection_->madeAt};
     connection_->buffer.onGrown([this] {
         updateReservation();
     });
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -37,6 +37,8 @@
     std::size_t earlierRequests = 0;
     /// \brief Answers to other requests that were skipped before the answer to this one.
     int skippedAnswers = 0;
+    /// \brief Age of the connection when the request was sent; an older one can outlive the process that the endpoint's entry names.
+    Duration age = Duration(0);
 };
 
 /// \brief One call over one connection to an endpoint.
--- a/src/gateway/streamidentity.cpp
+++ b/src/gateway/streamidentity.cpp
@@ -55,4 +55,14 @@
     return version_;
 }
 
+const SoftwareVersion &StreamIdentity::sentVersion() const
+{
+    return sentVersion_;
+}
+
+std::int64_t StreamIdentity::sentStartedAt() const
+{
+    return sentStartedAt_;
+}
+
 } // namespace mimosatally::internal
--- a/src/gateway/streamidentity.h
+++ b/src/gateway/streamidentity.h
@@ -34,6 +34,10 @@
     /// \brief Returns the version that wrote the first event; empty before that event. The version is an empty one if it is not known.
     [[nodiscard]] const std::optional<SoftwareVersion> &version() const;
 
+    /// \brief Returns the version and the start of the endpoint of the last attempt, as it was registered when the attempt was sent.
+    [[nodiscard]] const SoftwareVersion &sentVersion() const;
+    [[nodiscard]] std::int64_t sentStartedAt() const;
+
 private:
     /// \brief Returns the version that answers the attempt; empty if the endpoint has started again since the attempt was sent.
     [[nodiscard]] SoftwareVersion writer(const EndpointRecord *current) const;
--- a/src/http/eventframer.cpp
+++ b/src/http/eventframer.cpp
@@ -98,6 +98,7 @@
         return;
     }
     if (event.hasId) {
+        firstEventId_ = firstEventId_.empty() ? event.id : firstEventId_;
         lastEventId_ = event.id;
     }
     ++takenEvents_;
@@ -118,6 +119,7 @@
     afterCarriageReturn_ = false;
     repeatsEvents_ = false;
     firstIdAfterCut_ = true;
+    firstEventId_.clear();
 }
 
 ContentEnd EventFramer::contentEnd() const
@@ -148,7 +150,7 @@
 
 std::size_t EventFramer::heldBytes() const
 {
-    return pending_.size() + event_.id.size() + lastEventId_.size();
+    return pending_.size() + event_.id.size() + firstEventId_.size() + lastEventId_.size();
 }
 
 const std::string &EventFramer::lastEventId() const
@@ -156,4 +158,9 @@
     return lastEventId_;
 }
 
+const std::string &EventFramer::firstEventId() const
+{
+    return firstEventId_;
+}
+
 } // namespace mimosatally
