Cut a stream that breaks off after an event without an id of its own

If the last event before a break has no id, or one that an earlier event had, the next endpoint is told an older id and the caller gets that last event twice. Cause: the framer keeps the last id and not the position of the last event. Evidence: with the program of the new process test gets 'data: b' twice in one answer that ends as complete (2 of 3 checks fail). Change: EventFramer::isResumable(); a stream that is not resumable is cut visibly, and the caller may take it up.

--- a/include/mimosatally/http/eventframer.h
+++ b/include/mimosatally/http/eventframer.h
@@ -42,6 +42,9 @@
     /// \brief Returns the number of bytes that are kept: those after the last complete event, and the ids.
     [[nodiscard]] std::size_t heldBytes() const;
 
+    /// \brief Returns whether an endpoint can be told where to go on: the last event that was taken has an id, and no event before it had the same.
+    [[nodiscard]] bool isResumable() const;
+
     /// \brief Returns the id of the last event that was taken; empty if the events have none.
     [[nodiscard]] const std::string &lastEventId() const;
 
@@ -74,6 +77,9 @@
     /// \brief The next id is the first one since the stream was continued.
     bool firstIdAfterCut_ = false;
     bool repeatsEvents_ = false;
+    bool lastHasId_ = false;
+    /// \brief An id did not increase, so that one id names several events.
+    bool ambiguousIds_ = false;
     std::string firstEventId_;
     std::string lastEventId_;
 };
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -220,10 +220,7 @@
     if (next == NextStep::RetryOutcomeUnknown && route_.retryPolicy != RetryPolicy::Idempotent) {
         return false;
     }
-    if (streaming_ && framer_.lastEventId().empty()) {
-        return false;
-    }
-    return true;
+    return !streaming_ || framer_.isResumable();
 }
 
 bool CallFlow::chargeRetryBudget(const Placement &placement)
--- a/src/http/eventframer.cpp
+++ b/src/http/eventframer.cpp
@@ -97,6 +97,8 @@
     if (repeatsEvents_ || !event.hasFields) {
         return;
     }
+    lastHasId_ = event.hasId && !event.id.empty();
+    ambiguousIds_ = ambiguousIds_ || (lastHasId_ && !lastEventId_.empty() && repeats(lastEventId_, event.id));
     if (event.hasId) {
         firstEventId_ = firstEventId_.empty() ? event.id : firstEventId_;
         lastEventId_ = event.id;
@@ -153,6 +155,11 @@
     return pending_.size() + event_.id.size() + firstEventId_.size() + lastEventId_.size();
 }
 
+bool EventFramer::isResumable() const
+{
+    return lastHasId_ && !ambiguousIds_;
+}
+
 const std::string &EventFramer::lastEventId() const
 {
     return lastEventId_;
--- a/tests/gateway/completenesstest.cpp
+++ b/tests/gateway/completenesstest.cpp
@@ -210,3 +210,28 @@
     CHECK(answer.ends_with("\r\n\r\nid: 1\ndata: a\n\n"));
     CHECK(caller->wasReset() != whole);
 }
+
+// Guards against an event that a caller gets twice within one answer: the last event before the break has no id, and the next endpoint goes on after an
+// earlier one.
+TEST_CASE("A stream that breaks off after an event without an id is cut", "[gateway][completeness]")
+{
+    GatewayFixture fixture;
+    std::atomic<int> arrived = 0;
+    for (const char *id : {"i-1", "i-2"}) {
+        fixture.addEndpoint(id, "plain", [&](const HttpRequest &request) -> AnswerSteps {
+            const std::string requestId = requestIdOf(request);
+            if (++arrived == 1) {
+                return {bytes(streamHead(requestId) + chunk("id: 1\ndata: a\n\ndata: b\n\n")), pauseFor(50), closing()};
+            }
+            return {bytes(streamHead(requestId) + chunk("data: b\n\nid: 3\ndata: c\n\n") + lastChunk())};
+        });
+    }
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    const std::string answer = fixture.start(closingRequest("/resume/x", "r1"))->readUntilClosed();
+    const std::size_t first = answer.find("data: b");
+    CHECK(first != std::string::npos);
+    CHECK(answer.find("data: b", first + 1) == std::string::npos);
+    CHECK_FALSE(looksComplete(answer));
+}
--- a/tests/unit/completenesstest.cpp
+++ b/tests/unit/completenesstest.cpp
@@ -95,3 +95,22 @@
         CHECK_FALSE(framer.repeatsEvents());
     }
 }
+
+// Guards against an event that a caller gets twice: it has no id, or one that an earlier event had, so an endpoint that continues the stream after the last id
+// writes it again.
+TEST_CASE("A stream whose last event is not named by an id of its own cannot be continued", "[events]")
+{
+    const auto [events, resumable] = GENERATE(table<std::string, bool>({{"id: 1\ndata: a\n\n", true},
+                                                                        {"data: a\n\n", false},
+                                                                        {"id: 1\ndata: a\n\ndata: b\n\n", false},
+                                                                        {"data: a\n\nid: 2\ndata: b\n\n", true},
+                                                                        {"id: 1\ndata: a\n\nid: 1\ndata: b\n\n", false},
+                                                                        {"id: 2\ndata: a\n\nid: 1\ndata: b\n\nid: 3\ndata: c\n\n", false},
+                                                                        {"id: a\ndata: a\n\nid: b\ndata: b\n\n", true},
+                                                                        {"id: 7\ndata: a\n\nid:\ndata: b\n\n", false}}));
+    CAPTURE(events);
+    EventFramer framer;
+    framer.append(events);
+    framer.takeCompleteEvents();
+    CHECK(framer.isResumable() == resumable);
+}
