Check that the endpoint of a take-up goes on after the caller's last event

A caller that takes a stream up after event 2 gets event 1 again if the endpoint starts the stream again, or events without ids that show no place. Cause: repeated events were recognised only after a break within the same answer, not at the start of a take-up. Change: the framer begins at the caller's Last-Event-Id; a first event without an id, or with one that is not higher, fails the attempt before anything is written. The end mark needs no id.

--- a/include/mimosatally/http/eventframer.h
+++ b/include/mimosatally/http/eventframer.h
@@ -26,11 +26,14 @@
     /// \brief Drops the partial event at the end of a stream that was cut off. What is appended next continues that stream after its last complete event.
     void resumeAfterCut();
 
+    /// \brief Makes what is appended next continue a stream of which the caller has the events up to \a lastEventId.
+    void continueAfter(std::string lastEventId);
+
     /// \brief Returns what the events say about the end of the stream.
     [[nodiscard]] ContentEnd contentEnd() const;
 
-    /// \brief Returns whether a continued stream began with an event that the stream had before, so it starts again or belongs to another run. Its events
-    /// are not returned.
+    /// \brief Returns whether a continued stream began with an event that the stream had before, or that has no id, so it starts again or belongs to another
+    /// run. Its events are not returned.
     [[nodiscard]] bool repeatsEvents() const;
 
     /// \brief Returns the number of events that were taken; events of comments only do not count.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -284,6 +284,9 @@
     if (!stream_.accepts(gateway_.router.record(endpoint))) {
         co_return false;
     }
+    if (!streaming_ && call_.resumed && route_.retryPolicy == RetryPolicy::Idempotent) {
+        framer_.continueAfter(call_.resumed->lastEventId);
+    }
     while (!call.hasEnded() && !framer_.repeatsEvents()) {
         const std::string_view data = co_await call.read();
         framer_.append(data);
--- a/src/http/eventframer.cpp
+++ b/src/http/eventframer.cpp
@@ -90,9 +90,9 @@
 void EventFramer::finishEvent()
 {
     const OpenEvent event = std::exchange(event_, OpenEvent());
-    if (event.hasId && firstIdAfterCut_) {
+    if (event.hasFields && firstIdAfterCut_) {
         firstIdAfterCut_ = false;
-        repeatsEvents_ = !lastEventId_.empty() && repeats(lastEventId_, event.id);
+        repeatsEvents_ = !lastEventId_.empty() && !event.isEndMark && (!event.hasId || repeats(lastEventId_, event.id));
     }
     if (repeatsEvents_ || !event.hasFields) {
         return;
@@ -124,6 +124,12 @@
     firstEventId_.clear();
 }
 
+void EventFramer::continueAfter(std::string lastEventId)
+{
+    lastEventId_ = std::move(lastEventId);
+    firstIdAfterCut_ = true;
+}
+
 ContentEnd EventFramer::contentEnd() const
 {
     if (event_.hasFields || lineStart_ < pending_.size()) {
--- a/tests/gateway/completenesstest.cpp
+++ b/tests/gateway/completenesstest.cpp
@@ -211,6 +211,26 @@
     CHECK(caller->wasReset() != whole);
 }
 
+// Guards against events that a caller gets twice over its attempts: the endpoint of a take-up starts the stream again, though the caller has its first events.
+TEST_CASE("A take-up at an endpoint that starts the stream again brings no event that the caller has", "[gateway][completeness]")
+{
+    const auto [lastEventId, first] = GENERATE(table<std::string, std::string>({{"2", "id: 1"}, {"2", "id: 2"}, {"2", "data: x"}}));
+    CAPTURE(lastEventId, first);
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", [first = first](const HttpRequest &request) -> AnswerSteps {
+        return {bytes(streamHead(requestIdOf(request)) + chunk(first + "\ndata: a\n\n") + lastChunk())};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    HttpRequest request = closingRequest("/resume/x", "r2");
+    request.set("Last-Event-Id", lastEventId);
+    request.set("Resumes", "r1");
+    const std::string answer = fixture.start(request)->readUntilClosed();
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(answer.find("data: a") == std::string::npos);
+}
+
 // Guards against an event that a caller gets twice within one answer: the last event before the break has no id, and the next endpoint goes on after an
 // earlier one.
 TEST_CASE("A stream that breaks off after an event without an id is cut", "[gateway][completeness]")
--- a/tests/unit/completenesstest.cpp
+++ b/tests/unit/completenesstest.cpp
@@ -82,6 +82,18 @@
         CHECK(framer.repeatsEvents());
         CHECK(framer.lastEventId() == "7");
     }
+    SECTION("no id")
+    {
+        framer.append("data: x\n\n");
+        CHECK(framer.takeCompleteEvents().empty());
+        CHECK(framer.repeatsEvents());
+    }
+    SECTION("the end mark")
+    {
+        framer.append("data: [DONE]\n\n");
+        CHECK(framer.takeCompleteEvents() == "data: [DONE]\n\n");
+        CHECK_FALSE(framer.repeatsEvents());
+    }
     SECTION("an earlier id")
     {
         framer.append("id: 1\ndata: x\n\nid: 8\ndata: y\n\n");
