Test that a stream cut at any byte and continued holds each event once

Missing: reads were cut at each byte, but the stream was not broken off there and continued.

Added: a stream of four events that arrives in one read is cut at each byte, for each kind of line end, and continued after the last event taken, also after a second cut within the first event of the continuation.

--- a/tests/unit/completenesstest.cpp
+++ b/tests/unit/completenesstest.cpp
@@ -95,3 +95,44 @@
         CHECK_FALSE(framer.repeatsEvents());
     }
 }
+
+// Guards against a resumed stream in which an event is missing or comes twice: several events arrive in one read, the stream is cut at each of its bytes, and
+// the next endpoint goes on after the last event that was taken.
+TEST_CASE("A stream of several events that is cut at any byte and continued holds each event once", "[events]")
+{
+    const auto lineEnd = GENERATE(as<std::string>(), "\n", "\r\n", "\r");
+    constexpr int count = 4;
+    const auto eventsFrom = [&lineEnd](int first) {
+        std::string text;
+        for (int id = first; id <= count; ++id) {
+            text += "id: " + std::to_string(id) + lineEnd + "data: part " + std::to_string(id) + lineEnd + lineEnd;
+        }
+        return text;
+    };
+    const std::string stream = eventsFrom(1);
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        for (std::size_t secondCut = 0; secondCut <= 1; ++secondCut) {
+            EventFramer framer;
+            framer.append(stream.substr(0, cut));
+            std::string taken = framer.takeCompleteEvents();
+            const auto lastTaken = [&framer] {
+                return framer.lastEventId().empty() ? 0 : std::stoi(framer.lastEventId());
+            };
+            framer.resumeAfterCut();
+            if (secondCut == 1) {
+                // The continued stream breaks off within its first event.
+                framer.append(eventsFrom(lastTaken() + 1).substr(0, 9));
+                taken += framer.takeCompleteEvents();
+                framer.resumeAfterCut();
+            }
+            framer.append(eventsFrom(lastTaken() + 1));
+            taken += framer.takeCompleteEvents();
+            CAPTURE(cut, secondCut);
+            CHECK_FALSE(framer.repeatsEvents());
+            CHECK(lastTaken() == count);
+            // An event that ends with CR is complete, so the LF that was to follow is lost with the first part.
+            const bool losesLineFeed = stream.substr(0, cut).ends_with("\r\n\r") && cut < stream.size();
+            CHECK(taken == (losesLineFeed ? stream.substr(0, cut) + stream.substr(cut + 1) : stream));
+        }
+    }
+}
