Reset the connection of a caller of HTTP/1.0 if the gateway ends within a stream

What callers saw: a stream without chunks that a killed gateway was delivering ended with a normal close, which such a caller takes for its end (after the first of 2 events). Cause: the kernel closes the connections of a killed process in an orderly way. Change: while such a stream runs, the socket's linger time is zero, so that any close but the one after the last event is a reset.

--- a/include/mimosatally/http/httpexchange.h
+++ b/include/mimosatally/http/httpexchange.h
@@ -61,6 +61,8 @@
 private:
     struct Watch;
     void watchForClose(const std::shared_ptr<Watch> &watch);
+    /// \brief Sets whether the close of the connection, also by the end of this process, is a reset: without chunks nothing else shows that a stream broke off.
+    void resetOnClose(bool enabled);
 
     boost::beast::tcp_stream &stream_;
     HttpRequest request_;
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -78,6 +78,9 @@
     head.version(request_.version());
     head.keep_alive(keepAlive_);
     head.chunked(!endsWithConnection_);
+    if (endsWithConnection_) {
+        resetOnClose(true);
+    }
     http::response_serializer<http::empty_body> serializer(head);
     stream_.expires_after(limits_.transferTimeout);
     co_await http::async_write_header(stream_, serializer, use_awaitable);
@@ -100,6 +103,7 @@
 boost::asio::awaitable<void> HttpExchange::endStream()
 {
     if (endsWithConnection_) {
+        resetOnClose(false);
         co_return;
     }
     stream_.expires_after(limits_.transferTimeout);
@@ -111,12 +115,17 @@
     responded_ = true;
     keepAlive_ = false;
     if (endsWithConnection_) {
-        boost::system::error_code ignored;
-        stream_.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        resetOnClose(true);
     }
     stream_.close();
 }
 
+void HttpExchange::resetOnClose(bool enabled)
+{
+    boost::system::error_code ignored;
+    stream_.socket().set_option(boost::asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void HttpExchange::onPeerClosed(std::function<void()> callback)
 {
     watch_ = std::make_shared<Watch>();
