Test a gateway that is out of step while a software version joins

What callers saw: streams that a new version had begun were taken up at a gateway that had been cut off, and went on at the old version (ORDER). The test plays a release while one of four gateways is frozen, cut off from other gateways, from the store, from both or one way; datagrams go through a relay that can drop them, and the gateway's store can be cut off and reconnected. Streams begin at a gateway that lives and at one that is killed, and are taken up during, right after and a second after, at the gateway out of step and at one in touch.

--- a/tests/gateway/gatewaygroup.h
+++ b/tests/gateway/gatewaygroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gatewayfixture.h"
+#include "noticerelay.h"
 
 #include <memory>
 
@@ -11,10 +12,20 @@
 class GatewayGroup
 {
 public:
+    /// \brief How datagrams get from one gateway to another.
+    enum class Links {
+        Direct,
+        /// \brief Through relay().
+        Relayed,
+    };
+
     /// \param storeOfLast store of the last gateway, if it is not that of the fixture.
-    GatewayGroup(GatewayFixture &fixture, int count, const std::string &storeOfLast = {})
+    GatewayGroup(GatewayFixture &fixture, int count, const std::string &storeOfLast = {}, Links links = Links::Direct)
         : noticePort_(freePort())
     {
+        if (links == Links::Relayed) {
+            relay_ = std::make_unique<NoticeRelay>(static_cast<unsigned short>(std::stoi(noticePort_)), static_cast<std::size_t>(count));
+        }
         for (int i = 1; i <= count; ++i) {
             writeSettings(i, count, i == count && !storeOfLast.empty() ? storeOfLast : fixture.store().address());
             gateways_.emplace_back();
@@ -45,6 +56,12 @@
         return *gateways_[index];
     }
 
+    /// \brief Relay of the datagrams; only with Links::Relayed.
+    NoticeRelay &relay()
+    {
+        return *relay_;
+    }
+
     /// \brief Kills one gateway, and returns when its process has ended.
     void kill(std::size_t index)
     {
@@ -77,6 +94,10 @@
     /// \brief Waits until each gateway has received a datagram from another one.
     void awaitPeers()
     {
+        if (relay_) {
+            relay_->awaitAllLinks();
+            return;
+        }
         for (std::size_t i = 0; i < metricsAddresses_.size() && size() > 1; ++i) {
             waitUntil("the gateways know each other", [&] {
                 return get(metricsAddresses_[i], "/metrics").body().find("mimosatally_peers " + std::to_string(size() - 1)) != std::string::npos;
@@ -108,7 +129,8 @@
         metricsAddresses_.push_back(freeAddress());
         std::string peers;
         for (int i = 1; i <= std::min(count, MAX_SEEDS); ++i) {
-            peers += (peers.empty() ? "\"" : ", \"") + hostOf(i) + ":1\"";
+            const std::string host = relay_ ? NoticeRelay::publicHostOf(static_cast<std::size_t>(i) - 1) : hostOf(i);
+            peers += (peers.empty() ? "\"" : ", \"") + host + ":1\"";
         }
         std::ofstream(nameOf(static_cast<std::size_t>(number) - 1) + ".toml")
             << "process = \"g" << number << "\"\ndata_centre = \"here\"\nlisten = \"" << callerAddresses_.back() << "\"\nreadiness = \"" << freeAddress()
@@ -133,6 +155,7 @@
     static constexpr int MAX_SEEDS = 3;
 
     std::string noticePort_;
+    std::unique_ptr<NoticeRelay> relay_;
     std::vector<std::string> callerAddresses_;
     std::vector<std::string> metricsAddresses_;
     std::vector<std::unique_ptr<TestProgram>> gateways_;
--- a/tests/gateway/versionedengine.h
+++ b/tests/gateway/versionedengine.h
@@ -115,6 +115,15 @@
         });
     }
 
+    /// \brief Lets \a store serve again after cutOff(), with what was written meanwhile.
+    void reconnect(StoreStandin &store)
+    {
+        writeAlsoTo(store);
+        fixture_.onStandins([&] {
+            store.setMode(StoreMode::Serving);
+        });
+    }
+
     /// \brief Starts an engine and writes its entry.
     void start(const std::string &id, const std::string &version, const std::string &service = "plain")
     {
