Conclude a stream's version from the store only by a read sent after the take-up

Cause: StreamTracker::find() took the only known version for a stream's if anyone had been heard within 3 s and reads had no gap over 3 s, and asked nobody. Both bound what may be missed; neither proves that nothing was. A heartbeat of another gateway counted as contact although the view of the store was old, and an answer that waited during a freeze counted as read when it was processed. Change: a lookup takes what is recorded, else asks the other gateways, and after 40 ms without an answer also has the store read. The only version follows from a read alone whose request was sent after the lookup began and that reached the end of the topic (StoreObservation). One read serves all lookups that wait, requested reads are at least 25 ms apart (250 ms while the store fails), and a lookup waits for one for at most 400 ms. Reads are dated by when they were sent. A page that does not reach the end is followed by the next at once. After a restore no read counts for 2 s. MAX_SILENCE is gone. A history read during which a gap arose covers nothing. The origin of an own stream is known while it is in flight, also beyond the lifetime of its record. MT5045 states evidence_age_ms. A second question now follows after 40 ms instead of 60.

--- a/src/gateway/endpointhistory.cpp
+++ b/src/gateway/endpointhistory.cpp
@@ -65,7 +65,8 @@
     std::size_t count = 0;
     bool complete = false;
     bool more = true;
-    const Time end = MilliClock::now() + READ_TIMEOUT;
+    const Time began = MilliClock::now();
+    const Time end = began + READ_TIMEOUT;
     for (int page = 0; more; ++page) {
         const Duration left = end - MilliClock::now();
         if (page == MAX_PAGES || left <= Duration(0)) {
@@ -92,7 +93,10 @@
         complete = complete || (from == Offset(0) && !records.records.empty());
         from = records.next;
     }
-    recordCoverage(span, complete, count);
+    if (gateway_.streams.versions().gapCount() != gaps) {
+        throw UnreachableError("versions may have been missed while the history of the endpoints was read");
+    }
+    recordCoverage(span, began, complete, count);
     readAtGap_ = gaps;
 }
 
@@ -111,11 +115,10 @@
     }
 }
 
-void EndpointHistory::recordCoverage(const HeartbeatSpan &span, bool complete, std::size_t records)
+void EndpointHistory::recordCoverage(const HeartbeatSpan &span, Time began, bool complete, std::size_t records)
 {
-    const Time now = MilliClock::now();
     const Duration covered = complete ? originLifetime(Duration::max()) : gateway_.settings.heartbeatInterval * span.intervals();
-    gateway_.streams.versions().recordCoverage(now - covered);
+    gateway_.streams.versions().recordCoverage(began - covered);
     logEvent(LogEvent::EndpointHistoryRead, {{"records", records}, {"covered_ms", covered}, {"complete", complete}});
 }
 
--- a/src/gateway/endpointhistory.h
+++ b/src/gateway/endpointhistory.h
@@ -41,8 +41,8 @@
     /// \brief Reads all pages. \throws UnreachableError \throws MalformedInputError
     boost::asio::awaitable<void> readPages();
     void observe(const platform::KeyedRecord &record, HeartbeatSpan &span);
-    /// \param complete the store still has all records that it ever had.
-    void recordCoverage(const HeartbeatSpan &span, bool complete, std::size_t records);
+    /// \param began when the read began. \param complete the store still has all records that it ever had.
+    void recordCoverage(const HeartbeatSpan &span, Time began, bool complete, std::size_t records);
 
     GatewayState &gateway_;
     platform::StoreClient store_;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -60,7 +60,8 @@
     , suspects(seedOf(settings))
     , crashWatch(suspects, metrics)
     , streams(metrics)
-    , streamLookup(context, streams, metrics)
+    , endpointObservation(context)
+    , streamLookup(context, streams, endpointObservation, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
@@ -132,6 +133,7 @@
     }
     if (observation == StoreEraTracker::Observation::Advanced) {
         registry.recordRestore(now);
+        endpointObservation.recordRestore(now + EndpointRegistry::REREGISTRATION_TIME);
         metrics.increment("mimosatally_store_restores_total", {});
         logEvent(LogEvent::StoreEraChanged, {{"topic", topic}, {"era", storeEra.current()}, {"last_era", last}});
     }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -63,6 +63,8 @@
     CrashWatch crashWatch;
     /// \brief Versions that wrote the first events of streams.
     StreamTracker streams;
+    /// \brief How fresh the endpoints read from the store are.
+    StoreObservation endpointObservation;
     StreamLookup streamLookup;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -275,9 +275,6 @@
         // An origin stays true, so a notice on it counts also if it was queued during a stall.
         recordStreamNotices(datagram.streamNotices, now);
         if (!stale) {
-            if (datagram.processCount > 0) {
-                gateway_.streams.recordContact(now);
-            }
             answerStreamQueries(datagram.streamQueries, sender, now);
             gateway_.router.recordPeerDatagram(now);
             for (const PrefillNotice &notice : datagram.prefillNotices) {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -103,13 +103,16 @@
 awaitable<void> StoreFollower::followEndpoints(TaskContext &context)
 {
     TopicCursor cursor {"endpoints"};
+    StoreObservation &observation = gateway_.endpointObservation;
+    observation.setReadNow([&context] {
+        context.wake();
+    });
     bool running = true;
     while (running) {
         std::string failure;
-        Duration pause = ENDPOINT_POLL_INTERVAL;
+        Duration pause(0);
         try {
-            const ReadResult result = co_await readEndpoints(cursor);
-            pause = result == ReadResult::SnapshotNeeded ? pauseBeforeSnapshot() : pause;
+            pause = pauseAfterEndpoints(co_await readEndpoints(cursor));
         } catch (const Error &error) {
             failure = error.what();
         }
@@ -121,8 +124,18 @@
             pause = backoffAfterFailure(cursor);
         }
         gateway_.applyEndpoints(MilliClock::now());
+        observation.endRead(failure.empty());
         running = co_await context.sleep(pause);
     }
+    observation.setReadNow(nullptr);
+}
+
+Duration StoreFollower::pauseAfterEndpoints(ReadResult result)
+{
+    if (result == ReadResult::SnapshotNeeded) {
+        return pauseBeforeSnapshot();
+    }
+    return result == ReadResult::MoreRecords ? Duration(0) : ENDPOINT_POLL_INTERVAL;
 }
 
 Duration StoreFollower::pauseBeforeSnapshot()
@@ -152,6 +165,7 @@
         logEvent(LogEvent::StoreWentBack, {{"topic", "endpoints"}, {"end", end.offset}, {"known", known.offset}});
         gateway_.registry.forgetPositions();
         newestRecords_.endpoints.clear();
+        gateway_.endpointObservation.recordRestore(MilliClock::now() + EndpointRegistry::REREGISTRATION_TIME);
     }
 }
 
@@ -216,6 +230,7 @@
 
 awaitable<void> StoreFollower::readEndpointSnapshot(TopicCursor &cursor)
 {
+    gateway_.endpointObservation.beginRead(MilliClock::now());
     const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     if (gateway_.observeStoreEra(snapshot.era, cursor.topic, now) == StoreEraTracker::Observation::Outdated) {
@@ -237,7 +252,7 @@
         return !present.contains(item.first);
     });
     registry.retain(present, end, now);
-    recordEndpointsRead(false, now);
+    recordEndpointsRead(false);
     std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
         return item.second.position() < end && !present.contains(EndpointId(item.first));
     });
@@ -254,6 +269,7 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
+    gateway_.endpointObservation.beginRead(MilliClock::now());
     const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from.offset, Duration(0), ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     gateway_.registry.recordStoreAnswer(now);
@@ -266,21 +282,25 @@
     if (!cursor.next) {
         co_return ReadResult::SnapshotNeeded;
     }
-    if (accepted) {
-        for (const platform::KeyedRecord &record : records->records) {
-            applyEndpointRecord(record, from.era, now);
-        }
-        cursor.next = StorePosition {from.era, records->next};
-        nextEndpoint_ = *cursor.next;
-        recordEndpointsRead(true, now);
+    if (!accepted) {
+        co_return ReadResult::UpToDate;
+    }
+    for (const platform::KeyedRecord &record : records->records) {
+        applyEndpointRecord(record, from.era, now);
+    }
+    cursor.next = StorePosition {from.era, records->next};
+    nextEndpoint_ = *cursor.next;
+    if (records->next < records->end) {
+        co_return records->records.empty() ? ReadResult::UpToDate : ReadResult::MoreRecords;
     }
+    recordEndpointsRead(true);
     co_return ReadResult::UpToDate;
 }
 
-void StoreFollower::recordEndpointsRead(bool complete, Time now)
+void StoreFollower::recordEndpointsRead(bool complete)
 {
-    gateway_.streams.recordContact(now);
-    gateway_.streams.versions().recordRead(complete, now);
+    gateway_.streams.versions().recordRead(complete, gateway_.endpointObservation.sentAt());
+    gateway_.endpointObservation.recordSeenToEnd();
 }
 
 void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -42,6 +42,8 @@
     /// \brief What one read of a topic has brought.
     enum class ReadResult {
         UpToDate,
+        /// \brief The topic has further records.
+        MoreRecords,
         /// \brief The reading position is not valid any more; a snapshot has to be read next.
         SnapshotNeeded,
     };
@@ -60,11 +62,12 @@
     void logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing);
     void applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era);
     void applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now);
-    /// \brief Records that the endpoints are known up to \a now. \param complete see VersionHistory::recordRead().
-    void recordEndpointsRead(bool complete, Time now);
+    /// \brief Records that the endpoints are known as of the time at which the current read was sent. \param complete see VersionHistory::recordRead().
+    void recordEndpointsRead(bool complete);
     void recordSuccess(TopicCursor &cursor);
     void recordFailure(TopicCursor &cursor, const std::string &error);
     Duration backoffAfterFailure(const TopicCursor &cursor);
+    Duration pauseAfterEndpoints(ReadResult result);
     Duration pauseBeforeSnapshot();
 
     /// \brief Fetches the records from the next peer. \param endpointsFrom position of the first endpoint record that is wanted.
--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -9,30 +9,21 @@
 
 using boost::asio::awaitable;
 
-namespace
-{
-/// \brief Name of a lookup's result for metrics and log.
-const char *outcomeOf(const StreamTracker::Knowledge &knowledge, bool asked)
-{
-    if (knowledge.neverJoined) {
-        return "conflicting";
-    }
-    if (!knowledge.origin) {
-        return "unknown";
-    }
-    if (knowledge.fromOnlyVersion) {
-        return "only_version";
-    }
-    return asked ? "peer" : "recorded";
-}
-} // namespace
-
-StreamLookup::StreamLookup(boost::asio::io_context &io, StreamTracker &tracker, Metrics &metrics)
+StreamLookup::StreamLookup(boost::asio::io_context &io, StreamTracker &tracker, StoreObservation &observation, Metrics &metrics)
     : io_(io)
     , tracker_(tracker)
+    , observation_(observation)
     , metrics_(metrics)
     , askTimer_(io)
 {
+    observation_.setReadEnded([this] {
+        wakeAll();
+    });
+}
+
+StreamLookup::~StreamLookup()
+{
+    observation_.setReadEnded(nullptr);
 }
 
 void StreamLookup::setAsk(Ask ask)
@@ -58,84 +49,119 @@
     }
 }
 
-bool StreamLookup::isOpen(const RequestId &root, const ServiceId &service) const
+bool StreamLookup::isOpen(const RequestId &root) const
 {
-    const StreamTracker::Knowledge knowledge = tracker_.find(root, service, MilliClock::now());
+    const StreamTracker::Knowledge knowledge = tracker_.find(root, MilliClock::now());
     return !knowledge.origin && !knowledge.neverJoined;
 }
 
+std::optional<StreamOrigin> StreamLookup::onlyOrigin(const Lookup &lookup) const
+{
+    if (!observation_.isNewerThan(lookup.mark)) {
+        return std::nullopt;
+    }
+    const std::optional<SoftwareVersion> only = tracker_.versions().onlyVersion(lookup.service, MilliClock::now());
+    return only ? std::optional(StreamOrigin {lookup.service, *only}) : std::nullopt;
+}
+
+bool StreamLookup::isDecided(const Lookup &lookup) const
+{
+    return !isOpen(lookup.root) || onlyOrigin(lookup);
+}
+
+StreamLookup::Finding StreamLookup::findingOf(const Lookup &lookup) const
+{
+    const StreamTracker::Knowledge knowledge = tracker_.find(lookup.root, MilliClock::now());
+    if (knowledge.neverJoined) {
+        return {std::nullopt, "conflicting", knowledge.recordedAt};
+    }
+    if (knowledge.origin) {
+        return {knowledge.origin, lookup.asked ? "peer" : "recorded", knowledge.recordedAt};
+    }
+    const std::optional<StreamOrigin> only = onlyOrigin(lookup);
+    return {only, only ? "only_version" : "unknown", observation_.asOf()};
+}
+
 awaitable<std::optional<StreamOrigin>> StreamLookup::lookUp(RequestId root, ServiceId service)
 {
-    const Time began = MilliClock::now();
     if (root.value().size() > StreamOrigins::MAX_ROOT_BYTES) {
         root = RequestId();
     }
-    bool asked = false;
-    if (isOpen(root, service)) {
-        asked = true;
-        co_await waitForKnowledge(root, service);
+    Lookup lookup {std::move(root), std::move(service), MilliClock::now(), observation_.mark()};
+    if (isOpen(lookup.root)) {
+        lookup.asked = true;
+        co_await waitForKnowledge(lookup);
     }
-    const StreamTracker::Knowledge knowledge = tracker_.find(root, service, MilliClock::now());
-    logLookup(root, service, knowledge.origin, outcomeOf(knowledge, asked), began);
-    co_return knowledge.origin;
+    const Finding finding = findingOf(lookup);
+    logLookup(lookup, finding);
+    co_return finding.origin;
 }
 
-void StreamLookup::logLookup(const RequestId &root, const ServiceId &service, const std::optional<StreamOrigin> &origin, const char *outcome, Time began)
+void StreamLookup::logLookup(const Lookup &lookup, const Finding &finding)
 {
-    metrics_.increment("mimosatally_stream_lookups_total", std::string("outcome=\"") + outcome + '"');
+    metrics_.increment("mimosatally_stream_lookups_total", std::string("outcome=\"") + finding.outcome + '"');
+    const Time now = MilliClock::now();
     logEvent(LogEvent::StreamOriginLookedUp,
-             {{"request", root},
-              {"service", origin ? origin->service : service},
-              {"version", origin ? origin->version : SoftwareVersion()},
-              {"outcome", outcome},
-              {"after_ms", MilliClock::now() - began}});
+             {{"request", lookup.root},
+              {"service", finding.origin ? finding.origin->service : lookup.service},
+              {"version", finding.origin ? finding.origin->version : SoftwareVersion()},
+              {"outcome", finding.outcome},
+              {"after_ms", now - lookup.began},
+              {"evidence_age_ms", finding.evidenceAt ? std::to_string((now - *finding.evidenceAt).count()) : "none"}});
 }
 
-awaitable<void> StreamLookup::waitForKnowledge(RequestId root, ServiceId service)
+awaitable<void> StreamLookup::waitForKnowledge(Lookup &lookup)
 {
+    if (waiting_.size() >= MAX_WAITING) {
+        co_return;
+    }
     // Nobody can tell the origin of a stream that is not named; it can still be known from the only version.
-    const bool hasPeers = !root.empty() && ask_ && waiting_.size() < MAX_WAITING && ask_({});
+    const bool hasPeers = !lookup.root.empty() && ask_ && ask_({});
     if (hasPeers) {
-        queueQuestion(root);
-    }
-    const Time asked = MilliClock::now();
-    if (cover_ && !tracker_.versions().isCovered(asked) && !tracker_.versions().isMixed(service, asked)) {
-        co_await cover_();
+        queueQuestion(lookup.root);
+        co_await waitUntilDecided(lookup, lookup.began + FIRST_WAIT);
     }
-    if (!hasPeers) {
+    if (isDecided(lookup)) {
         co_return;
     }
-    if (isOpen(root, service)) {
-        co_await waitOnce(root, asked + MAX_WAIT / 2);
-    }
-    if (isOpen(root, service) && MilliClock::now() < asked + MAX_WAIT) {
+    if (hasPeers) {
         // A datagram may have been lost.
-        queueQuestion(root);
-        co_await waitOnce(root, asked + MAX_WAIT);
+        queueQuestion(lookup.root);
+    }
+    co_await observeStore(lookup);
+    if (hasPeers) {
+        co_await waitUntilDecided(lookup, lookup.began + MAX_WAIT);
     }
 }
 
-awaitable<void> StreamLookup::waitOnce(const RequestId &root, Time end)
+awaitable<void> StreamLookup::observeStore(const Lookup &lookup)
 {
-    const Time now = MilliClock::now();
-    if (now >= end) {
-        co_return;
+    const Time end = MilliClock::now() + MAX_STORE_WAIT;
+    const auto canConclude = [this, &lookup] {
+        return !lookup.service.empty() && !tracker_.versions().isMixed(lookup.service, MilliClock::now()) && isOpen(lookup.root);
+    };
+    while (canConclude() && !observation_.isNewerThan(lookup.mark) && MilliClock::now() < end) {
+        observation_.request(lookup.mark);
+        co_await waitOnce(lookup.root, end);
     }
-    std::shared_ptr<Waiting> &entry = waiting_[root];
-    if (!entry) {
-        entry = std::make_shared<Waiting>(io_);
+    if (cover_ && canConclude() && observation_.isNewerThan(lookup.mark) && !tracker_.versions().isCovered(MilliClock::now())) {
+        co_await cover_();
     }
-    const std::shared_ptr<Waiting> waiting = entry;
-    if (waiting->lookups == 0) {
-        waiting->timer.expires_after(end - now);
+}
+
+awaitable<void> StreamLookup::waitUntilDecided(const Lookup &lookup, Time end)
+{
+    while (!isDecided(lookup) && MilliClock::now() < end) {
+        co_await waitOnce(lookup.root, end);
     }
-    ++waiting->lookups;
+}
+
+awaitable<void> StreamLookup::waitOnce(const RequestId &root, Time end)
+{
+    const auto entry = waiting_.insert(waiting_.end(), Waiting {&root, boost::asio::steady_timer(io_, end - MilliClock::now())});
     boost::system::error_code ignored;
-    co_await waiting->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    --waiting->lookups;
-    if (waiting->lookups == 0) {
-        waiting_.erase(root);
-    }
+    co_await entry->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiting_.erase(entry);
 }
 
 void StreamLookup::queueQuestion(const RequestId &root)
@@ -164,12 +190,22 @@
 
 void StreamLookup::wake(const std::vector<RequestId> &roots)
 {
-    for (const RequestId &root : roots) {
-        const auto found = waiting_.find(root);
-        if (found != waiting_.end()) {
-            found->second->timer.cancel();
+    if (waiting_.empty()) {
+        return;
+    }
+    const std::unordered_set<RequestId> told(roots.begin(), roots.end());
+    for (Waiting &waiting : waiting_) {
+        if (told.contains(*waiting.root)) {
+            waiting.timer.cancel();
         }
     }
 }
 
+void StreamLookup::wakeAll()
+{
+    for (Waiting &waiting : waiting_) {
+        waiting.timer.cancel();
+    }
+}
+
 } // namespace mimosatally::internal
--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -7,9 +7,6 @@
 
 namespace
 {
-/// \brief A process that has heard neither the store nor another gateway for longer may not know of a new version.
-constexpr Duration MAX_SILENCE = Duration(3000);
-
 /// \brief Bounds the memory while there is nobody to tell; others can still ask.
 constexpr std::size_t MAX_BROKEN = 1024;
 
@@ -84,7 +81,14 @@
 {
     const StreamOrigins::Stream *known = origins_.find(root, now);
     const bool wasJoinable = known == nullptr || known->joinable;
-    if (origins_.record(root, origin, now) != StreamOrigins::Result::Conflicting || !wasJoinable) {
+    if (origins_.record(root, origin, now) != StreamOrigins::Result::Conflicting) {
+        return;
+    }
+    const auto own = ownStreams_.find(root);
+    if (own != ownStreams_.end()) {
+        own->second.conflicting = true;
+    }
+    if (!wasJoinable) {
         return;
     }
     metrics_.increment("mimosatally_stream_origin_conflicts_total", {});
@@ -102,35 +106,33 @@
     metrics_.increment("mimosatally_stream_notices_total", "direction=\"received\"", notice.roots.size());
 }
 
-void StreamTracker::recordContact(Time now)
+StreamTracker::Knowledge StreamTracker::find(const RequestId &root, Time now) const
 {
-    lastContact_ = now;
+    const std::optional<StreamOrigins::Stream> known = recordOf(root, now);
+    if (!known) {
+        return {};
+    }
+    return {known->joinable ? std::optional(known->origin) : std::nullopt, !known->joinable, known->recordedAt};
 }
 
-StreamTracker::Knowledge StreamTracker::find(const RequestId &root, const ServiceId &service, Time now) const
+std::optional<StreamOrigins::Stream> StreamTracker::recordOf(const RequestId &root, Time now) const
 {
-    Knowledge knowledge;
-    const StreamOrigins::Stream *known = origins_.find(root, now);
-    if (known != nullptr) {
-        knowledge.neverJoined = !known->joinable;
-        if (known->joinable) {
-            knowledge.origin = known->origin;
-        }
-        return knowledge;
+    if (const StreamOrigins::Stream *known = origins_.find(root, now)) {
+        return *known;
     }
-    const bool inContact = lastContact_ && now - *lastContact_ <= MAX_SILENCE;
-    const std::optional<SoftwareVersion> only = inContact ? versions_.onlyVersion(service, now) : std::nullopt;
-    if (only) {
-        knowledge.origin = StreamOrigin {service, *only};
-        knowledge.fromOnlyVersion = true;
+    // A stream in flight can last longer than its record is kept.
+    const auto own = ownStreams_.find(root);
+    if (own == ownStreams_.end()) {
+        return std::nullopt;
     }
-    return knowledge;
+    const StreamOrigin &origin = own->second.origin;
+    return StreamOrigins::Stream {root, origin, !own->second.conflicting && !origin.version.empty(), now};
 }
 
 std::optional<StreamNotice> StreamTracker::answerTo(const RequestId &root, Time now) const
 {
-    const StreamOrigins::Stream *known = origins_.find(root, now);
-    if (known == nullptr) {
+    const std::optional<StreamOrigins::Stream> known = recordOf(root, now);
+    if (!known) {
         return std::nullopt;
     }
     StreamOrigin origin = known->origin;
--- a/src/gateway/streamtracker.h
+++ b/src/gateway/streamtracker.h
@@ -23,14 +23,13 @@
         Broken,
     };
 
-    /// \brief What is known of the origin of a stream.
+    /// \brief What has been recorded of the origin of a stream, by this process or from what another gateway told.
     struct Knowledge {
         /// \brief Set if the version of the first event is known.
         std::optional<StreamOrigin> origin;
         /// \brief The version is unknown and remains so; asking other gateways cannot help.
         bool neverJoined = false;
-        /// \brief The origin was concluded from the only version of the service.
-        bool fromOnlyVersion = false;
+        Time recordedAt = Time::min();
     };
 
     explicit StreamTracker(Metrics &metrics);
@@ -49,11 +48,8 @@
     /// \brief Records what another gateway tells.
     void recordNotice(const StreamNotice &notice, Time now);
 
-    /// \brief Records that the store has answered or that a datagram of another gateway was received, so that the known versions are not outdated.
-    void recordContact(Time now);
-
-    /// \brief Returns what is known of a stream that a call to \a service continues. Its origin can be another service.
-    [[nodiscard]] Knowledge find(const RequestId &root, const ServiceId &service, Time now) const;
+    /// \brief Returns what is recorded of a stream.
+    [[nodiscard]] Knowledge find(const RequestId &root, Time now) const;
 
     /// \brief Returns what to tell an asking gateway; empty if nothing is known.
     [[nodiscard]] std::optional<StreamNotice> answerTo(const RequestId &root, Time now) const;
@@ -75,9 +71,13 @@
         /// \brief Attempts in flight; a caller may continue a stream while its last attempt still runs.
         int attempts = 0;
         bool announced = false;
+        /// \brief Another origin was recorded too.
+        bool conflicting = false;
     };
 
     void record(const RequestId &root, const StreamOrigin &origin, Time now);
+    /// \brief Returns the record of a stream, or what is known of an own stream in flight.
+    [[nodiscard]] std::optional<StreamOrigins::Stream> recordOf(const RequestId &root, Time now) const;
 
     Metrics &metrics_;
     StreamOrigins origins_;
@@ -87,7 +87,6 @@
     std::map<ServiceId, std::unordered_set<RequestId>> unannounced_;
     /// \brief Streams that broke off and have to be announced at once.
     std::vector<std::pair<RequestId, StreamOrigin>> broken_;
-    std::optional<Time> lastContact_;
     Duration lifetime_ = originLifetime(Duration(0));
     /// \brief Versions of mixed services at the last call of takeChangedVersions().
     std::vector<StreamOrigin> lastVersions_;
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -34,9 +34,9 @@
     /// \brief Records that from \a since on all versions that were registered have been observed.
     void recordCoverage(Time since);
 
-    /// \brief Records that the registered versions have been read up to \a now. \param complete false if a version that was registered only between the last
-    /// read and this one may have been missed.
-    void recordRead(bool complete, Time now);
+    /// \brief Records that the registered versions have been read as of \a sent, when the request was sent: the answer may have waited while the process stood
+    /// still. \param complete false if a version that was registered only between the last read and this one may have been missed.
+    void recordRead(bool complete, Time sent);
 
     /// \brief Returns how often versions may have been missed.
     [[nodiscard]] std::uint64_t gapCount() const;
