Announce streams that broke off before their service got a second version

What callers saw: after a release, streams that had broken off shortly before a gateway read of the new version were refused at another gateway once the gateway that had begun them was gone, although their version served. Cause: only streams in flight were announced when a service got a second version, so nobody else had a record of the others.

--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -69,6 +69,9 @@
     if (finished || own->second.announced) {
         unannounced_[origin.service].erase(root);
     }
+    if (finished && end == End::Broken && !own->second.announced) {
+        rememberBroken(root, origin, now);
+    }
     if (finished) {
         // The attempt's end, not its start, begins the time in which the caller may continue the stream.
         record(root, origin, now);
@@ -142,6 +145,30 @@
     return StreamNotice {origin, {root}};
 }
 
+void StreamTracker::rememberBroken(const RequestId &root, const StreamOrigin &origin, Time now)
+{
+    if (root.value().size() > StreamOrigins::MAX_ROOT_BYTES) {
+        return;
+    }
+    while (!brokenUnannounced_.empty() && (brokenUnannounced_.size() >= MAX_BROKEN || now - brokenUnannounced_.front().brokeAt > lifetime_)) {
+        brokenUnannounced_.pop_front();
+    }
+    brokenUnannounced_.push_back({root, origin, now});
+}
+
+void StreamTracker::announceRemembered(Time now)
+{
+    const auto isMixed = [this, now](const BrokenStream &stream) {
+        return versions_.isMixed(stream.origin.service, now);
+    };
+    for (const BrokenStream &stream : brokenUnannounced_) {
+        if (isMixed(stream) && now - stream.brokeAt <= lifetime_) {
+            broken_.emplace_back(stream.root, stream.origin);
+        }
+    }
+    std::erase_if(brokenUnannounced_, isMixed);
+}
+
 std::vector<StreamNotice> StreamTracker::takeNotices(std::size_t maxRoots, Time now)
 {
     std::vector<StreamNotice> notices;
@@ -196,6 +223,7 @@
         }
     }
     lastVersions_ = std::move(versions);
+    announceRemembered(now);
     return mixedVersions(now);
 }
 
--- a/src/gateway/streamtracker.h
+++ b/src/gateway/streamtracker.h
@@ -2,6 +2,7 @@
 
 #include "versionhistory.h"
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <unordered_set>
@@ -57,7 +58,8 @@
     /// \brief Returns the origins of at most \a maxRoots own streams that other gateways have to be told of. They count as told from then on.
     std::vector<StreamNotice> takeNotices(std::size_t maxRoots, Time now);
 
-    /// \brief Returns the versions of services that have several, if these have changed since the last call; else nothing.
+    /// \brief Returns the versions of services that have several, if these have changed since the last call; else nothing. Streams that broke off before are
+    /// announced by the next takeNotices().
     std::vector<StreamNotice> takeChangedVersions(Time now);
 
     /// \brief Returns the versions of services that have several.
@@ -75,7 +77,16 @@
         bool conflicting = false;
     };
 
+    struct BrokenStream {
+        RequestId root;
+        StreamOrigin origin;
+        Time brokeAt;
+    };
+
     void record(const RequestId &root, const StreamOrigin &origin, Time now);
+    void rememberBroken(const RequestId &root, const StreamOrigin &origin, Time now);
+    /// \brief Lets the streams that broke off before their service got several versions be announced.
+    void announceRemembered(Time now);
     /// \brief Returns the record of a stream, or what is known of an own stream in flight.
     [[nodiscard]] std::optional<StreamOrigins::Stream> recordOf(const RequestId &root, Time now) const;
 
@@ -87,6 +98,8 @@
     std::map<ServiceId, std::unordered_set<RequestId>> unannounced_;
     /// \brief Streams that broke off and have to be announced at once.
     std::vector<std::pair<RequestId, StreamOrigin>> broken_;
+    /// \brief Streams that broke off while their service had one version, the oldest first. They are announced if it gets another one.
+    std::deque<BrokenStream> brokenUnannounced_;
     Duration lifetime_ = originLifetime(Duration(0));
     /// \brief Versions of mixed services at the last call of takeChangedVersions().
     std::vector<StreamOrigin> lastVersions_;
