Tell a cut of this gateway from an outage of the store by the records

What callers saw: after a cut of 2.8 s during a release, a gateway sent requests to endpoints that had left (DRAIN). Cause: entries that were removed while the gateway did not reach the store were kept for REREGISTRATION_TIME (2 s) after the first answer, as if they had lapsed in an outage of the store. Change: EndpointRegistry counts the heartbeats of others from the last known records on. If they cover the time without the store but for less than one interval, the store served others and removals count at once: an outage that lets entries lapse stops at least two heartbeats of every endpoint. Otherwise heartbeats behind a removal shorten its grace period, and an endpoint that had announced that it leaves gets none. HeartbeatSpan moved from gateway to membership.

--- a/include/mimosatally/membership/endpointregistry.h
+++ b/include/mimosatally/membership/endpointregistry.h
@@ -1,20 +1,35 @@
 #pragma once
 
 #include <mimosatally/Serving>
+#include <mimosatally/membership/heartbeatspan.h>
 #include <mimosatally/membership/storeposition.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace mimosatally
 {
 
+/// \brief What the records of a time without the store tell of it.
+struct StoreAbsence {
+    Duration duration = Duration(0);
+    /// \brief Part of the time for which heartbeats of one endpoint were accepted at least.
+    Duration covered = Duration(0);
+    /// \brief The store accepted heartbeats throughout, so no entry lapsed because of an outage.
+    bool servedOthers = false;
+    /// \brief Entries that were removed in this time, and those of them that are kept for a grace period.
+    std::size_t removed = 0;
+    std::size_t kept = 0;
+};
+
 /// \brief Endpoints that register themselves in a store, as far as one process has read them.
 ///
 /// Performs no I/O: the caller passes records with their positions and reports when the store fails, answers again or has returned from an older copy. An
 /// entry that expired while the store was unreachable, or that the copy lacks, is kept until its owner has had time to register again. An older copy
-/// neither takes back what is known of an incarnation nor revives one that was removed.
+/// neither takes back what is known of an incarnation nor revives one that was removed. If the records that were missed show that only this process did
+/// not reach the store, their removals count at once.
 class EndpointRegistry
 {
 public:
@@ -38,6 +53,13 @@
     /// \brief Records that the store answered. The first answer after a failure starts the grace period.
     void recordStoreAnswer(Time now);
 
+    /// \brief Records that all records up to those that the store had at \a sentAt have been applied, without a gap since the last such call. Ends the
+    /// grace period of entries that were removed while only this process did not reach the store, and of those whose owners have not registered again
+    /// although others have for that time.
+    /// \param sentAt time at which the request for the records was sent. \param heartbeatInterval time between the heartbeats of an endpoint.
+    /// \return what is known of the time without the store, if one has ended.
+    std::optional<StoreAbsence> recordHistoryRead(Time sentAt, Time now, Duration heartbeatInterval);
+
     /// \brief Records that the store has returned from an older copy, which starts the grace period.
     void recordRestore(Time now);
 
@@ -65,7 +87,17 @@
         std::uint64_t number = 0;
     };
 
+    /// \brief Time in which the store did not answer this process, and what was written in it.
+    struct MissedRecords {
+        /// \brief The heartbeats known at the first failure, followed by the records that were read after the last one.
+        HeartbeatSpan heartbeats;
+        /// \brief Removals that were read after the last failure, by their marks in `heartbeats`.
+        std::map<EndpointId, std::size_t> removals;
+    };
+
     void remove(const EndpointId &id, Time now);
+    /// \brief Sets the ends of the grace periods of the entries that were removed among \a missed, in a time of length \a duration.
+    StoreAbsence settle(const MissedRecords &missed, Duration duration, Time now, Duration heartbeatInterval);
     void erase(const EndpointId &id);
     void put(const EndpointRecord &record, StoreEra era);
     /// \brief Returns whether \a record is what an older copy of the store has of an incarnation that was removed or is leaving for good.
@@ -79,7 +111,13 @@
     /// \brief Entries that were removed from the store and are kept until the given end of the grace period.
     std::map<EndpointId, Time> graceDeadlines_;
     bool storeLost_ = false;
+    /// \brief Set from the first failure of the store until all records that were written meanwhile have been read.
+    std::optional<MissedRecords> missed_;
+    /// \brief Time up to which all records have been applied; empty before the first complete read.
+    std::optional<Time> completeUpTo_;
     Time graceEnd_ = Time::min();
+    /// \brief End of the grace period after the last restore.
+    Time restoreGraceEnd_ = Time::min();
     std::uint64_t changeCount_ = 0;
 };
 
--- a/src/gateway/endpointhistory.cpp
+++ b/src/gateway/endpointhistory.cpp
@@ -119,24 +119,4 @@
     logEvent(LogEvent::EndpointHistoryRead, {{"records", records}, {"covered_ms", covered}, {"complete", complete}});
 }
 
-void HeartbeatSpan::add(const EndpointRecord &record)
-{
-    Counted &counted = endpoints_[record.id];
-    const EndpointRecord &last = counted.last;
-    // Records that tell of a change are written between the regular ones.
-    const bool regular = last.startedAt == record.startedAt && last.leaving == record.leaving && last.phase == record.phase && last.heartbeat
-                         && record.heartbeat && *record.heartbeat > *last.heartbeat;
-    counted.intervals += regular ? 1 : 0;
-    counted.last = record;
-}
-
-int HeartbeatSpan::intervals() const
-{
-    int longest = 0;
-    for (const auto &[id, counted] : endpoints_) {
-        longest = std::max(longest, counted.intervals);
-    }
-    return longest;
-}
-
 } // namespace mimosatally::internal
--- a/src/gateway/endpointhistory.h
+++ b/src/gateway/endpointhistory.h
@@ -8,24 +8,6 @@
 namespace mimosatally::internal
 {
 
-/// \brief Estimates how far the records of a history reach back, from the number of heartbeats that one endpoint has written in it.
-class HeartbeatSpan
-{
-public:
-    void add(const EndpointRecord &record);
-
-    /// \brief Returns the number of heartbeat intervals that the history covers at least.
-    [[nodiscard]] int intervals() const;
-
-private:
-    struct Counted {
-        EndpointRecord last;
-        int intervals = 0;
-    };
-
-    std::map<EndpointId, Counted> endpoints_;
-};
-
 /// \brief Learns from the records that the store still has which versions were registered before this process watched.
 class EndpointHistory
 {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -216,6 +216,7 @@
 
 awaitable<void> StoreFollower::readEndpointSnapshot(TopicCursor &cursor)
 {
+    const Time sentAt = MilliClock::now();
     const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     if (gateway_.observeStoreEra(snapshot.era, cursor.topic, now) == StoreEraTracker::Observation::Outdated) {
@@ -237,6 +238,7 @@
         return !present.contains(item.first);
     });
     registry.retain(present, end, now);
+    cursor.absence = registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
     recordEndpointsRead(false, now);
     std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
         return item.second.position() < end && !present.contains(EndpointId(item.first));
@@ -254,6 +256,7 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
+    const Time sentAt = MilliClock::now();
     const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from.offset, Duration(0), ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     gateway_.registry.recordStoreAnswer(now);
@@ -272,6 +275,9 @@
         }
         cursor.next = StorePosition {from.era, records->next};
         nextEndpoint_ = *cursor.next;
+        if (records->next >= records->end) {
+            cursor.absence = gateway_.registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
+        }
         recordEndpointsRead(true, now);
     }
     co_return ReadResult::UpToDate;
@@ -334,7 +340,14 @@
     cursor.failures = 0;
     if (cursor.lost) {
         cursor.lost = false;
-        logEvent(LogEvent::StoreRegained, {{"topic", cursor.topic}});
+        const StoreAbsence absence = cursor.absence.value_or(StoreAbsence());
+        logEvent(LogEvent::StoreRegained,
+                 {{"topic", cursor.topic},
+                  {"absent_ms", absence.duration},
+                  {"covered_ms", absence.covered},
+                  {"served_others", absence.servedOthers ? "true" : "false"},
+                  {"removed", absence.removed},
+                  {"kept", absence.kept}});
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -37,6 +37,8 @@
         bool lost = false;
         /// \brief Consecutive failures.
         int failures = 0;
+        /// \brief What the last read tells of a time without the store that it ended, for the log.
+        std::optional<StoreAbsence> absence = std::nullopt;
     };
 
     /// \brief What one read of a topic has brought.
--- a/src/membership/endpointregistry.cpp
+++ b/src/membership/endpointregistry.cpp
@@ -1,6 +1,7 @@
 #include <mimosatally/membership/endpointregistry.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosatally
 {
@@ -22,6 +23,9 @@
 
 void EndpointRegistry::apply(const EndpointId &id, StorePosition position, const std::optional<EndpointRecord> &record, Time now)
 {
+    if (missed_ && !storeLost_ && record) {
+        missed_->heartbeats.add(*record);
+    }
     const auto known = positions_.find(id);
     if (known != positions_.end() && known->second >= position) {
         return;
@@ -79,14 +83,19 @@
 
 void EndpointRegistry::remove(const EndpointId &id, Time now)
 {
-    if (!endpoints_.contains(id)) {
+    const auto entry = endpoints_.find(id);
+    if (entry == endpoints_.end()) {
         return;
     }
-    if (now < graceEnd_) {
-        graceDeadlines_.insert_or_assign(id, graceEnd_);
+    // An endpoint that has announced that it leaves does not register again.
+    if (now >= graceEnd_ || entry->second.leaving) {
+        erase(id);
         return;
     }
-    erase(id);
+    graceDeadlines_.insert_or_assign(id, graceEnd_);
+    if (missed_) {
+        missed_->removals.insert_or_assign(id, missed_->heartbeats.size());
+    }
 }
 
 void EndpointRegistry::erase(const EndpointId &id)
@@ -108,6 +117,8 @@
 
 void EndpointRegistry::retain(const std::set<EndpointId> &snapshot, StorePosition snapshotEnd, Time now)
 {
+    // A snapshot does not tell what was written between.
+    missed_.reset();
     std::erase_if(positions_, [&](const auto &item) {
         return item.second < snapshotEnd && !snapshot.contains(item.first) && !endpoints_.contains(item.first);
     });
@@ -124,7 +135,9 @@
 
 void EndpointRegistry::recordRestore(Time now)
 {
-    graceEnd_ = now + REREGISTRATION_TIME;
+    restoreGraceEnd_ = now + REREGISTRATION_TIME;
+    graceEnd_ = restoreGraceEnd_;
+    missed_.reset();
 }
 
 void EndpointRegistry::forgetPositions()
@@ -140,7 +153,12 @@
 
 void EndpointRegistry::recordStoreFailure()
 {
-    storeLost_ = true;
+    if (!std::exchange(storeLost_, true)) {
+        missed_.emplace();
+        for (const auto &[id, record] : endpoints_) {
+            missed_->heartbeats.add(record);
+        }
+    }
 }
 
 void EndpointRegistry::recordStoreAnswer(Time now)
@@ -151,6 +169,41 @@
     }
 }
 
+std::optional<StoreAbsence> EndpointRegistry::recordHistoryRead(Time sentAt, Time now, Duration heartbeatInterval)
+{
+    std::optional<StoreAbsence> absence;
+    if (missed_ && !storeLost_ && completeUpTo_) {
+        absence = settle(*missed_, now - *completeUpTo_, now, heartbeatInterval);
+    }
+    missed_.reset();
+    completeUpTo_ = sentAt;
+    return absence;
+}
+
+StoreAbsence EndpointRegistry::settle(const MissedRecords &missed, Duration duration, Time now, Duration heartbeatInterval)
+{
+    StoreAbsence absence;
+    absence.duration = duration;
+    absence.covered = heartbeatInterval * missed.heartbeats.intervals();
+    // An outage of the store that lets an entry lapse stops at least two heartbeats of every endpoint.
+    absence.servedOthers = duration - absence.covered < heartbeatInterval;
+    absence.removed = missed.removals.size();
+    if (absence.servedOthers) {
+        graceEnd_ = restoreGraceEnd_;
+    }
+    for (const auto &[id, mark] : missed.removals) {
+        const auto grace = graceDeadlines_.find(id);
+        if (grace != graceDeadlines_.end()) {
+            const Duration sinceRemoval = heartbeatInterval * missed.heartbeats.intervalsAfter(mark);
+            const Time end = absence.servedOthers ? now : now + REREGISTRATION_TIME - sinceRemoval;
+            grace->second = std::max(end, restoreGraceEnd_);
+            absence.kept += grace->second > now ? 1 : 0;
+        }
+    }
+    expire(now);
+    return absence;
+}
+
 void EndpointRegistry::expire(Time now)
 {
     std::vector<EndpointId> expired;
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -301,7 +301,7 @@
 // Guards against a history of the store that counts as reaching back further than it does.
 TEST_CASE("The span of a history is counted in heartbeats of one start of an endpoint", "[streams]")
 {
-    internal::HeartbeatSpan span;
+    HeartbeatSpan span;
     CHECK(span.intervals() == 0);
     span.add(heartbeat("e1", 7));
     CHECK(span.intervals() == 0);
