Read the endpoints at once when the network is back after a cut

What callers saw: after the links of a gateway had healed, its view of the endpoints stayed old for up to 2 s more, and calls went to endpoints that had left (DRAIN). Cause: the reader pauses for 250 ms to 2 s after a failure, and nothing tells it that the network is back. Change: the first datagram after two heartbeat intervals without one of any peer, or an answer on the topic of the configuration after a failure, ends the pause if the last read of the endpoints failed. Without such a sign the pauses are as before, since calls to the store are priced.

--- a/include/mimosatally/membership/peertable.h
+++ b/include/mimosatally/membership/peertable.h
@@ -29,8 +29,8 @@
 
     void setSeeds(const std::vector<boost::asio::ip::udp::endpoint> &seeds);
 
-    /// \brief Records that a datagram from \a peer was received.
-    void recordDatagram(const PeerAddress &peer, Time now);
+    /// \brief Records that a datagram from \a peer was received. \return whether it is the first one after all peers were silent for MAX_SILENT_HEARTBEATS.
+    bool recordDatagram(const PeerAddress &peer, Time now);
 
     /// \brief Adds \a peer, which another process has reported. It expires like a silent peer if it sends no datagram.
     void introduce(const PeerAddress &peer, Time now);
@@ -70,6 +70,9 @@
 
     static constexpr Duration SILENT_PEER_HOLD = Duration(30'000);
 
+    /// \brief Heartbeat intervals without a datagram of any peer after which this process takes itself for cut off; one lost datagram is not enough.
+    static constexpr int MAX_SILENT_HEARTBEATS = 2;
+
 private:
     struct Peer {
         RegionId region;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -123,6 +123,9 @@
         }
         if (!settings.notices.empty()) {
             noticeExchange_.emplace(gateway_);
+            noticeExchange_->onPeersReturned([this] {
+                storeFollower_.recordNetworkReturn();
+            });
         }
         if (!settings.metrics.empty()) {
             metricsServer_.emplace(io_, parseAddress(settings.metrics), probeLimits(), [this](HttpExchange &exchange) {
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -84,6 +84,11 @@
     gateway_.streamLookup.setAnnounce(nullptr);
 }
 
+void NoticeExchange::onPeersReturned(std::function<void()> handler)
+{
+    peersReturned_ = std::move(handler);
+}
+
 Duration NoticeExchange::interval() const
 {
     return std::max(MIN_INTERVAL, INTERVAL_PER_SAME_REGION_PEER * static_cast<Duration::rep>(peers_.sameRegionPeers().size()));
@@ -265,7 +270,10 @@
     const bool stale = now < staleUntil_ || (lastSend_ != Time::min() && now - lastSend_ >= STALL_THRESHOLD);
     try {
         const PeerDatagram datagram = decodeDatagram(bytes);
-        peers_.recordDatagram({sender, datagram.region}, now);
+        const bool endsSilence = peers_.recordDatagram({sender, datagram.region}, now);
+        if (endsSilence) {
+            peersReturned_();
+        }
         if (datagram.processCount > 0) {
             peers_.recordProcessCount(sender, datagram.processCount);
         }
--- a/src/gateway/noticeexchange.h
+++ b/src/gateway/noticeexchange.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <map>
 
 namespace mimosatally::internal
@@ -30,6 +31,9 @@
     NoticeExchange(const NoticeExchange &) = delete;
     NoticeExchange &operator=(const NoticeExchange &) = delete;
 
+    /// \brief Sets what is called when a datagram arrives after a silence of all peers.
+    void onPeersReturned(std::function<void()> handler);
+
     /// \brief Sends notices and heartbeats until the task is stopped.
     boost::asio::awaitable<void> send(TaskContext &context);
 
@@ -59,6 +63,7 @@
     RegionId region_;
     boost::asio::ip::udp::socket socket_;
     PeerTable peers_;
+    std::function<void()> peersReturned_ = [] {};
     Time nextHeartbeat_ = Time::min();
     /// \brief Last run of the sending task; datagrams that were queued while the process was stalled are stale.
     Time lastSend_ = Time::min();
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -85,6 +85,9 @@
             failure = error.what();
         }
         if (failure.empty()) {
+            if (cursor.lost) {
+                recordNetworkReturn();
+            }
             recordSuccess(cursor);
             if (peersToAsk_ > 0) {
                 --peersToAsk_;
@@ -103,6 +106,7 @@
 awaitable<void> StoreFollower::followEndpoints(TaskContext &context)
 {
     TopicCursor cursor {"endpoints"};
+    endpointReader_ = &context;
     bool running = true;
     while (running) {
         std::string failure;
@@ -120,11 +124,26 @@
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
+        endpointsLost_ = cursor.lost;
         gateway_.applyEndpoints(MilliClock::now());
         running = co_await context.sleep(pause);
     }
 }
 
+void StoreFollower::recordNetworkReturn()
+{
+    if (endpointsLost_) {
+        wakeEndpointReader();
+    }
+}
+
+void StoreFollower::wakeEndpointReader()
+{
+    if (endpointReader_ != nullptr) {
+        endpointReader_->wake();
+    }
+}
+
 Duration StoreFollower::pauseBeforeSnapshot()
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(MAX_PAUSE_BEFORE_SNAPSHOT.count()) * gateway_.jitter()));
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -25,6 +25,12 @@
     /// \brief Follows the endpoints' heartbeats until the task is stopped.
     boost::asio::awaitable<void> followEndpoints(TaskContext &context);
 
+    /// \brief Records a sign that the network is back. If the last read of the endpoints failed, the next one follows at once.
+    void recordNetworkReturn();
+
+    /// \brief Ends the pause of the task that follows the endpoints.
+    void wakeEndpointReader();
+
 private:
     /// \brief Progress of reading one topic.
     struct TopicCursor {
@@ -78,6 +84,10 @@
     NewestRecords newestRecords_;
     /// \brief Position of the first endpoint record that was not read.
     StorePosition nextEndpoint_;
+    /// \brief Task that follows the endpoints; null before it has started.
+    TaskContext *endpointReader_ = nullptr;
+    /// \brief The last read of the endpoints failed.
+    bool endpointsLost_ = false;
     std::size_t nextPeer_ = 0;
     /// \brief Peers that are still to be asked for a newer configuration than the store has.
     std::size_t peersToAsk_ = 0;
--- a/src/membership/peertable.cpp
+++ b/src/membership/peertable.cpp
@@ -29,16 +29,18 @@
     std::erase(seeds_, self_);
 }
 
-void PeerTable::recordDatagram(const PeerAddress &peer, Time now)
+bool PeerTable::recordDatagram(const PeerAddress &peer, Time now)
 {
     if (peer.address == self_ || (peers_.size() >= MAX_PEERS && !peers_.contains(peer.address))) {
-        return;
+        return false;
     }
+    const bool endsSilence = lastReceived_ != Time::min() && now - lastReceived_ > heartbeatInterval() * MAX_SILENT_HEARTBEATS;
     silentPeers_.erase(peer.address);
     Peer &known = peers_[peer.address];
     known.region = peer.region;
     known.lastReceived = now;
     lastReceived_ = now;
+    return endsSilence;
 }
 
 void PeerTable::introduce(const PeerAddress &peer, Time now)
--- a/tests/gateway/storeabsencetest.cpp
+++ b/tests/gateway/storeabsencetest.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture.h"
+#include "peerstandin.h"
 
 #include <catch2/catch.hpp>
 
@@ -111,6 +112,14 @@
     });
 }
 
+int endpointReadFailures(const GatewayFixture &fixture)
+{
+    const std::string name = "mimosatally_store_failures_total{topic=\"endpoints\"} ";
+    const std::string text = get(fixture.metricsAddress(), "/metrics").body();
+    const std::size_t start = text.find(name);
+    return start == std::string::npos ? 0 : std::stoi(text.substr(start + name.size()));
+}
+
 std::string heartbeatSetting()
 {
     return "heartbeat_interval = \"" + std::to_string(HEARTBEAT_INTERVAL.count()) + "ms\"\n";
@@ -158,3 +167,29 @@
     std::this_thread::sleep_for(graceTime);
     CHECK(endpoints.callsToFirst() > 0);
 }
+
+// Guards against a gateway that, after a cut, goes on with its old view of the endpoints for the seconds of its back-off although its peers are heard again.
+TEST_CASE("A datagram after a silence of all peers lets the endpoints be read at once", "[gateway][absence]")
+{
+    internal::PeerDatagram datagram;
+    datagram.region = RegionId("r");
+    const std::string bytes = internal::encodeDatagram(datagram);
+    GatewayFixture fixture;
+    BeatingEndpoints endpoints(fixture);
+    PeerStandin peer("127.0.0.2");
+    fixture.startGateway(heartbeatSetting() + "notices = \"127.0.0.1:" + std::to_string(peer.port()) + "\"\npeers = [\"127.0.0.2:1\"]\n");
+    fixture.awaitReady();
+    peer.sendTo("127.0.0.1", bytes);
+    setMode(fixture, StoreMode::Unresponsive);
+    // After the third failure the pause is a second or longer.
+    constexpr int longPauseFailures = 3;
+    waitUntil("the gateway waits long before its next read", [&] {
+        return endpointReadFailures(fixture) >= longPauseFailures;
+    });
+    setMode(fixture, StoreMode::Serving);
+    const auto healed = std::chrono::steady_clock::now();
+    peer.sendTo("127.0.0.1", bytes);
+    fixture.gateway().waitForOutput(REGAINED);
+    constexpr auto maxTime = std::chrono::milliseconds(700);
+    CHECK(std::chrono::steady_clock::now() - healed < maxTime);
+}
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -72,6 +72,17 @@
     CHECK(table.heartbeatTargets() == std::vector<udp::endpoint> {address(2)});
 }
 
+// Guards against a process that does not notice that it was cut off, and against one that takes a lost datagram for a cut.
+TEST_CASE("The first datagram after a silence of all peers is told from others", "[peers]")
+{
+    PeerTable table(address(1), OWN_REGION, {address(2)});
+    CHECK_FALSE(table.recordDatagram({address(2), OWN_REGION}, at(0)));
+    CHECK_FALSE(table.recordDatagram({address(2), OWN_REGION}, at(1000)));
+    CHECK_FALSE(table.recordDatagram({address(3), OWN_REGION}, at(1500)));
+    CHECK(table.recordDatagram({address(2), OWN_REGION}, at(2600)));
+    CHECK_FALSE(table.recordDatagram({address(3), OWN_REGION}, at(2600)));
+}
+
 // Guards against unbounded memory and datagrams after forged introductions.
 TEST_CASE("The number of peers and the rate of heartbeats are bounded", "[peers]")
 {
