Take a refused connection for the end of its endpoint, and let it cost no attempt

What callers saw: streams taken up again were refused with attempts-rejected although endpoints of their version served. Cause: a connection that was refused counted as an attempt (four at most) and as one of two failures before the endpoint was left out, so calls ran through endpoints that had just ended. After a prefill, a refused decode engine also cost a second prefill. Change: one refused connection, of a call or of the look whether an endpoint has crashed, keeps calls away from the incarnation until its second later heartbeat, an answer to a later call, or 2 s; if only such endpoints are left they are tried last. Such an attempt does not count towards the limit; it excludes its endpoint, so the number of endpoints and the deadline bound it. A prompt that is prefilled goes on at another decode engine of the version.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -55,6 +55,7 @@
         co_return std::nullopt;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    const std::int64_t startedAt = record->startedAt;
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
     attempt.cacheSource = cacheSource_;
@@ -66,6 +67,7 @@
     const Time attemptDeadline = MilliClock::now() + timeout;
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedPrefills_ += progress == CallProgress::NotConnected ? 0 : 1;
+    recordIfRefused(call, endpoint, startedAt);
     std::string body;
     if (progress == CallProgress::HeadReceived) {
         body = co_await call.readAll(MAX_PREFILL_ANSWER_BYTES);
@@ -103,6 +105,7 @@
         co_return NextStep::RetryNotReceived;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    const std::int64_t startedAt = record->startedAt;
     stream_.recordSent(*record);
     resumedAfter_ = streaming_ || !call_.resumed ? framer_.lastEventId() : call_.resumed->lastEventId;
     EndpointAttempt attempt = attemptFor(endpoint);
@@ -121,6 +124,7 @@
     const Time attemptDeadline = canRepeat ? MilliClock::now() + timeout : guard_->deadline();
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedRuns_ += progress == CallProgress::NotConnected ? 0 : 1;
+    recordIfRefused(call, endpoint, startedAt);
     if (progress == CallProgress::HeadReceived) {
         guard_->extendAttempt(guard_->deadline());
         const NextStep next = co_await deliver(call, endpoint, routerAttempt.ticket());
@@ -205,6 +209,7 @@
     const EndpointRecord record = *known;
     const bool ended = co_await call.refusesConnection();
     if (ended) {
+        gateway_.router.recordRefusedConnection(endpoint, record.startedAt, MilliClock::now());
         crashed_ = true;
         crashedWithinStream_ = crashedWithinStream_ || streaming_;
         gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), sinceFirstByte, MilliClock::now());
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -13,7 +13,7 @@
 
 namespace
 {
-/// \brief Limit on attempts, including those that did not reach an endpoint or were rejected there.
+/// \brief Limit on attempts, including those that did not reach an endpoint or were rejected there, except for refused connections.
 constexpr int MAX_ATTEMPTS = 4;
 /// \brief An attempt does not time out before this multiple of its predicted time.
 constexpr double ATTEMPT_TIMEOUT_FACTOR = 3;
@@ -210,7 +210,7 @@
 
 bool CallFlow::canRetry(NextStep next) const
 {
-    if (attempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
+    if (attempts_ - refusedAttempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
         return false;
     }
     // A repeat could end the next endpoint.
@@ -270,7 +270,7 @@
     cacheSource_ = addressOf(placement.cacheSource);
     cachedPrefix_ = placement.cache;
     std::optional<PrefilledPrompt> prompt;
-    AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
+    const AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
     if (placement.prefill) {
         const EndpointId prefillEngine = *placement.prefill;
         const EndpointRecord *prefillRecord = gateway_.router.record(prefillEngine);
@@ -282,24 +282,46 @@
             placementRequest_.excluded.push_back(prefillEngine);
             co_return NextStep::RetryNotRun;
         }
-        work = AttemptWork::Run;
         if (!testsBlocked_ && gateway_.suspects.isBlocked(suspects_.known())) {
             co_return NextStep::RetryNotRun;
         }
+        const NextStep next = co_await runPrefilled(prompt, prefillEngine, prefillVersion, timeout);
+        co_return next;
+    }
+    const EndpointId noPrefillEngine;
+    const NextStep next = co_await runAt(endpoint, prompt, noPrefillEngine, work, timeout);
+    co_return next;
+}
+
+awaitable<CallFlow::NextStep> CallFlow::runPrefilled(std::optional<PrefilledPrompt> prompt, EndpointId prefillEngine, SoftwareVersion version, Duration timeout)
+{
+    NextStep next = NextStep::RetryNotRun;
+    bool refused = false;
+    do {
         // The prefill may have taken seconds, during which engines can leave, fill up or fail.
         PlacementRequest decodeRequest = placementRequest_;
-        decodeRequest.version = prefillVersion;
-        const Placement runPlacement = gateway_.router.placeDecode(decodeRequest, prefillEngine, MilliClock::now());
-        if (!runPlacement.run) {
+        decodeRequest.version = version;
+        const Placement placement = gateway_.router.placeDecode(decodeRequest, prefillEngine, MilliClock::now());
+        if (!placement.run) {
             co_return NextStep::RetryNotRun;
         }
-        endpoint = *runPlacement.run;
-    }
-    const EndpointId source = placement.prefill.value_or(EndpointId());
-    const NextStep next = co_await runAt(endpoint, prompt, source, work, timeout);
+        const EndpointId endpoint = *placement.run;
+        const int refusedBefore = refusedAttempts_;
+        next = co_await runAt(endpoint, prompt, prefillEngine, AttemptWork::Run, timeout);
+        // An engine that has received nothing has not taken the prompt's KV cache either, so another one can.
+        refused = refusedAttempts_ > refusedBefore;
+    } while (refused && guard_->stopReason() == StopReason::None);
     co_return next;
 }
 
+void CallFlow::recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt)
+{
+    if (call.wasRefused()) {
+        ++refusedAttempts_;
+        gateway_.router.recordRefusedConnection(endpoint, startedAt, MilliClock::now());
+    }
+}
+
 void CallFlow::recordRun()
 {
     mayHaveRun_ = true;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -68,6 +68,8 @@
     boost::asio::awaitable<bool> retryOrGiveUp(NextStep next);
     boost::asio::awaitable<NextStep> attempt(EndpointId endpoint, Placement placement);
     boost::asio::awaitable<std::optional<PrefilledPrompt>> prefill(EndpointId endpoint, Duration timeout);
+    /// \brief Runs the call after the prefill on \a prefillEngine, at another decode engine of its version if one refuses the connection.
+    boost::asio::awaitable<NextStep> runPrefilled(std::optional<PrefilledPrompt> prompt, EndpointId prefillEngine, SoftwareVersion version, Duration timeout);
     boost::asio::awaitable<NextStep> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration timeout);
     boost::asio::awaitable<NextStep> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     /// \return whether the caller has the complete answer.
@@ -80,6 +82,8 @@
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
     [[nodiscard]] bool chargeRetryBudget(const Placement &placement);
     void recordRun();
+    /// \brief Records that nothing listens at the address of an endpoint, if that is why \a call was not sent. \param startedAt of its incarnation.
+    void recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt);
     /// \brief Reports to the router what the head of an answer says about its endpoint.
     void observe(PhaseRouter::Ticket ticket, const EndpointId &endpoint, const EndpointAnswer &answer);
     [[nodiscard]] AttemptOutcome failedAttemptOutcome() const;
@@ -120,6 +124,8 @@
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
+    /// \brief Attempts whose connection was refused. Each takes a millisecond and excludes its endpoint, so they are not limited.
+    int refusedAttempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
     bool mayHaveRun_ = false;
     /// \brief An endpoint ended while it was running the call, early enough to be evidence against it.
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -93,6 +93,7 @@
     guard_.beginAttempt(connection_->socket, std::min(attemptDeadline, now + CONNECT_TIMEOUT));
     co_await connection_->socket.async_connect(address, redirect_error(use_awaitable, error));
     if (error) {
+        refused_ = error == boost::asio::error::connection_refused;
         fail("connect", error);
         co_return false;
     }
@@ -291,6 +292,11 @@
     co_return error == boost::asio::error::connection_refused;
 }
 
+bool EndpointCall::wasRefused() const
+{
+    return refused_;
+}
+
 awaitable<boost::system::error_code> EndpointCall::tryConnection()
 {
     const StopReason stopReason = guard_.stopReason();
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -83,6 +83,9 @@
     /// \brief Returns whether the endpoint refuses a connection: its process has ended, not only the connection of this call.
     boost::asio::awaitable<bool> refusesConnection();
 
+    /// \brief Returns whether open() found that nothing listens at the endpoint's address: its process has ended.
+    [[nodiscard]] bool wasRefused() const;
+
     /// \brief Returns the connection that was used, also after release().
     [[nodiscard]] const ConnectionUse &connectionUse() const;
 
@@ -140,6 +143,7 @@
     /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
     bool broken_ = false;
+    bool refused_ = false;
     bool headRequest_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
     std::array<char, READ_BYTES> data_;
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -52,7 +52,7 @@
 
 bool PhaseRouter::Impl::isHealthy(const Endpoint &endpoint, Time now)
 {
-    if (endpoint.health.admittedPermille(now) == 0 || now < endpoint.avoidedUntil) {
+    if (endpoint.health.admittedPermille(now) == 0 || now < endpoint.avoidedUntil || endpoint.refusal.isEnded(now)) {
         return false;
     }
     if (!endpoint.unansweredSince) {
@@ -68,17 +68,21 @@
 {
     std::vector<const Endpoint *> candidates;
     std::vector<const Endpoint *> suspected;
+    std::vector<const Endpoint *> ended;
     for (const Endpoint *endpoint : sample) {
         if (canServe(*endpoint, request, now)) {
-            (isHealthy(*endpoint, now) ? candidates : suspected).push_back(endpoint);
+            auto &group = isHealthy(*endpoint, now) ? candidates : endpoint->refusal.isEnded(now) ? ended : suspected;
+            group.push_back(endpoint);
         }
     }
     const auto canRunCalls = [](const Endpoint *endpoint) {
         return endpoint->record.phase != EnginePhase::Prefill;
     };
-    if (std::ranges::none_of(candidates, canRunCalls)) {
-        // A suspected endpoint is better than none: the failures may be caused by this process or its network link.
-        std::ranges::copy_if(suspected, std::back_inserter(candidates), canRunCalls);
+    // A suspected endpoint is better than none: the failures may be caused by this process or its network link. One whose process has ended may be back.
+    for (const auto &others : {suspected, ended}) {
+        if (std::ranges::none_of(candidates, canRunCalls)) {
+            std::ranges::copy_if(others, std::back_inserter(candidates), canRunCalls);
+        }
     }
     return candidates;
 }
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -192,6 +192,7 @@
     if (result == AttemptOutcome::Answered || result == AttemptOutcome::Rejected || result == AttemptOutcome::AnsweredFailure) {
         recordFirstByte(ticket, now);
         endpoint.health.recordSuccess(now);
+        endpoint.refusal.observeAnswer(found->second.beganAt);
     }
     if (result == AttemptOutcome::Rejected) {
         // An engine that changes its phase rejects all calls for seconds, and its heartbeat reports the change late.
@@ -226,6 +227,14 @@
     }
 }
 
+void PhaseRouter::recordRefusedConnection(const EndpointId &endpoint, std::int64_t startedAt, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    if (found != impl_->endpoints.end() && found->second.record.startedAt == startedAt) {
+        found->second.refusal.record(found->second.record.heartbeat, now);
+    }
+}
+
 EndpointUpdate PhaseRouter::observeAnswer(Ticket ticket, const EndpointAnswer &answer, Time now)
 {
     EndpointUpdate update;
--- a/src/routing/phaserouterfleet.cpp
+++ b/src/routing/phaserouterfleet.cpp
@@ -17,6 +17,7 @@
     for (const auto &[id, record] : endpoints) {
         Impl::Endpoint &endpoint = impl.findOrAddEndpoint(record);
         endpoint.record = record;
+        endpoint.refusal.observeHeartbeat(record.heartbeat);
         endpoint.listed = true;
         endpoint.distance = impl.distanceTo(record.dataCentre);
         Impl::updateLimit(endpoint, impl.processCount, now);
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -4,6 +4,7 @@
 #include "endpointhealth.h"
 #include "endpointlimit.h"
 #include "enginemodel.h"
+#include "refusedconnection.h"
 
 #include <mimosatally/routing/phaserouter.h>
 
@@ -73,6 +74,7 @@
     CacheIndex::EndpointIndex cacheIndex = 0;
     Distance distance = Distance::OtherRegion;
     EndpointHealth health;
+    RefusedConnection refusal;
     /// \brief In the current list of endpoints; only listed endpoints that are not leaving get new calls.
     bool listed = true;
     int ownAttempts = 0;
--- /dev/null
+++ b/tests/gateway/refusedconnectiontest.cpp
@@ -0,0 +1,60 @@
+#include "takeupchecks.h"
+
+using namespace mimosatally;
+using namespace mimosatally::test;
+
+namespace
+{
+constexpr int ENGINES = 7;
+constexpr int SURVIVORS = 2;
+
+std::string engineId(int number)
+{
+    return "i-" + std::to_string(number);
+}
+
+void startEngines(VersionedEngines &engines)
+{
+    engines.configure();
+    for (int i = 0; i < ENGINES; ++i) {
+        engines.start(engineId(i), "v1");
+    }
+    engines.start("i-other-0", "v2");
+    engines.start("i-other-1", "v2");
+}
+
+/// \brief Ends all engines of the first version but the last ones; their entries stay.
+void crashMost(VersionedEngines &engines)
+{
+    for (int i = 0; i < ENGINES - SURVIVORS; ++i) {
+        engines.vanish(engineId(i));
+    }
+}
+} // namespace
+
+// Guards against take-ups that are refused although engines of their version serve: each refused connection used up one of a call's few attempts.
+TEST_CASE("Streams whose engines crashed go on at the remaining engines of their version", "[gateway][refused]")
+{
+    constexpr int streams = 40;
+    GatewayFixture fixture;
+    VersionedEngines engines(fixture);
+    startEngines(engines);
+    GatewayGroup group(fixture, 2);
+    group.awaitPeers();
+    std::vector<std::unique_ptr<ResumingCaller>> callers;
+    for (int number = 0; number < streams; ++number) {
+        auto caller = std::make_unique<ResumingCaller>(idOf("s", number), fromTo(group, number, number));
+        caller->breaks(StreamBreak::CallerConnection, 3).maxTakeUps(0);
+        if (caller->run().firstVersion == "v1") {
+            callers.push_back(std::move(caller));
+        }
+    }
+    REQUIRE(callers.size() >= 12);
+    crashMost(engines);
+    StreamTotals totals;
+    for (const auto &caller : callers) {
+        totals.add(caller->takeUp());
+    }
+    checkVersions(totals);
+    CHECK(totals.wentOn == totals.takenUp);
+}
