--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -85,6 +85,9 @@
             failure = error.what();
         }
         if (failure.empty()) {
+            if (cursor.lost) {
+                recordNetworkReturn();
+            }
             recordSuccess(cursor);
             if (peersToAsk_ > 0) {
                 --peersToAsk_;
@@ -103,9 +106,10 @@
 awaitable<void> StoreFollower::followEndpoints(TaskContext &context)
 {
     TopicCursor cursor {"endpoints"};
+    endpointReader_ = &context;
     StoreObservation &observation = gateway_.endpointObservation;
-    observation.setReadNow([&context] {
-        context.wake();
+    observation.setReadNow([this] {
+        wakeEndpointReader();
     });
     bool running = true;
     while (running) {
@@ -123,11 +127,13 @@
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
+        endpointsLost_ = cursor.lost;
         gateway_.applyEndpoints(MilliClock::now());
         observation.endRead(failure.empty());
         running = co_await context.sleep(pause);
     }
     observation.setReadNow(nullptr);
+    endpointReader_ = nullptr;
 }
 
 Duration StoreFollower::pauseAfterEndpoints(ReadResult result)
@@ -138,6 +144,20 @@
     return result == ReadResult::MoreRecords ? Duration(0) : ENDPOINT_POLL_INTERVAL;
 }
 
+void StoreFollower::recordNetworkReturn()
+{
+    if (endpointsLost_) {
+        wakeEndpointReader();
+    }
+}
+
+void StoreFollower::wakeEndpointReader()
+{
+    if (endpointReader_ != nullptr) {
+        endpointReader_->wake();
+    }
+}
+
 Duration StoreFollower::pauseBeforeSnapshot()
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(MAX_PAUSE_BEFORE_SNAPSHOT.count()) * gateway_.jitter()));
@@ -230,7 +250,8 @@
 
 awaitable<void> StoreFollower::readEndpointSnapshot(TopicCursor &cursor)
 {
-    gateway_.endpointObservation.beginRead(MilliClock::now());
+    const Time sentAt = MilliClock::now();
+    gateway_.endpointObservation.beginRead(sentAt);
     const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     if (gateway_.observeStoreEra(snapshot.era, cursor.topic, now) == StoreEraTracker::Observation::Outdated) {
@@ -252,6 +273,7 @@
         return !present.contains(item.first);
     });
     registry.retain(present, end, now);
+    cursor.absence = registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
     recordEndpointsRead(false);
     std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
         return item.second.position() < end && !present.contains(EndpointId(item.first));
@@ -269,7 +291,8 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
-    gateway_.endpointObservation.beginRead(MilliClock::now());
+    const Time sentAt = MilliClock::now();
+    gateway_.endpointObservation.beginRead(sentAt);
     const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from.offset, Duration(0), ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     gateway_.registry.recordStoreAnswer(now);
@@ -293,6 +316,7 @@
     if (records->next < records->end) {
         co_return records->records.empty() ? ReadResult::UpToDate : ReadResult::MoreRecords;
     }
+    cursor.absence = gateway_.registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
     recordEndpointsRead(true);
     co_return ReadResult::UpToDate;
 }
@@ -354,7 +378,14 @@
     cursor.failures = 0;
     if (cursor.lost) {
         cursor.lost = false;
-        logEvent(LogEvent::StoreRegained, {{"topic", cursor.topic}});
+        const StoreAbsence absence = cursor.absence.value_or(StoreAbsence());
+        logEvent(LogEvent::StoreRegained,
+                 {{"topic", cursor.topic},
+                  {"absent_ms", absence.duration},
+                  {"covered_ms", absence.covered},
+                  {"served_others", absence.servedOthers ? "true" : "false"},
+                  {"removed", absence.removed},
+                  {"kept", absence.kept}});
     }
 }
 
