Take only an answer of the same process as proof that an unframed answer is whole

Callers got streams that ended as complete before their last event, and plain answers that were too short, when an endpoint was killed: an answer with neither a length nor chunks that ends between two events counted as whole if the endpoint accepted another connection. The system accepts connections for a killed process until its listening socket is closed, and a process that starts again at once accepts them for good, so a killed endpoint looked like a living one.

LivenessProbe sends the endpoint a request for its report over a new connection after the end of the answer. Any HTTP answer shows a process; it is another one if it says 421 or another id, or if `born`, in the report or the entry, is not what was registered when the request was sent. Answers that end together share a request; a lost connection is repeated within 0.7 s, since an endpoint with too many connections resets new ones. An endpoint that has asked for a pause, or whose limit is used up, is not asked. Without an answer the stream is resumed or cut, and a plain call gets 502. The announcement that an endpoint leaves still counts as a proof; that is another fault.

The stand-in for endpoints answers reports that name it; no check of other tests changed.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -231,6 +231,13 @@
     /// \brief Takes back a reservation made at \a reservedAt, immediately before the call is placed again and sent, or if it is not sent.
     void returnRequest(const EndpointId &endpoint, Time reservedAt, Time now);
 
+    /// \brief Returns whether a request besides those that place() chooses may be sent to \a endpoint: it has not asked this process for a pause, and its
+    /// request limit is not used up.
+    [[nodiscard]] bool acceptsRequest(const EndpointId &endpoint, Time now) const;
+
+    /// \brief Sends no calls to \a endpoint for \a pause, which it has asked this process for. \return the time for which none are sent.
+    Duration pause(const EndpointId &endpoint, Duration pause, Time now);
+
     /// \brief Registers an attempt that is being sent.
     Ticket begin(const AttemptPlan &plan, const PlacementRequest &request, Time now);
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -55,6 +55,7 @@
         co_return std::nullopt;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    const std::int64_t startedAt = record->startedAt;
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
     attempt.cacheSource = cacheSource_;
@@ -77,7 +78,7 @@
     std::optional<std::string> handle;
     if (progress == CallProgress::HeadReceived && call.answer().status == STATUS_OK) {
         handle = platform::decodePrefillHandle(body);
-        const bool whole = co_await call.confirmWhole(handle ? ContentEnd::Reached : ContentEnd::Within);
+        const bool whole = co_await call.confirmWhole(handle ? ContentEnd::Reached : ContentEnd::Within, gateway_.livenessProbe, endpoint, startedAt);
         handle = whole ? handle : std::nullopt;
     }
     call.release();
@@ -171,7 +172,7 @@
     if (asEvents) {
         delivered = co_await deliverEvents(call, endpoint, ticket);
     } else {
-        delivered = co_await deliverBuffered(call);
+        delivered = co_await deliverBuffered(call, endpoint);
     }
     if (!delivered) {
         gateway_.router.end(ticket, failedAttemptOutcome(), MilliClock::now());
@@ -263,10 +264,10 @@
     }
 }
 
-awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call)
+awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call, EndpointId endpoint)
 {
     std::string body = co_await call.readAll(MAX_BUFFERED_ANSWER_BYTES);
-    const bool whole = co_await call.confirmWhole(ContentEnd::Opaque);
+    const bool whole = co_await call.confirmWhole(ContentEnd::Opaque, gateway_.livenessProbe, endpoint, stream_.sentStartedAt());
     if (!whole) {
         co_return false;
     }
@@ -299,7 +300,7 @@
     }
     partialEventBytes_ = framer_.partialBytes();
     const ContentEnd content = framer_.repeatsEvents() ? ContentEnd::Within : framer_.contentEnd();
-    const bool whole = co_await call.confirmWhole(content);
+    const bool whole = co_await call.confirmWhole(content, gateway_.livenessProbe, endpoint, stream_.sentStartedAt());
     if (!whole) {
         framer_.resumeAfterCut();
         co_return false;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -71,7 +71,7 @@
     boost::asio::awaitable<NextStep> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration timeout);
     boost::asio::awaitable<NextStep> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     /// \return whether the caller has the complete answer.
-    boost::asio::awaitable<bool> deliverBuffered(EndpointCall &call);
+    boost::asio::awaitable<bool> deliverBuffered(EndpointCall &call, EndpointId endpoint);
     boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -252,7 +252,7 @@
     return complete_ || broken_;
 }
 
-awaitable<bool> EndpointCall::confirmWhole(ContentEnd content)
+awaitable<bool> EndpointCall::confirmWhole(ContentEnd content, LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt)
 {
     switch (completenessOf(framing_, bodyEnd_, content)) {
     case Completeness::Whole:
@@ -263,15 +263,13 @@
         proof_ = content == ContentEnd::Within ? "cut-within" : "cut";
         break;
     case Completeness::Unproven: {
-        const boost::system::error_code error = co_await tryConnection();
-        const bool alive = !error;
+        const Liveness liveness = co_await probeProcess(probe, std::move(endpoint), startedAt);
+        proof_ = proofName(liveness);
         // An endpoint that has announced that it leaves may exit after its last answer.
-        if (alive || answer_.leaving) {
+        if (liveness == Liveness::Alive || answer_.leaving) {
             reservation_.setRevocable(false);
-            proof_ = alive ? "endpoint-accepts" : "endpoint-leaves";
             co_return true;
         }
-        proof_ = "endpoint-ended";
         break;
     }
     }
@@ -282,6 +280,17 @@
     co_return false;
 }
 
+awaitable<Liveness> EndpointCall::probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt)
+{
+    const StopReason stopReason = guard_.stopReason();
+    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::DeadlinePassed) {
+        co_return Liveness::NotAsked;
+    }
+    AnsweringProcess process = {std::move(endpoint), connectionUse_.address, startedAt};
+    const Liveness liveness = co_await probe.probe(std::move(process), guard_.deadline());
+    co_return liveness;
+}
+
 awaitable<bool> EndpointCall::refusesConnection()
 {
     if (!connection_) {
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -2,6 +2,7 @@
 
 #include "callguard.h"
 #include "connectionpool.h"
+#include "livenessprobe.h"
 
 #include <mimosatally/Http>
 
@@ -73,9 +74,10 @@
     /// \brief Returns whether reading of the body has ended, whether or not the answer is whole.
     [[nodiscard]] bool hasEnded() const;
 
-    /// \brief Returns whether the answer is whole (see completenessOf()). For an answer that is unproven the endpoint is asked for another connection: a
-    /// process that accepts one has not ended the answer by its own end. The connection is kept for later calls.
-    boost::asio::awaitable<bool> confirmWhole(ContentEnd content);
+    /// \brief Returns whether the answer is whole (see completenessOf()). An answer that is unproven is whole if the process that has sent it still answers:
+    /// it has not ended the answer by its own end.
+    /// \param endpoint and \param startedAt endpoint as registered when the request was sent.
+    boost::asio::awaitable<bool> confirmWhole(ContentEnd content, LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt);
 
     [[nodiscard]] const EndpointAnswer &answer() const;
     [[nodiscard]] const boost::beast::http::response_header<> &header() const;
@@ -110,6 +112,8 @@
     boost::asio::awaitable<bool> skipBody();
     /// \brief Drops what an answer to another request says: nothing in it is about this call or the endpoint's present state.
     void forgetAnswer();
+    /// \brief Finds out whether the process that has sent the answer is still there.
+    boost::asio::awaitable<Liveness> probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt);
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -63,6 +63,7 @@
     , streamLookup(context, streams, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
+    , livenessProbe(context, connections, router, metrics)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
     , random_(seedOf(processSettings))
 {
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -4,6 +4,7 @@
 #include "connectionpool.h"
 #include "crashwatch.h"
 #include "limitreport.h"
+#include "livenessprobe.h"
 #include "streamlookup.h"
 
 #include <mimosatally/Gateway>
@@ -66,6 +67,7 @@
     StreamLookup streamLookup;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
+    LivenessProbe livenessProbe;
     /// \brief Bytes of endpoints' answers that all calls hold together.
     ByteBudget answerBytes;
     /// \brief Set by the signal that stops the process.
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -246,12 +246,21 @@
         update.limitUnreadable = true;
     }
     if (answer.retryAfter) {
-        update.pause = std::min(*answer.retryAfter, MAX_PAUSE);
-        endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + *update.pause);
+        update.pause = pause(endpoint->record.id, *answer.retryAfter, now);
     }
     return update;
 }
 
+Duration PhaseRouter::pause(const EndpointId &endpoint, Duration pause, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    const Duration limited = std::min(pause, MAX_PAUSE);
+    if (found != impl_->endpoints.end()) {
+        found->second.pausedUntil = std::max(found->second.pausedUntil, now + limited);
+    }
+    return limited;
+}
+
 void PhaseRouter::reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now)
 {
     const auto found = impl_->endpoints.find(endpoint);
--- a/src/routing/phaserouterlimits.cpp
+++ b/src/routing/phaserouterlimits.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+bool PhaseRouter::acceptsRequest(const EndpointId &endpoint, Time now) const
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    return found == impl_->endpoints.end() || (now >= found->second.pausedUntil && found->second.limit.permits(now));
+}
+
 std::optional<RequestLimitUse> PhaseRouter::requestLimit(const EndpointId &endpoint, Time now) const
 {
     const auto found = impl_->endpoints.find(endpoint);
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -37,6 +37,12 @@
         AwaitClose,
         /// \brief Closes all connections normally and stops accepting new ones, as the end of the process does.
         Crash,
+        /// \brief Closes all connections normally as a process does that is being torn down: its listener accepts connections for `milliseconds` more, but
+        /// nothing is answered.
+        TearDown,
+        /// \brief Closes all connections normally as a process does that ends and starts again at once at its address. Reports are answered with the bytes from
+        /// then on.
+        Restart,
         /// \brief Repeats the bytes until the gateway closes the connection, up to FLOOD_BYTES, and then waits for the close.
         Flood,
     };
@@ -93,6 +99,25 @@
         return arrivals_;
     }
 
+    /// \brief Sets the answer to reports that the gateway asks of this endpoint by its id, which the script does not get.
+    void setReportAnswer(std::string answer)
+    {
+        const std::lock_guard lock(mutex_);
+        reportAnswer_ = std::move(answer);
+    }
+
+    /// \brief Number of such reports.
+    [[nodiscard]] int reports() const
+    {
+        return reports_;
+    }
+
+    /// \brief Resets the next \a count connections that are accepted, as an endpoint does that has too many.
+    void resetNext(int count)
+    {
+        toReset_ = count;
+    }
+
     /// \brief Number of requests whose connection the gateway closed before the answer was complete.
     [[nodiscard]] int abandoned() const
     {
@@ -121,6 +146,11 @@
     {
         for (;;) {
             boost::asio::ip::tcp::socket socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
+            if (toReset_ > 0) {
+                --toReset_;
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+                continue;
+            }
             // Otherwise a step of some bytes waits for the acknowledgement of the step before, and pauses between steps have no effect.
             socket.set_option(boost::asio::ip::tcp::no_delay(true));
             const int number = ++connections_;
@@ -140,6 +170,12 @@
             if (error) {
                 co_return;
             }
+            if (isReportRequest(request)) {
+                ++reports_;
+                const AnswerStep answer = {AnswerStep::Kind::Bytes, reportAnswer(), 0};
+                open = co_await perform(socket, answer);
+                continue;
+            }
             const Arrival arrival {request, number};
             {
                 const std::lock_guard lock(mutex_);
@@ -155,6 +191,18 @@
         }
     }
 
+    /// \brief Returns whether \a request asks for the report of this endpoint by its id. Reports before orders do not name it and go to the script.
+    static bool isReportRequest(const HttpRequest &request)
+    {
+        return request.target() == "/-/report" && !headerValue(request, "X-Mimosatally-Target-Instance").empty();
+    }
+
+    std::string reportAnswer() const
+    {
+        const std::lock_guard lock(mutex_);
+        return reportAnswer_;
+    }
+
     boost::asio::awaitable<bool> perform(boost::asio::ip::tcp::socket &socket, const AnswerStep &step)
     {
         boost::system::error_code error;
@@ -183,6 +231,19 @@
             crash();
             co_return false;
         }
+        if (step.kind == AnswerStep::Kind::TearDown) {
+            acceptor_.cancel(error);
+            closeConnections();
+            boost::asio::steady_timer timer(io_, std::chrono::milliseconds(step.milliseconds));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            acceptor_.close(error);
+            co_return false;
+        }
+        if (step.kind == AnswerStep::Kind::Restart) {
+            setReportAnswer(step.bytes);
+            closeConnections();
+            co_return false;
+        }
         if (step.kind == AnswerStep::Kind::Reset) {
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         }
@@ -222,6 +283,9 @@
     ArrivalScript script_;
     mutable std::mutex mutex_;
     std::vector<Arrival> arrivals_;
+    std::string reportAnswer_ = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    std::atomic<int> reports_ = 0;
+    std::atomic<int> toReset_ = 0;
     std::atomic<int> abandoned_ = 0;
     int connections_ = 0;
 };
@@ -307,6 +371,18 @@
     return {AnswerStep::Kind::Crash, {}, 0};
 }
 
+/// \brief \param acceptsForMs time for which the listener still accepts connections that nobody answers.
+inline AnswerStep tearingDown(int acceptsForMs)
+{
+    return {AnswerStep::Kind::TearDown, {}, acceptsForMs};
+}
+
+/// \brief \param reportAnswer answer of the new process to reports.
+inline AnswerStep restarting(const std::string &reportAnswer)
+{
+    return {AnswerStep::Kind::Restart, reportAnswer, 0};
+}
+
 inline AnswerStep untilClosed()
 {
     return {AnswerStep::Kind::AwaitClose, {}, 0};
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -230,6 +230,29 @@
     CHECK(platform::decodeOrderAnswer(makeHttpResponse(202, "", "")) == platform::OrderAnswer::Accepted);
 }
 
+// Guards against an answer of another process that counts as one of the addressed endpoint.
+TEST_CASE("The answer to a report request tells which process gave it", "[platform]")
+{
+    const EndpointId target("i-1");
+    const HttpRequest request = platform::reportRequest(target);
+    CHECK(request.target() == "/-/report");
+    CHECK(headerValue(request, "X-Mimosatally-Target-Instance") == "i-1");
+    const auto evidenceOf = [&target](unsigned status, const std::string &body, const std::string &id = {}) {
+        HttpResponse response = makeHttpResponse(status, "application/json", body);
+        if (!id.empty()) {
+            response.set("X-Mimosatally-Instance-Id", id);
+        }
+        return platform::decodeProcessEvidence(response, target);
+    };
+    CHECK(evidenceOf(200, R"({"phase":"decode","born":7})").startedAt == 7);
+    CHECK_FALSE(evidenceOf(200, R"({"phase":"decode"})").startedAt);
+    CHECK_FALSE(evidenceOf(200, R"({"born":"7"})").startedAt);
+    CHECK_FALSE(evidenceOf(404, "not found", "i-1").isOther);
+    CHECK_FALSE(evidenceOf(503, "").isOther);
+    CHECK(evidenceOf(421, "").isOther);
+    CHECK(evidenceOf(200, "{}", "i-2").isOther);
+}
+
 // Guards against a prefill of a prefix that another engine has cached, and against callers that set the cache source themselves.
 TEST_CASE("A prefill names the engine from which the cached prefix is fetched", "[platform]")
 {
