Do not take the announcement that an endpoint leaves as proof of a whole answer

Callers got streams that ended as complete before their last event, and short plain answers, when an endpoint that had said `Server-Leaving` was killed within an answer: an unproven answer with that field counted as whole without any proof, though the field says nothing about the answer that carries it.

An endpoint that leaves answers until it exits, so it is held to the same proof as every other. Its last unframed answer counts as cut off if its process ends before it has answered the request; such a stream is resumed or cut, and a plain call gets 502.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -265,8 +265,7 @@
     case Completeness::Unproven: {
         const Liveness liveness = co_await probeProcess(probe, std::move(endpoint), startedAt);
         proof_ = proofName(liveness);
-        // An endpoint that has announced that it leaves may exit after its last answer.
-        if (liveness == Liveness::Alive || answer_.leaving) {
+        if (liveness == Liveness::Alive) {
             reservation_.setRevocable(false);
             co_return true;
         }
--- a/tests/gateway/livenesstest.cpp
+++ b/tests/gateway/livenesstest.cpp
@@ -117,6 +117,18 @@
     CHECK(one.endpoint.reports() == 1);
 }
 
+// Guards against the announcement that an endpoint leaves as proof that its answer is whole: it can be killed within an answer.
+TEST_CASE("An unframed answer of an endpoint that leaves is complete only if the endpoint still answers", "[gateway][liveness]")
+{
+    const auto target = GENERATE(as<std::string>(), "/stream/x", "/post/x");
+    const auto [last, answers] = GENERATE(table<AnswerStep, bool>(
+        {{crashing(), false}, {tearingDown(100), false}, {tearingDown(2000), false}, {restarting(reportWithStart(6)), false}, {closing(), true}}));
+    OneEndpoint one(last, true);
+    const std::string answer = one.answerTo(target);
+    CHECK(looksComplete(answer) == answers);
+    CHECK((answers || answer.starts_with(target == "/post/x" ? "HTTP/1.1 502" : "HTTP/1.1 200")));
+}
+
 // Guards against the same at an endpoint that resets connections because it has too many.
 TEST_CASE("A request to an endpoint that resets new connections is repeated before an unframed answer counts as cut off", "[gateway][liveness]")
 {
