Agent: take only an answer of the endpoint as proof that an unframed answer is whole

The outcome "answered" is recorded and, for requests with a key, returned to later ones.

The agent now sends the endpoint a request for its load after the end of the answer and takes any HTTP answer within 0.7 s as proof. It does not know the incarnation of its endpoint, so one that starts again within that time cannot be told apart.

"An unframed answer counts as answered only if it is shown to be whole" has a case more, an endpoint whose listener accepts and that answers nothing; the stand-in that is alive answers a second request with 404. The test file passes with the change; the case was not run on the code before.

--- a/src/agent/dispatch.cpp
+++ b/src/agent/dispatch.cpp
@@ -78,7 +78,7 @@
     const Completeness completeness = completenessOf(body.framing, body.end, content);
     bool whole = completeness == Completeness::Whole;
     if (completeness == Completeness::Unproven) {
-        whole = co_await endpoint_.acceptsConnection();
+        whole = co_await endpoint_.isAlive();
     }
     if (!whole) {
         const std::string detail = std::string(toString(body.framing)) + ", " + std::string(toString(content));
--- a/src/agent/endpointclient.cpp
+++ b/src/agent/endpointclient.cpp
@@ -14,6 +14,8 @@
 /// \brief Maximum time without data from the endpoint; a long prompt or a non-streaming answer sends no byte before its end.
 constexpr Duration ENDPOINT_IDLE_TIMEOUT(300000);
 constexpr Duration CONTROL_TIMEOUT(2000);
+/// \brief The end of an answer waits for as long.
+constexpr Duration LIVENESS_TIMEOUT(700);
 constexpr unsigned STATUS_OK = 200;
 
 /// \brief Options of a client whose calls have a connection each: nothing in an answer of the endpoint ties it to its call (docs/answers.md).
@@ -35,6 +37,11 @@
     return message;
 }
 
+HttpRequest loadRequest()
+{
+    return makeHttpRequest(http::verb::get, "/load");
+}
+
 EndpointReport parseReport(const std::string &text)
 {
     EndpointReport report;
@@ -65,7 +72,7 @@
 
 awaitable<EndpointReport> EndpointClient::report(Duration timeout)
 {
-    const HttpResponse response = co_await client_.send(makeHttpRequest(http::verb::get, "/load"), timeout);
+    const HttpResponse response = co_await client_.send(loadRequest(), timeout);
     if (response.result_int() != STATUS_OK) {
         // A service need not report its load; any answer shows that it is alive.
         EndpointReport report;
@@ -84,10 +91,14 @@
     co_return body;
 }
 
-awaitable<bool> EndpointClient::acceptsConnection()
+awaitable<bool> EndpointClient::isAlive()
 {
-    const bool accepts = co_await client_.acceptsConnection();
-    co_return accepts;
+    try {
+        co_await client_.send(loadRequest(), LIVENESS_TIMEOUT);
+        co_return true;
+    } catch (const UnreachableError &) {
+        co_return false;
+    }
 }
 
 awaitable<void> EndpointClient::cancel(RequestId id)
--- a/src/agent/endpointclient.h
+++ b/src/agent/endpointclient.h
@@ -54,8 +54,9 @@
     /// \brief Sends a request and passes its answer to the handlers. \throws UnreachableError, or ConnectError if it was not sent.
     boost::asio::awaitable<StreamedBody> dispatch(const AgentRequest &request, HttpClient::HeadHandler onHead, HttpClient::DataHandler onData);
 
-    /// \brief Returns whether the endpoint accepts a connection, so its process has not ended.
-    boost::asio::awaitable<bool> acceptsConnection();
+    /// \brief Returns whether the endpoint answers a request that is sent now, whatever the answer is. An accepted connection would not show that its process
+    /// is still there, since the system accepts connections until the listening socket is closed.
+    boost::asio::awaitable<bool> isAlive();
 
     /// \brief Asks an engine to cancel a request; errors are only logged, since the end of the answer decides the outcome.
     boost::asio::awaitable<void> cancel(RequestId id);
--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -219,14 +219,23 @@
 
 namespace
 {
-/// \brief Endpoint that sends fixed bytes as its answer and then closes the connection; it may stop accepting before.
+/// \brief What becomes of an endpoint after its answer.
+enum class AfterAnswer {
+    Serves,
+    /// \brief Its listener is closed before the answer.
+    Ended,
+    /// \brief Its listener accepts connections, and nothing is answered.
+    TornDown,
+};
+
+/// \brief Endpoint that sends fixed bytes as its answer and then closes the connection; it answers later requests only if it still serves.
 class UnframedEndpoint
 {
 public:
-    UnframedEndpoint(boost::asio::io_context &io, std::string body, bool endsWithAnswer)
+    UnframedEndpoint(boost::asio::io_context &io, std::string body, AfterAnswer afterAnswer)
         : acceptor_(io, parseAddress("127.0.0.1:0"))
         , answer_("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + std::move(body))
-        , endsWithAnswer_(endsWithAnswer)
+        , afterAnswer_(afterAnswer)
     {
         boost::asio::co_spawn(io, accept(), boost::asio::detached);
     }
@@ -238,21 +247,29 @@
 
 private:
     awaitable<void> accept()
+    {
+        co_await serveOne(answer_);
+        if (afterAnswer_ == AfterAnswer::Serves) {
+            co_await serveOne("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+
+    awaitable<void> serveOne(std::string answer)
     {
         boost::asio::ip::tcp::socket socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
         boost::beast::flat_buffer buffer;
         HttpRequest request;
         co_await boost::beast::http::async_read(socket, buffer, request, boost::asio::use_awaitable);
-        if (endsWithAnswer_) {
+        if (afterAnswer_ == AfterAnswer::Ended) {
             acceptor_.close();
         }
-        co_await boost::asio::async_write(socket, boost::asio::buffer(answer_), boost::asio::use_awaitable);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::use_awaitable);
         socket.close();
     }
 
     boost::asio::ip::tcp::acceptor acceptor_;
     std::string answer_;
-    bool endsWithAnswer_;
+    AfterAnswer afterAnswer_;
 };
 } // namespace
 
@@ -261,8 +278,8 @@
 TEST_CASE("An unframed answer counts as answered only if it is shown to be whole", "[agent]")
 {
     GatedAgent agent;
-    const auto outcomeOf = [&agent](const std::string &id, const std::string &body, bool endpointEnds) {
-        UnframedEndpoint endpoint(agent.AgentFixture::io, body, endpointEnds);
+    const auto outcomeOf = [&agent](const std::string &id, const std::string &body, AfterAnswer afterAnswer) {
+        UnframedEndpoint endpoint(agent.AgentFixture::io, body, afterAnswer);
         EndpointClient client(agent.AgentFixture::io, endpoint.address());
         auto writer = std::make_shared<AnswerWriter>(agent.AgentFixture::io, kj::heap<mimosatally::testing::RecordingSink>(agent.answers[id]));
         std::optional<RequestOutcome> outcome;
@@ -276,11 +293,12 @@
         });
         return outcome->kind;
     };
-    CHECK(outcomeOf("within", "data: a\n\ndata: b", false) == OutcomeKind::Unknown);
-    CHECK(outcomeOf("ended", "data: a\n\n", true) == OutcomeKind::Unknown);
-    CHECK(outcomeOf("alive", "data: a\n\n", false) == OutcomeKind::Answered);
-    CHECK(outcomeOf("mark", "data: a\n\ndata: [DONE]\n\n", true) == OutcomeKind::Answered);
+    CHECK(outcomeOf("within", "data: a\n\ndata: b", AfterAnswer::Serves) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("ended", "data: a\n\n", AfterAnswer::Ended) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("torn-down", "data: a\n\n", AfterAnswer::TornDown) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("alive", "data: a\n\n", AfterAnswer::Serves) == OutcomeKind::Answered);
+    CHECK(outcomeOf("mark", "data: a\n\ndata: [DONE]\n\n", AfterAnswer::Ended) == OutcomeKind::Answered);
     // An event without end would otherwise be kept until the memory is exhausted.
     constexpr std::size_t longEvent = std::size_t(8) * 1024 * 1024;
-    CHECK(outcomeOf("long", "data: " + std::string(longEvent, 'x') + "\n\ndata: [DONE]\n\n", false) == OutcomeKind::Unknown);
+    CHECK(outcomeOf("long", "data: " + std::string(longEvent, 'x') + "\n\ndata: [DONE]\n\n", AfterAnswer::Serves) == OutcomeKind::Unknown);
 }
