--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -16,8 +16,8 @@
 {
 constexpr Duration MIN_REJECTION_BACKOFF = Duration(100);
 constexpr Duration MAX_REJECTION_BACKOFF = Duration(800);
-/// \brief Upper bound for the pause that an endpoint asks for, so that a wrong answer cannot take it out of service for longer.
-constexpr Duration MAX_PAUSE = Duration(60'000);
+/// \brief Upper bound for the pause that an endpoint asks for, so that a wrong answer cannot take its incarnation out of service for ever.
+constexpr Duration MAX_PAUSE = std::chrono::hours(24);
 /// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
 constexpr std::size_t MAX_NOTICES = 1000;
 /// \brief Interval between reports of unreadable limits of one endpoint.
