--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -16,8 +16,8 @@
 {
 constexpr Duration MIN_REJECTION_BACKOFF = Duration(100);
 constexpr Duration MAX_REJECTION_BACKOFF = Duration(800);
-/// \brief Upper bound for the pause that an endpoint asks for, so that a wrong answer cannot take it out of service for longer.
-constexpr Duration MAX_PAUSE = Duration(60'000);
+/// \brief Upper bound for the pause that an endpoint asks for, so that a wrong answer cannot take its incarnation out of service for ever.
+constexpr Duration MAX_PAUSE = std::chrono::hours(24);
 /// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
 constexpr std::size_t MAX_NOTICES = 1000;
 /// \brief Interval between reports of unreadable limits of one endpoint.
@@ -255,12 +255,21 @@
         update.limitUnreadable = true;
     }
     if (answer.retryAfter) {
-        update.pause = std::min(*answer.retryAfter, MAX_PAUSE);
-        endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + *update.pause);
+        update.pause = pause(endpoint->record.id, *answer.retryAfter, now);
     }
     return update;
 }
 
+Duration PhaseRouter::pause(const EndpointId &endpoint, Duration pause, Time now)
+{
+    const auto found = impl_->endpoints.find(endpoint);
+    const Duration limited = std::min(pause, MAX_PAUSE);
+    if (found != impl_->endpoints.end()) {
+        found->second.pausedUntil = std::max(found->second.pausedUntil, now + limited);
+    }
+    return limited;
+}
+
 void PhaseRouter::reportLoad(const EndpointId &endpoint, const ReportedLoad &load, Time now)
 {
     const auto found = impl_->endpoints.find(endpoint);
