--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -241,6 +241,7 @@
         socket_.send_to(boost::asio::buffer(bytes), target, 0, error);
         // A full link or an unreachable peer loses one datagram; the metric shows how often that happens.
         gateway_.metrics.increment("mimosatally_peer_datagrams_total", error ? "result=\"not_sent\"" : "result=\"sent\"");
+        gateway_.metrics.increment("mimosatally_peer_datagram_bytes_total", "direction=\"sent\"", error ? 0 : bytes.size());
     }
 }
 
