Repeat the request for the proof of an unframed answer after 0.3 s without an answer

A lost packet of a new connection, for one, is sent again only after a second.

One attempt now lasts 0.3 s at most, and attempts are repeated for up to 1 s. "A request without an answer is repeated before an unframed answer counts as cut off" plays it with a connection that is accepted and never read.

The tests of livenesstest.cpp and completenesstest.cpp pass (17 cases); the other gateway tests were not run again on this change.

--- a/src/gateway/livenessprobe.cpp
+++ b/src/gateway/livenessprobe.cpp
@@ -26,6 +26,8 @@
 {
 /// \brief Largest report, a JSON object of some hundred bytes.
 constexpr std::size_t MAX_REPORT_BYTES = std::size_t(64) * 1024;
+/// \brief Longest wait for one answer before the request is repeated; TCP sends a lost packet of a new connection again only after a second.
+constexpr Duration ATTEMPT_TIMEOUT = Duration(300);
 } // namespace
 
 std::string_view proofName(Liveness liveness)
@@ -105,12 +107,12 @@
     for (Duration interval = FIRST_REPEAT_INTERVAL;; interval *= 2) {
         const Time now = MilliClock::now();
         if (!router_.acceptsRequest(process.endpoint, now)) {
-            co_return Reply {Liveness::NotAsked, std::nullopt, false};
+            co_return Reply {Liveness::NotAsked, std::nullopt};
         }
         router_.reserveRequest(process.endpoint, now);
         metrics_.increment("mimosatally_liveness_requests_total", {});
-        const Reply reply = co_await askOnce(process, end);
-        if (!reply.mayRepeat || MilliClock::now() + interval >= end) {
+        const Reply reply = co_await askOnce(process, std::min(end, now + ATTEMPT_TIMEOUT));
+        if (reply.liveness != Liveness::Silent || MilliClock::now() + interval >= end) {
             co_return reply;
         }
         boost::asio::steady_timer timer(io_, interval);
@@ -130,11 +132,10 @@
     co_await connection->socket.async_connect(process.address, redirect_error(use_awaitable, error));
     if (error) {
         const bool refused = error == boost::asio::error::connection_refused;
-        co_return Reply {refused ? Liveness::Ended : Liveness::Silent, std::nullopt, false};
+        co_return Reply {refused ? Liveness::Ended : Liveness::Silent, std::nullopt};
     }
-    Reply reply = co_await exchange(std::move(connection), process);
+    const Reply reply = co_await exchange(std::move(connection), process);
     guard->endAttempt();
-    reply.mayRepeat = reply.liveness == Liveness::Silent && guard->stopReason() == StopReason::None;
     co_return reply;
 }
 
@@ -162,7 +163,7 @@
     if (reusable) {
         connections_.put(std::move(connection), answer.keepAlive, MilliClock::now());
     }
-    co_return Reply {evidence.isOther ? Liveness::Replaced : Liveness::Alive, evidence.startedAt, false};
+    co_return Reply {evidence.isOther ? Liveness::Replaced : Liveness::Alive, evidence.startedAt};
 }
 
 } // namespace mimosatally::internal
--- a/src/gateway/livenessprobe.h
+++ b/src/gateway/livenessprobe.h
@@ -52,9 +52,9 @@
 {
 public:
     /// \brief Longest time of one request with its repeats.
-    static constexpr Duration MAX_REQUEST_TIME = Duration(700);
-    /// \brief Time before the first repeat of a request whose connection was lost; it doubles with each one. An endpoint resets a new connection if it has
-    /// too many, and so does the end of its process.
+    static constexpr Duration MAX_REQUEST_TIME = Duration(1000);
+    /// \brief Time before the first repeat of a request without an answer; it doubles with each one. An endpoint resets a new connection if it has too
+    /// many, and so does the end of its process.
     static constexpr Duration FIRST_REPEAT_INTERVAL = Duration(25);
 
     LivenessProbe(boost::asio::io_context &io, ConnectionPool &connections, PhaseRouter &router, Metrics &metrics);
@@ -69,8 +69,6 @@
         Liveness liveness = Liveness::Silent;
         /// \brief Start that the process states.
         std::optional<std::int64_t> startedAt;
-        /// \brief The connection was lost before an answer, so a repeat can succeed.
-        bool mayRepeat = false;
     };
 
     /// \brief One request and the probes that share it.
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -118,6 +118,12 @@
         toReset_ = count;
     }
 
+    /// \brief Accepts the next \a count connections and reads nothing from them, as if their packets were lost.
+    void ignoreNext(int count)
+    {
+        toIgnore_ = count;
+    }
+
     /// \brief Number of requests whose connection the gateway closed before the answer was complete.
     [[nodiscard]] int abandoned() const
     {
@@ -151,6 +157,11 @@
                 socket.set_option(boost::asio::socket_base::linger(true, 0));
                 continue;
             }
+            if (toIgnore_ > 0) {
+                --toIgnore_;
+                ignored_.push_back(std::move(socket));
+                continue;
+            }
             // Otherwise a step of some bytes waits for the acknowledgement of the step before, and pauses between steps have no effect.
             socket.set_option(boost::asio::ip::tcp::no_delay(true));
             const int number = ++connections_;
@@ -286,6 +297,8 @@
     std::string reportAnswer_ = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
     std::atomic<int> reports_ = 0;
     std::atomic<int> toReset_ = 0;
+    std::atomic<int> toIgnore_ = 0;
+    std::vector<boost::asio::ip::tcp::socket> ignored_;
     std::atomic<int> abandoned_ = 0;
     int connections_ = 0;
 };
--- a/tests/gateway/livenesstest.cpp
+++ b/tests/gateway/livenesstest.cpp
@@ -129,15 +129,20 @@
     CHECK((answers || answer.starts_with(target == "/post/x" ? "HTTP/1.1 502" : "HTTP/1.1 200")));
 }
 
-// Guards against the same at an endpoint that resets connections because it has too many.
-TEST_CASE("A request to an endpoint that resets new connections is repeated before an unframed answer counts as cut off", "[gateway][liveness]")
+// Guards against the same at an endpoint that resets connections because it has too many, and if packets are lost.
+TEST_CASE("A request without an answer is repeated before an unframed answer counts as cut off", "[gateway][liveness]")
 {
+    const auto isReset = GENERATE(true, false);
     OneEndpoint one(closing());
     const auto caller = one.fixture.start(closingRequest("/stream/x", "r1"));
     waitUntil("the stream has begun", [&] {
         return one.endpoint.arrivals().size() == 1;
     });
-    one.endpoint.resetNext(2);
+    if (isReset) {
+        one.endpoint.resetNext(2);
+    } else {
+        one.endpoint.ignoreNext(1);
+    }
     CHECK(looksComplete(caller->readUntilClosed()));
 }
 
