--- a/include/mimosatally/http/completeness.h
+++ b/include/mimosatally/http/completeness.h
@@ -27,7 +27,8 @@
     /// \brief Something is missing.
     CutOff,
     /// \brief Neither framing nor content shows whether something is missing. The end of the peer's process closes a connection just as the end of an
-    /// answer does, so only a peer that is still there shows that the answer is whole.
+    /// answer does. The answer counts as whole if the process that sent it answers a request that was sent after the end. An accepted connection shows
+    /// nothing, since the system accepts connections for a process until its listening socket is closed.
     Unproven,
 };
 
--- a/include/mimosatally/http/httpclient.h
+++ b/include/mimosatally/http/httpclient.h
@@ -61,9 +61,6 @@
     /// \return how the body ended; one that ends with its connection may have been cut off.
     boost::asio::awaitable<StreamedBody> stream(HttpRequest request, Duration idleTimeout, HeadHandler onHead, DataHandler onData);
 
-    /// \brief Returns whether the server accepts a new connection, which is kept for reuse.
-    boost::asio::awaitable<bool> acceptsConnection();
-
 private:
     using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -105,17 +105,6 @@
     co_return stream;
 }
 
-awaitable<bool> HttpClient::acceptsConnection()
-{
-    try {
-        Stream stream = co_await connect();
-        release(std::move(stream));
-        co_return true;
-    } catch (const ConnectError &) {
-        co_return false;
-    }
-}
-
 void HttpClient::release(Stream stream)
 {
     if (idleConnections_.size() < options_.maxIdleConnections) {
