Let take-ups wait for an engine of their version that is registered and cannot run them yet

Cause: a version with four engines had two prefill and two decode engines; both decode engines crashed, and prefill engines run no calls. The take-ups were refused within 30 ms as soon as both had refused the connection. Callers repeat a call once, and a take-up is already that repeat, so each refusal ends the stream. Change: a call that requires a version waits, polling each 100 ms, for up to 3 s and half of its remaining time while endpoints of the version are registered and none can run it. A version that is gone, and pauses and limits of endpoints, are refused as before. Not fixed: the version keeps only two decode engines.

--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -5,6 +5,9 @@
 #include "requestreservation.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace mimosatally::internal
 {
@@ -17,6 +20,9 @@
 constexpr int MAX_ATTEMPTS = 4;
 /// \brief An attempt does not time out before this multiple of its predicted time.
 constexpr double ATTEMPT_TIMEOUT_FACTOR = 3;
+/// \brief Longest wait for an endpoint of a stream's version. An endpoint that crashed is registered again after about as long.
+constexpr Duration MAX_VERSION_WAIT = Duration(3000);
+constexpr Duration VERSION_POLL_INTERVAL = Duration(100);
 
 /// \brief Time that a call may take: what its caller has stated, up to the timeout of its route.
 Duration timeLimit(const CallRequest &call, const Route &route)
@@ -132,6 +138,11 @@
     }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
+        const bool waits = awaitsVersion(placement, now);
+        if (waits) {
+            co_await pauseForVersion();
+            co_return true;
+        }
         co_await endUnplaced(placement);
         co_return false;
     }
@@ -164,6 +175,26 @@
     co_return retry;
 }
 
+bool CallFlow::awaitsVersion(const Placement &placement, Time now)
+{
+    if (!placementRequest_.version || placement.versionGone || placement.retryAfter) {
+        return false;
+    }
+    if (!versionWaitEnd_) {
+        // The other half of the time is left for the rest of the stream.
+        versionWaitEnd_ = now + std::min(MAX_VERSION_WAIT, guard_->remainingTime(now) / 2);
+        gateway_.metrics.increment("mimosatally_version_waits_total", {});
+    }
+    return now < *versionWaitEnd_;
+}
+
+awaitable<void> CallFlow::pauseForVersion()
+{
+    boost::asio::steady_timer timer(gateway_.io, VERSION_POLL_INTERVAL);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
 awaitable<void> CallFlow::endUnplaced(const Placement &placement)
 {
     if (streaming_ && placement.versionGone) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -60,6 +60,10 @@
     boost::asio::awaitable<bool> placeAndAttempt();
     /// \brief Ends a call that no endpoint may get.
     boost::asio::awaitable<void> endUnplaced(const Placement &placement);
+    /// \brief Returns whether a call that no endpoint of its stream's version can run at present waits for one: engines of the version are registered, and
+    /// one that crashed is back, or one that changes its phase ready, within seconds. A caller seldom repeats a take-up that was refused.
+    [[nodiscard]] bool awaitsVersion(const Placement &placement, Time now);
+    boost::asio::awaitable<void> pauseForVersion();
     /// \brief Ends the call if it has something that is blocked because it ends endpoints. \return whether the call has ended.
     boost::asio::awaitable<bool> refuseBlocked(Time now);
     /// \brief Records a crash if \a endpoint has ended and not only its connection.
@@ -141,6 +145,8 @@
     int receivedPrefills_ = 0;
     /// \brief The retry budget has already been charged for one call of the next attempt.
     bool retryGranted_ = false;
+    /// \brief Latest end of the wait for an endpoint of the stream's version; empty before it has begun.
+    std::optional<Time> versionWaitEnd_;
     std::optional<Duration> firstByte_;
     /// \brief Time from arrival until another engine had prefilled the prompt; zero if none has.
     Duration prefillTime_ = Duration(0);
--- a/tests/gateway/refusedconnectiontest.cpp
+++ b/tests/gateway/refusedconnectiontest.cpp
@@ -58,3 +58,39 @@
     checkVersions(totals);
     CHECK(totals.wentOn == totals.takenUp);
 }
+
+// Guards against take-ups that are refused for good in the seconds in which no engine of their version can run calls, although one comes back: a caller
+// repeats a refused take-up seldom.
+TEST_CASE("A take-up waits for an engine of its version that starts again after a crash", "[gateway][refused]")
+{
+    constexpr auto downTime = std::chrono::milliseconds(1000);
+    constexpr int streams = 24;
+    GatewayFixture fixture;
+    VersionedEngines engines(fixture);
+    engines.configure();
+    startPairs(engines, {"v1", "v2"});
+    GatewayGroup group(fixture, 2);
+    group.awaitPeers();
+    std::vector<std::unique_ptr<ResumingCaller>> callers;
+    for (int number = 0; number < streams; ++number) {
+        auto caller = std::make_unique<ResumingCaller>(idOf("s", number), fromTo(group, number, number));
+        caller->breaks(StreamBreak::CallerConnection, 3).maxTakeUps(0);
+        if (caller->run().firstVersion == "v1") {
+            callers.push_back(std::move(caller));
+        }
+    }
+    REQUIRE(!callers.empty());
+    engines.vanish("i-v1-0");
+    engines.vanish("i-v1-1");
+    std::thread operators([&] {
+        std::this_thread::sleep_for(downTime);
+        engines.start("i-v1-2", "v1");
+    });
+    const auto outcomes = runCallers(static_cast<int>(callers.size()), CONCURRENCY, [&](int number) {
+        return callers[static_cast<std::size_t>(number)]->takeUp();
+    });
+    operators.join();
+    const StreamTotals totals = totalsOf(outcomes);
+    checkVersions(totals);
+    CHECK(totals.wentOn == totals.takenUp);
+}
