Take a silence of most peers for a cut of this gateway, not for an outage of the store

What callers saw: the entries of endpoints that left during a cut were still kept for 2 s after the gateway's first read (DRAIN). Cause: the store's log holds a record only when more than the heartbeat's number changes, so the heartbeats of others prove nothing in practice; and gateways that are cut off together hear each other, so a silence of all peers is not seen. Change: PeerTable tells a datagram of a peer that was silent while most peers were, with the length of that silence. It wakes the reader of endpoints, and if the time without the store exceeds the silence by less than two heartbeat intervals, removals count at once. A failure of a read that was under way starts the back-off anew.

--- a/include/mimosatally/membership/endpointregistry.h
+++ b/include/mimosatally/membership/endpointregistry.h
@@ -19,6 +19,8 @@
     Duration covered = Duration(0);
     /// \brief The store accepted heartbeats throughout, so no entry lapsed because of an outage.
     bool servedOthers = false;
+    /// \brief This process heard none of most peers for nearly all of the time, so it was cut off itself.
+    bool cutOff = false;
     /// \brief Entries that were removed in this time, and those of them that are kept for a grace period.
     std::size_t removed = 0;
     std::size_t kept = 0;
@@ -60,6 +62,10 @@
     /// \return what is known of the time without the store, if one has ended.
     std::optional<StoreAbsence> recordHistoryRead(Time sentAt, Time now, Duration heartbeatInterval);
 
+    /// \brief Records that a peer was heard again after most were silent for \a silence. If that was nearly all of the time without the store, this process
+    /// was cut off, and the entries that were removed meanwhile are not kept.
+    void recordPeerSilence(Duration silence, Time now, Duration heartbeatInterval);
+
     /// \brief Records that the store has returned from an older copy, which starts the grace period.
     void recordRestore(Time now);
 
@@ -98,6 +104,8 @@
     void remove(const EndpointId &id, Time now);
     /// \brief Sets the ends of the grace periods of the entries that were removed among \a missed, in a time of length \a duration.
     StoreAbsence settle(const MissedRecords &missed, Duration duration, Time now, Duration heartbeatInterval);
+    /// \brief Ends the grace periods that a time without the store has begun, but not those of a restore.
+    void endGrace(Time now);
     void erase(const EndpointId &id);
     void put(const EndpointRecord &record, StoreEra era);
     /// \brief Returns whether \a record is what an older copy of the store has of an incarnation that was removed or is leaving for good.
@@ -113,6 +121,10 @@
     bool storeLost_ = false;
     /// \brief Set from the first failure of the store until all records that were written meanwhile have been read.
     std::optional<MissedRecords> missed_;
+    /// \brief Length of the last time without the store.
+    Duration lastAbsence_ = Duration(0);
+    /// \brief Silence of all peers in the present time without the store.
+    Duration peerSilence_ = Duration(0);
     /// \brief Time up to which all records have been applied; empty before the first complete read.
     std::optional<Time> completeUpTo_;
     Time graceEnd_ = Time::min();
--- a/include/mimosatally/membership/peertable.h
+++ b/include/mimosatally/membership/peertable.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace mimosatally
@@ -29,8 +30,9 @@
 
     void setSeeds(const std::vector<boost::asio::ip::udp::endpoint> &seeds);
 
-    /// \brief Records that a datagram from \a peer was received. \return whether it is the first one after all peers were silent for MAX_SILENT_HEARTBEATS.
-    bool recordDatagram(const PeerAddress &peer, Time now);
+    /// \brief Records that a datagram from \a peer was received. \return if it is one of at least half of the peers that have been silent for longer than
+    /// MAX_SILENT_HEARTBEATS, how long these were. Processes that are cut off together may hear each other meanwhile.
+    std::optional<Duration> recordDatagram(const PeerAddress &peer, Time now);
 
     /// \brief Adds \a peer, which another process has reported. It expires like a silent peer if it sends no datagram.
     void introduce(const PeerAddress &peer, Time now);
@@ -70,10 +72,15 @@
 
     static constexpr Duration SILENT_PEER_HOLD = Duration(30'000);
 
-    /// \brief Heartbeat intervals without a datagram of any peer after which this process takes itself for cut off; one lost datagram is not enough.
+    /// \brief Heartbeat intervals without a datagram after which a peer counts as silent; one lost datagram is not enough.
     static constexpr int MAX_SILENT_HEARTBEATS = 2;
 
 private:
+    /// \brief Returns the time for which at least half of the peers have been silent; empty before the first datagram.
+    [[nodiscard]] std::optional<Duration> majoritySilence(Time now) const;
+    /// \brief Returns the time of the last datagram of a peer, also of one that was removed; Time::min() if there was none.
+    [[nodiscard]] Time lastReceivedFrom(const boost::asio::ip::udp::endpoint &address) const;
+
     struct Peer {
         RegionId region;
         Time lastReceived = Time::min();
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -123,7 +123,8 @@
         }
         if (!settings.notices.empty()) {
             noticeExchange_.emplace(gateway_);
-            noticeExchange_->onPeersReturned([this] {
+            noticeExchange_->onPeersReturned([this](Duration silence) {
+                gateway_.registry.recordPeerSilence(silence, MilliClock::now(), gateway_.settings.heartbeatInterval);
                 storeFollower_.recordNetworkReturn();
             });
         }
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -84,7 +84,7 @@
     gateway_.streamLookup.setAnnounce(nullptr);
 }
 
-void NoticeExchange::onPeersReturned(std::function<void()> handler)
+void NoticeExchange::onPeersReturned(std::function<void(Duration)> handler)
 {
     peersReturned_ = std::move(handler);
 }
@@ -270,9 +270,9 @@
     const bool stale = now < staleUntil_ || (lastSend_ != Time::min() && now - lastSend_ >= STALL_THRESHOLD);
     try {
         const PeerDatagram datagram = decodeDatagram(bytes);
-        const bool endsSilence = peers_.recordDatagram({sender, datagram.region}, now);
-        if (endsSilence) {
-            peersReturned_();
+        const std::optional<Duration> silence = peers_.recordDatagram({sender, datagram.region}, now);
+        if (silence) {
+            peersReturned_(*silence);
         }
         if (datagram.processCount > 0) {
             peers_.recordProcessCount(sender, datagram.processCount);
--- a/src/gateway/noticeexchange.h
+++ b/src/gateway/noticeexchange.h
@@ -31,8 +31,8 @@
     NoticeExchange(const NoticeExchange &) = delete;
     NoticeExchange &operator=(const NoticeExchange &) = delete;
 
-    /// \brief Sets what is called when a datagram arrives after a silence of all peers.
-    void onPeersReturned(std::function<void()> handler);
+    /// \brief Sets what is called, with the length of the silence, when a datagram ends a silence of most peers.
+    void onPeersReturned(std::function<void(Duration)> handler);
 
     /// \brief Sends notices and heartbeats until the task is stopped.
     boost::asio::awaitable<void> send(TaskContext &context);
@@ -63,7 +63,7 @@
     RegionId region_;
     boost::asio::ip::udp::socket socket_;
     PeerTable peers_;
-    std::function<void()> peersReturned_ = [] {};
+    std::function<void(Duration)> peersReturned_ = [](Duration) {};
     Time nextHeartbeat_ = Time::min();
     /// \brief Last run of the sending task; datagrams that were queued while the process was stalled are stale.
     Time lastSend_ = Time::min();
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -120,11 +120,14 @@
         if (failure.empty()) {
             recordSuccess(cursor);
         } else {
+            // What failed on connections of before the cut tells nothing of the store.
+            cursor.failures = std::exchange(networkReturned_, false) ? 0 : cursor.failures;
             recordFailure(cursor, failure);
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
         endpointsLost_ = cursor.lost;
+        networkReturned_ = networkReturned_ && cursor.lost;
         gateway_.applyEndpoints(MilliClock::now());
         running = co_await context.sleep(pause);
     }
@@ -133,6 +136,7 @@
 void StoreFollower::recordNetworkReturn()
 {
     if (endpointsLost_) {
+        networkReturned_ = true;
         wakeEndpointReader();
     }
 }
@@ -365,6 +369,7 @@
                   {"absent_ms", absence.duration},
                   {"covered_ms", absence.covered},
                   {"served_others", absence.servedOthers ? "true" : "false"},
+                  {"cut_off", absence.cutOff ? "true" : "false"},
                   {"removed", absence.removed},
                   {"kept", absence.kept}});
     }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -88,6 +88,8 @@
     TaskContext *endpointReader_ = nullptr;
     /// \brief The last read of the endpoints failed.
     bool endpointsLost_ = false;
+    /// \brief There was a sign that the network is back since the last read of the endpoints failed.
+    bool networkReturned_ = false;
     std::size_t nextPeer_ = 0;
     /// \brief Peers that are still to be asked for a newer configuration than the store has.
     std::size_t peersToAsk_ = 0;
--- a/src/membership/endpointregistry.cpp
+++ b/src/membership/endpointregistry.cpp
@@ -8,6 +8,9 @@
 
 namespace
 {
+/// \brief Heartbeats that every endpoint misses at least in an outage of the store that lets entries lapse.
+constexpr int MIN_MISSED_HEARTBEATS = 2;
+
 /// \brief Without start times, incarnations of one id cannot be told apart.
 bool sameIncarnation(const EndpointRecord &left, const EndpointRecord &right)
 {
@@ -119,6 +122,7 @@
 {
     // A snapshot does not tell what was written between.
     missed_.reset();
+    lastAbsence_ = Duration(0);
     std::erase_if(positions_, [&](const auto &item) {
         return item.second < snapshotEnd && !snapshot.contains(item.first) && !endpoints_.contains(item.first);
     });
@@ -154,6 +158,7 @@
 void EndpointRegistry::recordStoreFailure()
 {
     if (!std::exchange(storeLost_, true)) {
+        peerSilence_ = Duration(0);
         missed_.emplace();
         for (const auto &[id, record] : endpoints_) {
             missed_->heartbeats.add(record);
@@ -185,25 +190,44 @@
     StoreAbsence absence;
     absence.duration = duration;
     absence.covered = heartbeatInterval * missed.heartbeats.intervals();
-    // An outage of the store that lets an entry lapse stops at least two heartbeats of every endpoint.
-    absence.servedOthers = duration - absence.covered < heartbeatInterval;
+    // The heartbeats can be out of step with the outage by one interval.
+    absence.servedOthers = duration - absence.covered < heartbeatInterval * (MIN_MISSED_HEARTBEATS - 1);
+    absence.cutOff = duration - peerSilence_ < heartbeatInterval * MIN_MISSED_HEARTBEATS;
     absence.removed = missed.removals.size();
-    if (absence.servedOthers) {
-        graceEnd_ = restoreGraceEnd_;
-    }
+    lastAbsence_ = duration;
     for (const auto &[id, mark] : missed.removals) {
         const auto grace = graceDeadlines_.find(id);
         if (grace != graceDeadlines_.end()) {
             const Duration sinceRemoval = heartbeatInterval * missed.heartbeats.intervalsAfter(mark);
-            const Time end = absence.servedOthers ? now : now + REREGISTRATION_TIME - sinceRemoval;
-            grace->second = std::max(end, restoreGraceEnd_);
-            absence.kept += grace->second > now ? 1 : 0;
+            grace->second = std::max(now + REREGISTRATION_TIME - sinceRemoval, restoreGraceEnd_);
         }
     }
+    if (absence.servedOthers || absence.cutOff) {
+        endGrace(now);
+    }
     expire(now);
+    absence.kept = graceDeadlines_.size();
     return absence;
 }
 
+void EndpointRegistry::recordPeerSilence(Duration silence, Time now, Duration heartbeatInterval)
+{
+    peerSilence_ = silence;
+    const bool answeredBefore = !storeLost_ && now < graceEnd_ && lastAbsence_ > Duration(0);
+    if (answeredBefore && lastAbsence_ - silence < heartbeatInterval * MIN_MISSED_HEARTBEATS) {
+        endGrace(now);
+    }
+}
+
+void EndpointRegistry::endGrace(Time now)
+{
+    graceEnd_ = restoreGraceEnd_;
+    for (auto &[id, deadline] : graceDeadlines_) {
+        deadline = std::max(now, restoreGraceEnd_);
+    }
+    expire(now);
+}
+
 void EndpointRegistry::expire(Time now)
 {
     std::vector<EndpointId> expired;
--- a/src/membership/peertable.cpp
+++ b/src/membership/peertable.cpp
@@ -29,18 +29,50 @@
     std::erase(seeds_, self_);
 }
 
-bool PeerTable::recordDatagram(const PeerAddress &peer, Time now)
+std::optional<Duration> PeerTable::recordDatagram(const PeerAddress &peer, Time now)
 {
     if (peer.address == self_ || (peers_.size() >= MAX_PEERS && !peers_.contains(peer.address))) {
-        return false;
+        return std::nullopt;
     }
-    const bool endsSilence = lastReceived_ != Time::min() && now - lastReceived_ > heartbeatInterval() * MAX_SILENT_HEARTBEATS;
+    const std::optional<Duration> silence = majoritySilence(now);
+    const Duration maxSilence = heartbeatInterval() * MAX_SILENT_HEARTBEATS;
+    const Time last = lastReceivedFrom(peer.address);
+    const bool endsSilence = silence && *silence > maxSilence && last != Time::min() && now - last > maxSilence;
     silentPeers_.erase(peer.address);
     Peer &known = peers_[peer.address];
     known.region = peer.region;
     known.lastReceived = now;
     lastReceived_ = now;
-    return endsSilence;
+    return endsSilence ? silence : std::nullopt;
+}
+
+Time PeerTable::lastReceivedFrom(const udp::endpoint &address) const
+{
+    const auto known = peers_.find(address);
+    if (known != peers_.end() && known->second.lastReceived != Time::min()) {
+        return known->second.lastReceived;
+    }
+    const auto silent = silentPeers_.find(address);
+    return silent == silentPeers_.end() ? Time::min() : silent->second;
+}
+
+std::optional<Duration> PeerTable::majoritySilence(Time now) const
+{
+    std::vector<Time> times;
+    for (const auto &[address, known] : peers_) {
+        if (known.lastReceived != Time::min()) {
+            times.push_back(known.lastReceived);
+        }
+    }
+    for (const auto &[address, lastReceived] : silentPeers_) {
+        times.push_back(lastReceived);
+    }
+    if (times.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    return now - *middle;
 }
 
 void PeerTable::introduce(const PeerAddress &peer, Time now)
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -72,15 +72,30 @@
     CHECK(table.heartbeatTargets() == std::vector<udp::endpoint> {address(2)});
 }
 
-// Guards against a process that does not notice that it was cut off, and against one that takes a lost datagram for a cut.
-TEST_CASE("The first datagram after a silence of all peers is told from others", "[peers]")
+// Guards against a process that does not notice that it was cut off, against one that takes a lost datagram for a cut, and against signs of a return
+// from processes that are cut off together with it.
+TEST_CASE("A datagram that ends a silence of most peers is told from others", "[peers]")
 {
     PeerTable table(address(1), OWN_REGION, {address(2)});
-    CHECK_FALSE(table.recordDatagram({address(2), OWN_REGION}, at(0)));
-    CHECK_FALSE(table.recordDatagram({address(2), OWN_REGION}, at(1000)));
-    CHECK_FALSE(table.recordDatagram({address(3), OWN_REGION}, at(1500)));
-    CHECK(table.recordDatagram({address(2), OWN_REGION}, at(2600)));
-    CHECK_FALSE(table.recordDatagram({address(3), OWN_REGION}, at(2600)));
+    const auto receive = [&table](int number, int milliseconds) {
+        return table.recordDatagram({address(number), OWN_REGION}, at(milliseconds));
+    };
+    for (const int number : {2, 3, 4}) {
+        CHECK_FALSE(receive(number, 0));
+        CHECK_FALSE(receive(number, 1000));
+    }
+    CHECK_FALSE(receive(2, 1900));
+    CHECK_FALSE(receive(2, 2800));
+    CHECK(receive(3, 3500) == Duration(2500));
+    CHECK_FALSE(receive(4, 3500));
+    SECTION("also after the silent ones were removed")
+    {
+        for (int milliseconds = 3600; milliseconds <= 6000; milliseconds += 800) {
+            CHECK_FALSE(receive(2, milliseconds));
+        }
+        table.expire(at(6100));
+        CHECK(receive(4, 6500) == Duration(3000));
+    }
 }
 
 // Guards against unbounded memory and datagrams after forged introductions.
--- a/tests/unit/storeabsencetest.cpp
+++ b/tests/unit/storeabsencetest.cpp
@@ -130,6 +130,39 @@
     CHECK_FALSE(reader.isKept());
 }
 
+// Guards against calls to endpoints that left while this process was cut off from its peers too. The store records only changes of entries, so often no
+// heartbeats show that it served others.
+TEST_CASE("An entry that was removed while no peer was heard either is dropped at once", "[membership][absence]")
+{
+    const bool peersFirst = GENERATE(true, false);
+    AbsentReader reader;
+    if (peersFirst) {
+        reader.registry.recordPeerSilence(Duration(2800), at(13'000), INTERVAL);
+    }
+    reader.registry.recordStoreAnswer(at(13'100));
+    reader.remove(LEFT, at(13'100));
+    reader.endRead(13'000, 13'100);
+    CHECK(reader.isKept() != peersFirst);
+    if (!peersFirst) {
+        reader.registry.recordPeerSilence(Duration(2800), at(13'300), INTERVAL);
+    }
+    CHECK_FALSE(reader.isKept());
+}
+
+// Guards against a short silence of the peers in a long outage of the store, which could have let entries lapse while the peers were heard.
+TEST_CASE("A silence of the peers for a part of the time without the store ends no grace period", "[membership][absence]")
+{
+    AbsentReader reader;
+    reader.registry.recordPeerSilence(Duration(1500), at(13'000), INTERVAL);
+    reader.registry.recordStoreAnswer(at(14'000));
+    reader.remove(LEFT, at(14'000));
+    reader.endRead(13'900, 14'000);
+    reader.registry.recordPeerSilence(Duration(1500), at(14'100), INTERVAL);
+    CHECK(reader.isKept());
+    reader.registry.expire(at(16'000));
+    CHECK_FALSE(reader.isKept());
+}
+
 // Guards against a grace period for an endpoint that has announced that it leaves, and so does not register again.
 TEST_CASE("An entry of a leaving endpoint is dropped at once also after an outage of the store", "[membership][absence]")
 {
