Test that a refused connection is not charged to the retry budget

The rule counts arrivals beyond the first, and a refused connection is none. The code did so already; no test showed it. With a budget of zero and two of three endpoints ended, ten of ten calls are answered.

--- a/tests/gateway/refusedconnectiontest.cpp
+++ b/tests/gateway/refusedconnectiontest.cpp
@@ -94,3 +94,27 @@
     checkVersions(totals);
     CHECK(totals.wentOn == totals.takenUp);
 }
+
+// Guards against a retry budget that is charged for a connection that was refused, which no endpoint has seen as an arrival.
+TEST_CASE("A call goes on after a refused connection without a retry budget", "[gateway][refused]")
+{
+    GatewayFixture fixture;
+    const auto answer = [](const HttpRequest &request) -> AnswerSteps {
+        return {bytes(wholeAnswer(requestIdOf(request), "good"))};
+    };
+    std::vector<EndpointStandin *> endpoints;
+    for (const std::string id : {"i-1", "i-2", "i-3"}) {
+        endpoints.push_back(&fixture.addEndpoint(id, "plain", answer));
+    }
+    fixture.configure();
+    fixture.startGateway("retry_ratio = 0.0\nretry_slack = 0\n");
+    fixture.awaitReady();
+    fixture.onStandins([&] {
+        endpoints[0]->crash();
+        endpoints[1]->crash();
+    });
+    for (int i = 0; i < 10; ++i) {
+        CHECK(fixture.call(GatewayFixture::request(http::verb::get, "/safe/x", idOf("r", i))).result_int() == 200);
+    }
+    CHECK(endpoints[2]->arrivals().size() == 10);
+}
