--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -123,11 +123,14 @@
         if (failure.empty()) {
             recordSuccess(cursor);
         } else {
+            // What failed on connections of before the cut tells nothing of the store.
+            cursor.failures = std::exchange(networkReturned_, false) ? 0 : cursor.failures;
             recordFailure(cursor, failure);
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
         endpointsLost_ = cursor.lost;
+        networkReturned_ = networkReturned_ && cursor.lost;
         gateway_.applyEndpoints(MilliClock::now());
         observation.endRead(failure.empty());
         running = co_await context.sleep(pause);
@@ -147,6 +150,7 @@
 void StoreFollower::recordNetworkReturn()
 {
     if (endpointsLost_) {
+        networkReturned_ = true;
         wakeEndpointReader();
     }
 }
@@ -384,6 +388,7 @@
                   {"absent_ms", absence.duration},
                   {"covered_ms", absence.covered},
                   {"served_others", absence.servedOthers ? "true" : "false"},
+                  {"cut_off", absence.cutOff ? "true" : "false"},
                   {"removed", absence.removed},
                   {"kept", absence.kept}});
     }
