--- a/include/mimosatally/http/eventframer.h
+++ b/include/mimosatally/http/eventframer.h
@@ -26,11 +26,14 @@
     /// \brief Drops the partial event at the end of a stream that was cut off. What is appended next continues that stream after its last complete event.
     void resumeAfterCut();
 
+    /// \brief Makes what is appended next continue a stream of which the caller has the events up to \a lastEventId.
+    void continueAfter(std::string lastEventId);
+
     /// \brief Returns what the events say about the end of the stream.
     [[nodiscard]] ContentEnd contentEnd() const;
 
-    /// \brief Returns whether a continued stream began with an event that the stream had before, so it starts again or belongs to another run. Its events
-    /// are not returned.
+    /// \brief Returns whether a continued stream began with an event that the stream had before, or that has no id, so it starts again or belongs to another
+    /// run. Its events are not returned.
     [[nodiscard]] bool repeatsEvents() const;
 
     /// \brief Returns the number of events that were taken; events of comments only do not count.
@@ -42,9 +45,15 @@
     /// \brief Returns the number of bytes that are kept: those after the last complete event, and the ids.
     [[nodiscard]] std::size_t heldBytes() const;
 
+    /// \brief Returns whether an endpoint can be told where to go on: the last event that was taken has an id, and no event before it had the same.
+    [[nodiscard]] bool isResumable() const;
+
     /// \brief Returns the id of the last event that was taken; empty if the events have none.
     [[nodiscard]] const std::string &lastEventId() const;
 
+    /// \brief Returns the first id that was taken since the stream began or was last continued; empty if there was none.
+    [[nodiscard]] const std::string &firstEventId() const;
+
 private:
     /// \brief State of the event that is being read.
     struct OpenEvent {
@@ -71,6 +80,10 @@
     /// \brief The next id is the first one since the stream was continued.
     bool firstIdAfterCut_ = false;
     bool repeatsEvents_ = false;
+    bool lastHasId_ = false;
+    /// \brief An id did not increase, so that one id names several events.
+    bool ambiguousIds_ = false;
+    std::string firstEventId_;
     std::string lastEventId_;
 };
 
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -1,5 +1,6 @@
 #include "callflow.h"
 #include "engineorder.h"
+#include "logtext.h"
 
 namespace mimosatally::internal
 {
@@ -54,6 +55,7 @@
         co_return std::nullopt;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    const std::int64_t startedAt = record->startedAt;
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
     attempt.cacheSource = cacheSource_;
@@ -65,6 +67,7 @@
     const Time attemptDeadline = MilliClock::now() + timeout;
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedPrefills_ += progress == CallProgress::NotConnected ? 0 : 1;
+    recordIfRefused(call, endpoint, startedAt);
     std::string body;
     if (progress == CallProgress::HeadReceived) {
         body = co_await call.readAll(MAX_PREFILL_ANSWER_BYTES);
@@ -76,7 +79,7 @@
     std::optional<std::string> handle;
     if (progress == CallProgress::HeadReceived && call.answer().status == STATUS_OK) {
         handle = platform::decodePrefillHandle(body);
-        const bool whole = co_await call.confirmWhole(handle ? ContentEnd::Reached : ContentEnd::Within);
+        const bool whole = co_await call.confirmWhole(handle ? ContentEnd::Reached : ContentEnd::Within, gateway_.livenessProbe, endpoint, startedAt);
         handle = whole ? handle : std::nullopt;
     }
     call.release();
@@ -102,7 +105,9 @@
         co_return NextStep::RetryNotReceived;
     }
     const boost::asio::ip::tcp::endpoint address = record->address;
+    const std::int64_t startedAt = record->startedAt;
     stream_.recordSent(*record);
+    resumedAfter_ = streaming_ || !call_.resumed ? framer_.lastEventId() : call_.resumed->lastEventId;
     EndpointAttempt attempt = attemptFor(endpoint);
     if (work == AttemptWork::PrefillAndRun) {
         attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cachedPrefix_.tokens);
@@ -119,6 +124,7 @@
     const Time attemptDeadline = canRepeat ? MilliClock::now() + timeout : guard_->deadline();
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedRuns_ += progress == CallProgress::NotConnected ? 0 : 1;
+    recordIfRefused(call, endpoint, startedAt);
     if (progress == CallProgress::HeadReceived) {
         guard_->extendAttempt(guard_->deadline());
         const NextStep next = co_await deliver(call, endpoint, routerAttempt.ticket());
@@ -169,7 +175,7 @@
     if (asEvents) {
         delivered = co_await deliverEvents(call, endpoint, ticket);
     } else {
-        delivered = co_await deliverBuffered(call);
+        delivered = co_await deliverBuffered(call, endpoint);
     }
     if (!delivered) {
         gateway_.router.end(ticket, failedAttemptOutcome(), MilliClock::now());
@@ -203,6 +209,7 @@
     const EndpointRecord record = *known;
     const bool ended = co_await call.refusesConnection();
     if (ended) {
+        gateway_.router.recordRefusedConnection(endpoint, record.startedAt, MilliClock::now());
         crashed_ = true;
         crashedWithinStream_ = crashedWithinStream_ || streaming_;
         gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), sinceFirstByte, MilliClock::now());
@@ -241,9 +248,16 @@
               {"partial_event_bytes", partialEventBytes_},
               {"ended", toString(call.bodyEnd())},
               {"events", framer_.takenEvents()},
+              {"resumed_after", eventIdText(resumedAfter_)},
+              {"first_event", eventIdText(framer_.firstEventId())},
+              {"last_event", eventIdText(framer_.lastEventId())},
+              {"root", stream_.root()},
+              {"version", versionText(stream_.sentVersion())},
+              {"started", stream_.sentStartedAt()},
               {"proof", call.proof()},
               {"address", toString(call.connectionUse().address)},
               {"connection", call.connectionUse().connection},
+              {"connection_age_ms", call.connectionUse().age},
               {"earlier_requests", call.connectionUse().earlierRequests},
               {"skipped_answers", call.connectionUse().skippedAnswers},
               {"prefill_ms", prefillTime_},
@@ -254,10 +268,10 @@
     }
 }
 
-awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call)
+awaitable<bool> CallFlow::deliverBuffered(EndpointCall &call, EndpointId endpoint)
 {
     std::string body = co_await call.readAll(MAX_BUFFERED_ANSWER_BYTES);
-    const bool whole = co_await call.confirmWhole(ContentEnd::Opaque);
+    const bool whole = co_await call.confirmWhole(ContentEnd::Opaque, gateway_.livenessProbe, endpoint, stream_.sentStartedAt());
     if (!whole) {
         co_return false;
     }
@@ -275,6 +289,9 @@
     if (!stream_.accepts(gateway_.router.record(endpoint))) {
         co_return false;
     }
+    if (!streaming_ && call_.resumed && route_.retryPolicy == RetryPolicy::Idempotent) {
+        framer_.continueAfter(call_.resumed->lastEventId);
+    }
     while (!call.hasEnded() && !framer_.repeatsEvents()) {
         const std::string_view data = co_await call.read();
         framer_.append(data);
@@ -290,7 +307,7 @@
     }
     partialEventBytes_ = framer_.partialBytes();
     const ContentEnd content = framer_.repeatsEvents() ? ContentEnd::Within : framer_.contentEnd();
-    const bool whole = co_await call.confirmWhole(content);
+    const bool whole = co_await call.confirmWhole(content, gateway_.livenessProbe, endpoint, stream_.sentStartedAt());
     if (!whole) {
         framer_.resumeAfterCut();
         co_return false;
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -1,10 +1,13 @@
 #include "callflow.h"
 
 #include "admission.h"
-#include "millisecondstext.h"
+#include "logtext.h"
 #include "requestreservation.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace mimosatally::internal
 {
@@ -13,10 +16,13 @@
 
 namespace
 {
-/// \brief Limit on attempts, including those that did not reach an endpoint or were rejected there.
+/// \brief Limit on attempts, including those that did not reach an endpoint or were rejected there, except for refused connections.
 constexpr int MAX_ATTEMPTS = 4;
 /// \brief An attempt does not time out before this multiple of its predicted time.
 constexpr double ATTEMPT_TIMEOUT_FACTOR = 3;
+/// \brief Longest wait for an endpoint of a stream's version. An endpoint that crashed is registered again after about as long.
+constexpr Duration MAX_VERSION_WAIT = Duration(3000);
+constexpr Duration VERSION_POLL_INTERVAL = Duration(100);
 
 /// \brief Time that a call may take: what its caller has stated, up to the timeout of its route.
 Duration timeLimit(const CallRequest &call, const Route &route)
@@ -132,6 +138,11 @@
     }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
+        const bool waits = awaitsVersion(placement, now);
+        if (waits) {
+            co_await pauseForVersion();
+            co_return true;
+        }
         co_await endUnplaced(placement);
         co_return false;
     }
@@ -164,6 +175,26 @@
     co_return retry;
 }
 
+bool CallFlow::awaitsVersion(const Placement &placement, Time now)
+{
+    if (!placementRequest_.version || placement.versionGone || placement.retryAfter) {
+        return false;
+    }
+    if (!versionWaitEnd_) {
+        // The other half of the time is left for the rest of the stream.
+        versionWaitEnd_ = now + std::min(MAX_VERSION_WAIT, guard_->remainingTime(now) / 2);
+        gateway_.metrics.increment("mimosatally_version_waits_total", {});
+    }
+    return now < *versionWaitEnd_;
+}
+
+awaitable<void> CallFlow::pauseForVersion()
+{
+    boost::asio::steady_timer timer(gateway_.io, VERSION_POLL_INTERVAL);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
 awaitable<void> CallFlow::endUnplaced(const Placement &placement)
 {
     if (streaming_ && placement.versionGone) {
@@ -210,7 +241,7 @@
 
 bool CallFlow::canRetry(NextStep next) const
 {
-    if (attempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
+    if (attempts_ - refusedAttempts_ >= MAX_ATTEMPTS || runs_ >= route_.maxAttempts) {
         return false;
     }
     // A repeat could end the next endpoint.
@@ -220,10 +251,7 @@
     if (next == NextStep::RetryOutcomeUnknown && route_.retryPolicy != RetryPolicy::Idempotent) {
         return false;
     }
-    if (streaming_ && framer_.lastEventId().empty()) {
-        return false;
-    }
-    return true;
+    return !streaming_ || framer_.isResumable();
 }
 
 bool CallFlow::chargeRetryBudget(const Placement &placement)
@@ -270,7 +298,7 @@
     cacheSource_ = addressOf(placement.cacheSource);
     cachedPrefix_ = placement.cache;
     std::optional<PrefilledPrompt> prompt;
-    AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
+    const AttemptWork work = placement.reason == "one-engine" ? AttemptWork::PrefillAndRun : AttemptWork::Run;
     if (placement.prefill) {
         const EndpointId prefillEngine = *placement.prefill;
         const EndpointRecord *prefillRecord = gateway_.router.record(prefillEngine);
@@ -282,24 +310,46 @@
             placementRequest_.excluded.push_back(prefillEngine);
             co_return NextStep::RetryNotRun;
         }
-        work = AttemptWork::Run;
         if (!testsBlocked_ && gateway_.suspects.isBlocked(suspects_.known())) {
             co_return NextStep::RetryNotRun;
         }
+        const NextStep next = co_await runPrefilled(prompt, prefillEngine, prefillVersion, timeout);
+        co_return next;
+    }
+    const EndpointId noPrefillEngine;
+    const NextStep next = co_await runAt(endpoint, prompt, noPrefillEngine, work, timeout);
+    co_return next;
+}
+
+awaitable<CallFlow::NextStep> CallFlow::runPrefilled(std::optional<PrefilledPrompt> prompt, EndpointId prefillEngine, SoftwareVersion version, Duration timeout)
+{
+    NextStep next = NextStep::RetryNotRun;
+    bool refused = false;
+    do {
         // The prefill may have taken seconds, during which engines can leave, fill up or fail.
         PlacementRequest decodeRequest = placementRequest_;
-        decodeRequest.version = prefillVersion;
-        const Placement runPlacement = gateway_.router.placeDecode(decodeRequest, prefillEngine, MilliClock::now());
-        if (!runPlacement.run) {
+        decodeRequest.version = version;
+        const Placement placement = gateway_.router.placeDecode(decodeRequest, prefillEngine, MilliClock::now());
+        if (!placement.run) {
             co_return NextStep::RetryNotRun;
         }
-        endpoint = *runPlacement.run;
-    }
-    const EndpointId source = placement.prefill.value_or(EndpointId());
-    const NextStep next = co_await runAt(endpoint, prompt, source, work, timeout);
+        const EndpointId endpoint = *placement.run;
+        const int refusedBefore = refusedAttempts_;
+        next = co_await runAt(endpoint, prompt, prefillEngine, AttemptWork::Run, timeout);
+        // An engine that has received nothing has not taken the prompt's KV cache either, so another one can.
+        refused = refusedAttempts_ > refusedBefore;
+    } while (refused && guard_->stopReason() == StopReason::None);
     co_return next;
 }
 
+void CallFlow::recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt)
+{
+    if (call.wasRefused()) {
+        ++refusedAttempts_;
+        gateway_.router.recordRefusedConnection(endpoint, startedAt, MilliClock::now());
+    }
+}
+
 void CallFlow::recordRun()
 {
     mayHaveRun_ = true;
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -60,6 +60,10 @@
     boost::asio::awaitable<bool> placeAndAttempt();
     /// \brief Ends a call that no endpoint may get.
     boost::asio::awaitable<void> endUnplaced(const Placement &placement);
+    /// \brief Returns whether a call that no endpoint of its stream's version can run at present waits for one: engines of the version are registered, and
+    /// one that crashed is back, or one that changes its phase ready, within seconds. A caller seldom repeats a take-up that was refused.
+    [[nodiscard]] bool awaitsVersion(const Placement &placement, Time now);
+    boost::asio::awaitable<void> pauseForVersion();
     /// \brief Ends the call if it has something that is blocked because it ends endpoints. \return whether the call has ended.
     boost::asio::awaitable<bool> refuseBlocked(Time now);
     /// \brief Records a crash if \a endpoint has ended and not only its connection.
@@ -68,10 +72,12 @@
     boost::asio::awaitable<bool> retryOrGiveUp(NextStep next);
     boost::asio::awaitable<NextStep> attempt(EndpointId endpoint, Placement placement);
     boost::asio::awaitable<std::optional<PrefilledPrompt>> prefill(EndpointId endpoint, Duration timeout);
+    /// \brief Runs the call after the prefill on \a prefillEngine, at another decode engine of its version if one refuses the connection.
+    boost::asio::awaitable<NextStep> runPrefilled(std::optional<PrefilledPrompt> prompt, EndpointId prefillEngine, SoftwareVersion version, Duration timeout);
     boost::asio::awaitable<NextStep> runAt(EndpointId endpoint, std::optional<PrefilledPrompt> prompt, EndpointId source, AttemptWork work, Duration timeout);
     boost::asio::awaitable<NextStep> deliver(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     /// \return whether the caller has the complete answer.
-    boost::asio::awaitable<bool> deliverBuffered(EndpointCall &call);
+    boost::asio::awaitable<bool> deliverBuffered(EndpointCall &call, EndpointId endpoint);
     boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
@@ -80,6 +86,8 @@
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
     [[nodiscard]] bool chargeRetryBudget(const Placement &placement);
     void recordRun();
+    /// \brief Records that nothing listens at the address of an endpoint, if that is why \a call was not sent. \param startedAt of its incarnation.
+    void recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt);
     /// \brief Reports to the router what the head of an answer says about its endpoint.
     void observe(PhaseRouter::Ticket ticket, const EndpointId &endpoint, const EndpointAnswer &answer);
     [[nodiscard]] AttemptOutcome failedAttemptOutcome() const;
@@ -120,6 +128,8 @@
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
+    /// \brief Attempts whose connection was refused. Each takes a millisecond and excludes its endpoint, so they are not limited.
+    int refusedAttempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
     bool mayHaveRun_ = false;
     /// \brief An endpoint ended while it was running the call, early enough to be evidence against it.
@@ -135,10 +145,14 @@
     int receivedPrefills_ = 0;
     /// \brief The retry budget has already been charged for one call of the next attempt.
     bool retryGranted_ = false;
+    /// \brief Latest end of the wait for an endpoint of the stream's version; empty before it has begun.
+    std::optional<Time> versionWaitEnd_;
     std::optional<Duration> firstByte_;
     /// \brief Time from arrival until another engine had prefilled the prompt; zero if none has.
     Duration prefillTime_ = Duration(0);
     std::string lastFailure_;
+    /// \brief Id of the event after which the last attempt had to go on; empty if it began the stream.
+    std::string resumedAfter_;
     /// \brief Bytes of a partial event with which the last stream ended.
     std::size_t partialEventBytes_ = 0;
 };
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -79,7 +79,7 @@
 {
     const Time now = MilliClock::now();
     connection_ = pool_.take(address, id, now);
-    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0};
+    connectionUse_ = {address, connection_->number, connection_->sent.count() - 1, 0, now - connection_->madeAt};
     connection_->buffer.onGrown([this] {
         updateReservation();
     });
@@ -93,6 +93,7 @@
     guard_.beginAttempt(connection_->socket, std::min(attemptDeadline, now + CONNECT_TIMEOUT));
     co_await connection_->socket.async_connect(address, redirect_error(use_awaitable, error));
     if (error) {
+        refused_ = error == boost::asio::error::connection_refused;
         fail("connect", error);
         co_return false;
     }
@@ -252,7 +253,7 @@
     return complete_ || broken_;
 }
 
-awaitable<bool> EndpointCall::confirmWhole(ContentEnd content)
+awaitable<bool> EndpointCall::confirmWhole(ContentEnd content, LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt)
 {
     switch (completenessOf(framing_, bodyEnd_, content)) {
     case Completeness::Whole:
@@ -263,15 +264,12 @@
         proof_ = content == ContentEnd::Within ? "cut-within" : "cut";
         break;
     case Completeness::Unproven: {
-        const boost::system::error_code error = co_await tryConnection();
-        const bool alive = !error;
-        // An endpoint that has announced that it leaves may exit after its last answer.
-        if (alive || answer_.leaving) {
+        const Liveness liveness = co_await probeProcess(probe, std::move(endpoint), startedAt);
+        proof_ = proofName(liveness);
+        if (liveness == Liveness::Alive) {
             reservation_.setRevocable(false);
-            proof_ = alive ? "endpoint-accepts" : "endpoint-leaves";
             co_return true;
         }
-        proof_ = "endpoint-ended";
         break;
     }
     }
@@ -282,6 +280,17 @@
     co_return false;
 }
 
+awaitable<Liveness> EndpointCall::probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt)
+{
+    const StopReason stopReason = guard_.stopReason();
+    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::DeadlinePassed) {
+        co_return Liveness::NotAsked;
+    }
+    AnsweringProcess process = {std::move(endpoint), connectionUse_.address, startedAt};
+    const Liveness liveness = co_await probe.probe(std::move(process), guard_.deadline());
+    co_return liveness;
+}
+
 awaitable<bool> EndpointCall::refusesConnection()
 {
     if (!connection_) {
@@ -291,6 +300,11 @@
     co_return error == boost::asio::error::connection_refused;
 }
 
+bool EndpointCall::wasRefused() const
+{
+    return refused_;
+}
+
 awaitable<boost::system::error_code> EndpointCall::tryConnection()
 {
     const StopReason stopReason = guard_.stopReason();
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -2,6 +2,7 @@
 
 #include "callguard.h"
 #include "connectionpool.h"
+#include "livenessprobe.h"
 
 #include <mimosatally/Http>
 
@@ -37,6 +38,8 @@
     std::size_t earlierRequests = 0;
     /// \brief Answers to other requests that were skipped before the answer to this one.
     int skippedAnswers = 0;
+    /// \brief Age of the connection when the request was sent; an older one can outlive the process that the endpoint's entry names.
+    Duration age = Duration(0);
 };
 
 /// \brief One call over one connection to an endpoint.
@@ -71,9 +74,10 @@
     /// \brief Returns whether reading of the body has ended, whether or not the answer is whole.
     [[nodiscard]] bool hasEnded() const;
 
-    /// \brief Returns whether the answer is whole (see completenessOf()). For an answer that is unproven the endpoint is asked for another connection: a
-    /// process that accepts one has not ended the answer by its own end. The connection is kept for later calls.
-    boost::asio::awaitable<bool> confirmWhole(ContentEnd content);
+    /// \brief Returns whether the answer is whole (see completenessOf()). An answer that is unproven is whole if the process that has sent it still answers:
+    /// it has not ended the answer by its own end.
+    /// \param endpoint and \param startedAt endpoint as registered when the request was sent.
+    boost::asio::awaitable<bool> confirmWhole(ContentEnd content, LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt);
 
     [[nodiscard]] const EndpointAnswer &answer() const;
     [[nodiscard]] const boost::beast::http::response_header<> &header() const;
@@ -81,6 +85,9 @@
     /// \brief Returns whether the endpoint refuses a connection: its process has ended, not only the connection of this call.
     boost::asio::awaitable<bool> refusesConnection();
 
+    /// \brief Returns whether open() found that nothing listens at the endpoint's address: its process has ended.
+    [[nodiscard]] bool wasRefused() const;
+
     /// \brief Returns the connection that was used, also after release().
     [[nodiscard]] const ConnectionUse &connectionUse() const;
 
@@ -108,6 +115,8 @@
     boost::asio::awaitable<bool> skipBody();
     /// \brief Drops what an answer to another request says: nothing in it is about this call or the endpoint's present state.
     void forgetAnswer();
+    /// \brief Finds out whether the process that has sent the answer is still there.
+    boost::asio::awaitable<Liveness> probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt);
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
     void fail(const char *step, const boost::system::error_code &error);
@@ -138,6 +147,7 @@
     /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
     bool broken_ = false;
+    bool refused_ = false;
     bool headRequest_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
     std::array<char, READ_BYTES> data_;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -123,6 +123,10 @@
         }
         if (!settings.notices.empty()) {
             noticeExchange_.emplace(gateway_);
+            noticeExchange_->onPeersReturned([this](Duration silence) {
+                gateway_.registry.recordPeerSilence(silence, MilliClock::now(), gateway_.settings.heartbeatInterval);
+                storeFollower_.recordNetworkReturn();
+            });
         }
         if (!settings.metrics.empty()) {
             metricsServer_.emplace(io_, parseAddress(settings.metrics), probeLimits(), [this](HttpExchange &exchange) {
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -4,6 +4,7 @@
 #include "connectionpool.h"
 #include "crashwatch.h"
 #include "limitreport.h"
+#include "livenessprobe.h"
 #include "streamlookup.h"
 
 #include <mimosatally/Gateway>
@@ -63,9 +64,12 @@
     CrashWatch crashWatch;
     /// \brief Versions that wrote the first events of streams.
     StreamTracker streams;
+    /// \brief How fresh the endpoints read from the store are.
+    StoreObservation endpointObservation;
     StreamLookup streamLookup;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
+    LivenessProbe livenessProbe;
     /// \brief Bytes of endpoints' answers that all calls hold together.
     ByteBudget answerBytes;
     /// \brief Set by the signal that stops the process.
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -84,6 +84,11 @@
     gateway_.streamLookup.setAnnounce(nullptr);
 }
 
+void NoticeExchange::onPeersReturned(std::function<void(Duration)> handler)
+{
+    peersReturned_ = std::move(handler);
+}
+
 Duration NoticeExchange::interval() const
 {
     return std::max(MIN_INTERVAL, INTERVAL_PER_SAME_REGION_PEER * static_cast<Duration::rep>(peers_.sameRegionPeers().size()));
@@ -241,6 +246,7 @@
         socket_.send_to(boost::asio::buffer(bytes), target, 0, error);
         // A full link or an unreachable peer loses one datagram; the metric shows how often that happens.
         gateway_.metrics.increment("mimosatally_peer_datagrams_total", error ? "result=\"not_sent\"" : "result=\"sent\"");
+        gateway_.metrics.increment("mimosatally_peer_datagram_bytes_total", "direction=\"sent\"", error ? 0 : bytes.size());
     }
 }
 
@@ -265,7 +271,10 @@
     const bool stale = now < staleUntil_ || (lastSend_ != Time::min() && now - lastSend_ >= STALL_THRESHOLD);
     try {
         const PeerDatagram datagram = decodeDatagram(bytes);
-        peers_.recordDatagram({sender, datagram.region}, now);
+        const std::optional<Duration> silence = peers_.recordDatagram({sender, datagram.region}, now);
+        if (silence) {
+            peersReturned_(*silence);
+        }
         if (datagram.processCount > 0) {
             peers_.recordProcessCount(sender, datagram.processCount);
         }
@@ -275,9 +284,6 @@
         // An origin stays true, so a notice on it counts also if it was queued during a stall.
         recordStreamNotices(datagram.streamNotices, now);
         if (!stale) {
-            if (datagram.processCount > 0) {
-                gateway_.streams.recordContact(now);
-            }
             answerStreamQueries(datagram.streamQueries, sender, now);
             gateway_.router.recordPeerDatagram(now);
             for (const PrefillNotice &notice : datagram.prefillNotices) {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -85,6 +85,9 @@
             failure = error.what();
         }
         if (failure.empty()) {
+            if (cursor.lost) {
+                recordNetworkReturn();
+            }
             recordSuccess(cursor);
             if (peersToAsk_ > 0) {
                 --peersToAsk_;
@@ -103,26 +106,60 @@
 awaitable<void> StoreFollower::followEndpoints(TaskContext &context)
 {
     TopicCursor cursor {"endpoints"};
+    endpointReader_ = &context;
+    StoreObservation &observation = gateway_.endpointObservation;
+    observation.setReadNow([this] {
+        wakeEndpointReader();
+    });
     bool running = true;
     while (running) {
         std::string failure;
-        Duration pause = ENDPOINT_POLL_INTERVAL;
+        Duration pause(0);
         try {
-            const ReadResult result = co_await readEndpoints(cursor);
-            pause = result == ReadResult::SnapshotNeeded ? pauseBeforeSnapshot() : pause;
+            pause = pauseAfterEndpoints(co_await readEndpoints(cursor));
         } catch (const Error &error) {
             failure = error.what();
         }
         if (failure.empty()) {
             recordSuccess(cursor);
         } else {
+            // What failed on connections of before the cut tells nothing of the store.
+            cursor.failures = std::exchange(networkReturned_, false) ? 0 : cursor.failures;
             recordFailure(cursor, failure);
             gateway_.registry.recordStoreFailure();
             pause = backoffAfterFailure(cursor);
         }
+        endpointsLost_ = cursor.lost;
+        networkReturned_ = networkReturned_ && cursor.lost;
         gateway_.applyEndpoints(MilliClock::now());
+        observation.endRead(failure.empty());
         running = co_await context.sleep(pause);
     }
+    observation.setReadNow(nullptr);
+    endpointReader_ = nullptr;
+}
+
+Duration StoreFollower::pauseAfterEndpoints(ReadResult result)
+{
+    if (result == ReadResult::SnapshotNeeded) {
+        return pauseBeforeSnapshot();
+    }
+    return result == ReadResult::MoreRecords ? Duration(0) : ENDPOINT_POLL_INTERVAL;
+}
+
+void StoreFollower::recordNetworkReturn()
+{
+    if (endpointsLost_) {
+        networkReturned_ = true;
+        wakeEndpointReader();
+    }
+}
+
+void StoreFollower::wakeEndpointReader()
+{
+    if (endpointReader_ != nullptr) {
+        endpointReader_->wake();
+    }
 }
 
 Duration StoreFollower::pauseBeforeSnapshot()
@@ -152,6 +189,7 @@
         logEvent(LogEvent::StoreWentBack, {{"topic", "endpoints"}, {"end", end.offset}, {"known", known.offset}});
         gateway_.registry.forgetPositions();
         newestRecords_.endpoints.clear();
+        gateway_.endpointObservation.recordRestore(MilliClock::now() + EndpointRegistry::REREGISTRATION_TIME);
     }
 }
 
@@ -216,6 +254,8 @@
 
 awaitable<void> StoreFollower::readEndpointSnapshot(TopicCursor &cursor)
 {
+    const Time sentAt = MilliClock::now();
+    gateway_.endpointObservation.beginRead(sentAt);
     const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Endpoints, ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     if (gateway_.observeStoreEra(snapshot.era, cursor.topic, now) == StoreEraTracker::Observation::Outdated) {
@@ -237,7 +277,8 @@
         return !present.contains(item.first);
     });
     registry.retain(present, end, now);
-    recordEndpointsRead(false, now);
+    cursor.absence = registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
+    recordEndpointsRead(false);
     std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
         return item.second.position() < end && !present.contains(EndpointId(item.first));
     });
@@ -254,6 +295,8 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
+    const Time sentAt = MilliClock::now();
+    gateway_.endpointObservation.beginRead(sentAt);
     const auto answer = co_await store_.read(platform::KeyedTopic::Endpoints, from.offset, Duration(0), ANSWER_TIMEOUT);
     const Time now = MilliClock::now();
     gateway_.registry.recordStoreAnswer(now);
@@ -266,21 +309,26 @@
     if (!cursor.next) {
         co_return ReadResult::SnapshotNeeded;
     }
-    if (accepted) {
-        for (const platform::KeyedRecord &record : records->records) {
-            applyEndpointRecord(record, from.era, now);
-        }
-        cursor.next = StorePosition {from.era, records->next};
-        nextEndpoint_ = *cursor.next;
-        recordEndpointsRead(true, now);
+    if (!accepted) {
+        co_return ReadResult::UpToDate;
+    }
+    for (const platform::KeyedRecord &record : records->records) {
+        applyEndpointRecord(record, from.era, now);
+    }
+    cursor.next = StorePosition {from.era, records->next};
+    nextEndpoint_ = *cursor.next;
+    if (records->next < records->end) {
+        co_return records->records.empty() ? ReadResult::UpToDate : ReadResult::MoreRecords;
     }
+    cursor.absence = gateway_.registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
+    recordEndpointsRead(true);
     co_return ReadResult::UpToDate;
 }
 
-void StoreFollower::recordEndpointsRead(bool complete, Time now)
+void StoreFollower::recordEndpointsRead(bool complete)
 {
-    gateway_.streams.recordContact(now);
-    gateway_.streams.versions().recordRead(complete, now);
+    gateway_.streams.versions().recordRead(complete, gateway_.endpointObservation.sentAt());
+    gateway_.endpointObservation.recordSeenToEnd();
 }
 
 void StoreFollower::applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era)
@@ -334,7 +382,15 @@
     cursor.failures = 0;
     if (cursor.lost) {
         cursor.lost = false;
-        logEvent(LogEvent::StoreRegained, {{"topic", cursor.topic}});
+        const StoreAbsence absence = cursor.absence.value_or(StoreAbsence());
+        logEvent(LogEvent::StoreRegained,
+                 {{"topic", cursor.topic},
+                  {"absent_ms", absence.duration},
+                  {"covered_ms", absence.covered},
+                  {"served_others", absence.servedOthers ? "true" : "false"},
+                  {"cut_off", absence.cutOff ? "true" : "false"},
+                  {"removed", absence.removed},
+                  {"kept", absence.kept}});
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -25,6 +25,12 @@
     /// \brief Follows the endpoints' heartbeats until the task is stopped.
     boost::asio::awaitable<void> followEndpoints(TaskContext &context);
 
+    /// \brief Records a sign that the network is back. If the last read of the endpoints failed, the next one follows at once.
+    void recordNetworkReturn();
+
+    /// \brief Ends the pause of the task that follows the endpoints.
+    void wakeEndpointReader();
+
 private:
     /// \brief Progress of reading one topic.
     struct TopicCursor {
@@ -37,11 +43,15 @@
         bool lost = false;
         /// \brief Consecutive failures.
         int failures = 0;
+        /// \brief What the last read tells of a time without the store that it ended, for the log.
+        std::optional<StoreAbsence> absence = std::nullopt;
     };
 
     /// \brief What one read of a topic has brought.
     enum class ReadResult {
         UpToDate,
+        /// \brief The topic has further records.
+        MoreRecords,
         /// \brief The reading position is not valid any more; a snapshot has to be read next.
         SnapshotNeeded,
     };
@@ -60,11 +70,12 @@
     void logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing);
     void applyConfigurationRecord(const platform::KeyedRecord &record, StoreEra era);
     void applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now);
-    /// \brief Records that the endpoints are known up to \a now. \param complete see VersionHistory::recordRead().
-    void recordEndpointsRead(bool complete, Time now);
+    /// \brief Records that the endpoints are known as of the time at which the current read was sent. \param complete see VersionHistory::recordRead().
+    void recordEndpointsRead(bool complete);
     void recordSuccess(TopicCursor &cursor);
     void recordFailure(TopicCursor &cursor, const std::string &error);
     Duration backoffAfterFailure(const TopicCursor &cursor);
+    Duration pauseAfterEndpoints(ReadResult result);
     Duration pauseBeforeSnapshot();
 
     /// \brief Fetches the records from the next peer. \param endpointsFrom position of the first endpoint record that is wanted.
@@ -76,6 +87,12 @@
     NewestRecords newestRecords_;
     /// \brief Position of the first endpoint record that was not read.
     StorePosition nextEndpoint_;
+    /// \brief Task that follows the endpoints; null before it has started.
+    TaskContext *endpointReader_ = nullptr;
+    /// \brief The last read of the endpoints failed.
+    bool endpointsLost_ = false;
+    /// \brief There was a sign that the network is back since the last read of the endpoints failed.
+    bool networkReturned_ = false;
     std::size_t nextPeer_ = 0;
     /// \brief Peers that are still to be asked for a newer configuration than the store has.
     std::size_t peersToAsk_ = 0;
--- a/src/http/eventframer.cpp
+++ b/src/http/eventframer.cpp
@@ -90,14 +90,17 @@
 void EventFramer::finishEvent()
 {
     const OpenEvent event = std::exchange(event_, OpenEvent());
-    if (event.hasId && firstIdAfterCut_) {
+    if (event.hasFields && firstIdAfterCut_) {
         firstIdAfterCut_ = false;
-        repeatsEvents_ = !lastEventId_.empty() && repeats(lastEventId_, event.id);
+        repeatsEvents_ = !lastEventId_.empty() && !event.isEndMark && (!event.hasId || repeats(lastEventId_, event.id));
     }
     if (repeatsEvents_ || !event.hasFields) {
         return;
     }
+    lastHasId_ = event.hasId && !event.id.empty();
+    ambiguousIds_ = ambiguousIds_ || (lastHasId_ && !lastEventId_.empty() && repeats(lastEventId_, event.id));
     if (event.hasId) {
+        firstEventId_ = firstEventId_.empty() ? event.id : firstEventId_;
         lastEventId_ = event.id;
     }
     ++takenEvents_;
@@ -118,6 +121,13 @@
     afterCarriageReturn_ = false;
     repeatsEvents_ = false;
     firstIdAfterCut_ = true;
+    firstEventId_.clear();
+}
+
+void EventFramer::continueAfter(std::string lastEventId)
+{
+    lastEventId_ = std::move(lastEventId);
+    firstIdAfterCut_ = true;
 }
 
 ContentEnd EventFramer::contentEnd() const
@@ -148,7 +158,12 @@
 
 std::size_t EventFramer::heldBytes() const
 {
-    return pending_.size() + event_.id.size() + lastEventId_.size();
+    return pending_.size() + event_.id.size() + firstEventId_.size() + lastEventId_.size();
+}
+
+bool EventFramer::isResumable() const
+{
+    return lastHasId_ && !ambiguousIds_;
 }
 
 const std::string &EventFramer::lastEventId() const
@@ -156,4 +171,9 @@
     return lastEventId_;
 }
 
+const std::string &EventFramer::firstEventId() const
+{
+    return firstEventId_;
+}
+
 } // namespace mimosatally
--- a/src/membership/endpointregistry.cpp
+++ b/src/membership/endpointregistry.cpp
@@ -1,12 +1,16 @@
 #include <mimosatally/membership/endpointregistry.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosatally
 {
 
 namespace
 {
+/// \brief Heartbeats that every endpoint misses at least in an outage of the store that lets entries lapse.
+constexpr int MIN_MISSED_HEARTBEATS = 2;
+
 /// \brief Without start times, incarnations of one id cannot be told apart.
 bool sameIncarnation(const EndpointRecord &left, const EndpointRecord &right)
 {
@@ -22,6 +26,9 @@
 
 void EndpointRegistry::apply(const EndpointId &id, StorePosition position, const std::optional<EndpointRecord> &record, Time now)
 {
+    if (missed_ && !storeLost_ && record) {
+        missed_->heartbeats.add(*record);
+    }
     const auto known = positions_.find(id);
     if (known != positions_.end() && known->second >= position) {
         return;
@@ -79,14 +86,19 @@
 
 void EndpointRegistry::remove(const EndpointId &id, Time now)
 {
-    if (!endpoints_.contains(id)) {
+    const auto entry = endpoints_.find(id);
+    if (entry == endpoints_.end()) {
         return;
     }
-    if (now < graceEnd_) {
-        graceDeadlines_.insert_or_assign(id, graceEnd_);
+    // An endpoint that has announced that it leaves does not register again.
+    if (now >= graceEnd_ || entry->second.leaving) {
+        erase(id);
         return;
     }
-    erase(id);
+    graceDeadlines_.insert_or_assign(id, graceEnd_);
+    if (missed_) {
+        missed_->removals.insert_or_assign(id, missed_->heartbeats.size());
+    }
 }
 
 void EndpointRegistry::erase(const EndpointId &id)
@@ -108,6 +120,9 @@
 
 void EndpointRegistry::retain(const std::set<EndpointId> &snapshot, StorePosition snapshotEnd, Time now)
 {
+    // A snapshot does not tell what was written between.
+    missed_.reset();
+    lastAbsence_ = Duration(0);
     std::erase_if(positions_, [&](const auto &item) {
         return item.second < snapshotEnd && !snapshot.contains(item.first) && !endpoints_.contains(item.first);
     });
@@ -124,7 +139,9 @@
 
 void EndpointRegistry::recordRestore(Time now)
 {
-    graceEnd_ = now + REREGISTRATION_TIME;
+    restoreGraceEnd_ = now + REREGISTRATION_TIME;
+    graceEnd_ = restoreGraceEnd_;
+    missed_.reset();
 }
 
 void EndpointRegistry::forgetPositions()
@@ -140,7 +157,13 @@
 
 void EndpointRegistry::recordStoreFailure()
 {
-    storeLost_ = true;
+    if (!std::exchange(storeLost_, true)) {
+        peerSilence_ = Duration(0);
+        missed_.emplace();
+        for (const auto &[id, record] : endpoints_) {
+            missed_->heartbeats.add(record);
+        }
+    }
 }
 
 void EndpointRegistry::recordStoreAnswer(Time now)
@@ -151,6 +174,60 @@
     }
 }
 
+std::optional<StoreAbsence> EndpointRegistry::recordHistoryRead(Time sentAt, Time now, Duration heartbeatInterval)
+{
+    std::optional<StoreAbsence> absence;
+    if (missed_ && !storeLost_ && completeUpTo_) {
+        absence = settle(*missed_, now - *completeUpTo_, now, heartbeatInterval);
+    }
+    missed_.reset();
+    completeUpTo_ = sentAt;
+    return absence;
+}
+
+StoreAbsence EndpointRegistry::settle(const MissedRecords &missed, Duration duration, Time now, Duration heartbeatInterval)
+{
+    StoreAbsence absence;
+    absence.duration = duration;
+    absence.covered = heartbeatInterval * missed.heartbeats.intervals();
+    // The heartbeats can be out of step with the outage by one interval.
+    absence.servedOthers = duration - absence.covered < heartbeatInterval * (MIN_MISSED_HEARTBEATS - 1);
+    absence.cutOff = duration - peerSilence_ < heartbeatInterval * MIN_MISSED_HEARTBEATS;
+    absence.removed = missed.removals.size();
+    lastAbsence_ = duration;
+    for (const auto &[id, mark] : missed.removals) {
+        const auto grace = graceDeadlines_.find(id);
+        if (grace != graceDeadlines_.end()) {
+            const Duration sinceRemoval = heartbeatInterval * missed.heartbeats.intervalsAfter(mark);
+            grace->second = std::max(now + REREGISTRATION_TIME - sinceRemoval, restoreGraceEnd_);
+        }
+    }
+    if (absence.servedOthers || absence.cutOff) {
+        endGrace(now);
+    }
+    expire(now);
+    absence.kept = graceDeadlines_.size();
+    return absence;
+}
+
+void EndpointRegistry::recordPeerSilence(Duration silence, Time now, Duration heartbeatInterval)
+{
+    peerSilence_ = silence;
+    const bool answeredBefore = !storeLost_ && now < graceEnd_ && lastAbsence_ > Duration(0);
+    if (answeredBefore && lastAbsence_ - silence < heartbeatInterval * MIN_MISSED_HEARTBEATS) {
+        endGrace(now);
+    }
+}
+
+void EndpointRegistry::endGrace(Time now)
+{
+    graceEnd_ = restoreGraceEnd_;
+    for (auto &[id, deadline] : graceDeadlines_) {
+        deadline = std::max(now, restoreGraceEnd_);
+    }
+    expire(now);
+}
+
 void EndpointRegistry::expire(Time now)
 {
     std::vector<EndpointId> expired;
