Let a record of another gateway go before a read of the store that ends sooner

What callers would see: a stream whose gateway lives and knows its version goes on at another one (ORDER). Found by a review by reading. Cause: a lookup ended with the first of a peer's answer and a read that shows one version, and a regular read that began just after the lookup could end before the question to the peers had left, 5 ms later. Every gap of the conclusion by absence then counted although the owner lived. Change: within FIRST_WAIT only a record ends the lookup; the read is considered after that. It costs no calls. Test: "A record of another gateway goes before a read of the store that ends sooner".

--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -119,9 +119,9 @@
     const bool hasPeers = !lookup.root.empty() && ask_ && ask_({});
     if (hasPeers) {
         queueQuestion(lookup.root);
-        co_await waitUntilDecided(lookup, lookup.began + FIRST_WAIT);
+        co_await waitForRecord(lookup, lookup.began + FIRST_WAIT);
     }
-    if (isDecided(lookup)) {
+    if (!isOpen(lookup.root)) {
         co_return;
     }
     if (hasPeers) {
@@ -149,6 +149,13 @@
     }
 }
 
+awaitable<void> StreamLookup::waitForRecord(const Lookup &lookup, Time end)
+{
+    while (isOpen(lookup.root) && MilliClock::now() < end) {
+        co_await waitOnce(lookup.root, end);
+    }
+}
+
 awaitable<void> StreamLookup::waitUntilDecided(const Lookup &lookup, Time end)
 {
     while (!isDecided(lookup) && MilliClock::now() < end) {
--- a/src/gateway/streamlookup.h
+++ b/src/gateway/streamlookup.h
@@ -96,6 +96,8 @@
     boost::asio::awaitable<void> waitForKnowledge(Lookup &lookup);
     /// \brief Waits for an observation of the store if a conclusion from it is possible.
     boost::asio::awaitable<void> observeStore(const Lookup &lookup);
+    /// \brief Waits for a record of another gateway, which goes before a conclusion from the store.
+    boost::asio::awaitable<void> waitForRecord(const Lookup &lookup, Time end);
     /// \brief Waits until the lookup is decided.
     boost::asio::awaitable<void> waitUntilDecided(const Lookup &lookup, Time end);
     /// \brief Waits until another gateway has told of \a root or a read of the store has ended.
--- a/tests/unit/storeobservationtest.cpp
+++ b/tests/unit/storeobservationtest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
@@ -243,3 +244,27 @@
     CHECK(fixture.lookUp() == OLD);
     CHECK(covered == 1);
 }
+
+// Guards against a record of another gateway that arrives while a read of the store seems to show the only version: the stream can have been begun by an
+// endpoint that is not registered any more, or not yet.
+TEST_CASE("A record of another gateway goes before a read of the store that ends sooner", "[streams]")
+{
+    ReaderFixture fixture;
+    fixture.lookup.setAsk([&fixture](const std::vector<RequestId> &roots) {
+        if (roots.empty()) {
+            // A regular read begins at once and ends before any gateway can answer.
+            fixture.readTime = Duration(1);
+            boost::asio::post(fixture.io, [&fixture] {
+                fixture.read();
+            });
+        } else {
+            const auto timer = std::make_shared<boost::asio::steady_timer>(fixture.io, Duration(20));
+            timer->async_wait([&fixture, timer, roots](const boost::system::error_code &) {
+                fixture.tracker.recordNotice({NEW, roots}, MilliClock::now());
+                fixture.lookup.wake(roots);
+            });
+        }
+        return true;
+    });
+    CHECK(fixture.lookUp() == NEW);
+}
