Conclude no only version from what a restored store kept

What callers would see: a stream goes on at another version after the store has returned from an older copy (ORDER). Found by a review by reading. Cause: a restore within 3 s of the last read counted as a harmless gap, and a history that begins at offset 0 counted as complete although the copy lacks records. A version that only the lost records showed, and that has ended since, was taken never to have been there. Change: a restore is a gap, and no history covers the time before it. Test: "After a restore of the store no only version is known until the whole lifetime was watched".

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -135,6 +135,7 @@
     if (observation == StoreEraTracker::Observation::Advanced) {
         registry.recordRestore(now);
         endpointObservation.recordRestore(now + EndpointRegistry::REREGISTRATION_TIME);
+        streams.versions().recordRestore(now);
         metrics.increment("mimosatally_store_restores_total", {});
         logEvent(LogEvent::StoreEraChanged, {{"topic", topic}, {"era", storeEra.current()}, {"last_era", last}});
     }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -189,7 +189,9 @@
         logEvent(LogEvent::StoreWentBack, {{"topic", "endpoints"}, {"end", end.offset}, {"known", known.offset}});
         gateway_.registry.forgetPositions();
         newestRecords_.endpoints.clear();
-        gateway_.endpointObservation.recordRestore(MilliClock::now() + EndpointRegistry::REREGISTRATION_TIME);
+        const Time now = MilliClock::now();
+        gateway_.endpointObservation.recordRestore(now + EndpointRegistry::REREGISTRATION_TIME);
+        gateway_.streams.versions().recordRestore(now);
     }
 }
 
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -49,7 +49,8 @@
 
 void VersionHistory::recordCoverage(Time since)
 {
-    coveredSince_ = coveredSince_ ? std::min(*coveredSince_, since) : since;
+    const Time shown = restoredAt_ ? std::max(since, *restoredAt_) : since;
+    coveredSince_ = coveredSince_ ? std::min(*coveredSince_, shown) : shown;
 }
 
 void VersionHistory::recordGap(Time now)
@@ -58,6 +59,12 @@
     ++gaps_;
 }
 
+void VersionHistory::recordRestore(Time now)
+{
+    restoredAt_ = now;
+    recordGap(now);
+}
+
 void VersionHistory::recordRead(bool complete, Time sent)
 {
     if (!lastRead_) {
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -38,6 +38,10 @@
     /// still. \param complete false if a version that was registered only between the last read and this one may have been missed.
     void recordRead(bool complete, Time sent);
 
+    /// \brief Records that the store has returned from an older copy: versions that only the lost records showed may have been missed, and what it keeps from
+    /// before \a now shows nothing about them.
+    void recordRestore(Time now);
+
     /// \brief Returns how often versions may have been missed.
     [[nodiscard]] std::uint64_t gapCount() const;
 
@@ -78,6 +82,7 @@
     std::map<ServiceId, Versions> services_;
     Duration lifetime_ = originLifetime(Duration(0));
     std::optional<Time> coveredSince_;
+    std::optional<Time> restoredAt_;
     std::optional<Time> lastRead_;
     std::uint64_t gaps_ = 0;
 };
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -413,3 +413,24 @@
     CHECK_FALSE(first.isMixed(MODEL, at(60'000)));
     CHECK_FALSE(second.isMixed(MODEL, at(60'000)));
 }
+
+// Guards against a version that began streams and that only records show which a restore of the store has lost: neither a short gap between reads nor the
+// history that the copy keeps shows that there was none.
+TEST_CASE("After a restore of the store no only version is known until the whole lifetime was watched", "[streams]")
+{
+    VersionHistory versions;
+    versions.setLifetime(LIFETIME);
+    versions.recordRead(true, at(0));
+    versions.observe(MODEL, OLD.version, at(0));
+    const Time watched = at(0) + LIFETIME;
+    versions.observe(MODEL, OLD.version, watched);
+    REQUIRE(versions.onlyVersion(MODEL, watched) == OLD.version);
+    const Time restored = watched + Duration(1000);
+    versions.recordRestore(restored);
+    versions.recordRead(false, restored);
+    versions.recordCoverage(at(0));
+    versions.observe(MODEL, OLD.version, restored);
+    CHECK_FALSE(versions.onlyVersion(MODEL, restored));
+    versions.observe(MODEL, OLD.version, restored + LIFETIME);
+    CHECK(versions.onlyVersion(MODEL, restored + LIFETIME) == OLD.version);
+}
