Count attempts at endpoints that are known to have ended

What callers would see: if all endpoints of a service or version have been killed, each call tried every one of them before it was refused, and each refusal renewed the conclusion that the endpoint has ended. Found by a review by reading. Cause: every refused connection was free, also at an endpoint that was known to have ended and is tried last. After a prefill, several refused decode engines counted as one attempt, so that the difference of the counters allowed more attempts than the limit. Change: a refused connection is free only if it is news, and each decode engine that is tried counts as an attempt. Test: "A refused connection is news once".

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -248,7 +248,8 @@
 
     /// \brief Records that the endpoint's address refused a connection, so the process of the incarnation that started at \a startedAt has ended. It gets no
     /// calls while others can run them, until its later heartbeats or an answer show that it lives, and for two seconds at most.
-    void recordRefusedConnection(const EndpointId &endpoint, std::int64_t startedAt, Time now);
+    /// \return false if the incarnation was known to have ended already, which then stays as old as it was.
+    bool recordRefusedConnection(const EndpointId &endpoint, std::int64_t startedAt, Time now);
 
     /// \brief Updates the endpoint's state from the head of an attempt's answer. Answers of an earlier incarnation are ignored.
     EndpointUpdate observeAnswer(Ticket ticket, const EndpointAnswer &answer, Time now);
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -209,7 +209,7 @@
     const EndpointRecord record = *known;
     const bool ended = co_await call.refusesConnection();
     if (ended) {
-        gateway_.router.recordRefusedConnection(endpoint, record.startedAt, MilliClock::now());
+        static_cast<void>(gateway_.router.recordRefusedConnection(endpoint, record.startedAt, MilliClock::now()));
         crashed_ = true;
         crashedWithinStream_ = crashedWithinStream_ || streaming_;
         gateway_.crashWatch.recordCrash(call_.id, record, suspects_.all(), sinceFirstByte, MilliClock::now());
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -338,16 +338,19 @@
         next = co_await runAt(endpoint, prompt, prefillEngine, AttemptWork::Run, timeout);
         // An engine that has received nothing has not taken the prompt's KV cache either, so another one can.
         refused = refusedAttempts_ > refusedBefore;
+        attempts_ += refused ? 1 : 0;
     } while (refused && guard_->stopReason() == StopReason::None);
     co_return next;
 }
 
 void CallFlow::recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt)
 {
-    if (call.wasRefused()) {
-        ++refusedAttempts_;
-        gateway_.router.recordRefusedConnection(endpoint, startedAt, MilliClock::now());
+    if (!call.wasRefused()) {
+        return;
     }
+    const bool isNews = gateway_.router.recordRefusedConnection(endpoint, startedAt, MilliClock::now());
+    // An endpoint that is known to have ended is tried last, and such attempts are limited like others.
+    refusedAttempts_ += isNews ? 1 : 0;
 }
 
 void CallFlow::recordRun()
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -227,12 +227,17 @@
     }
 }
 
-void PhaseRouter::recordRefusedConnection(const EndpointId &endpoint, std::int64_t startedAt, Time now)
+bool PhaseRouter::recordRefusedConnection(const EndpointId &endpoint, std::int64_t startedAt, Time now)
 {
     const auto found = impl_->endpoints.find(endpoint);
-    if (found != impl_->endpoints.end() && found->second.record.startedAt == startedAt) {
-        found->second.refusal.record(found->second.record.heartbeat, now);
+    if (found == impl_->endpoints.end() || found->second.record.startedAt != startedAt) {
+        return true;
     }
+    if (found->second.refusal.isEnded(now)) {
+        return false;
+    }
+    found->second.refusal.record(found->second.record.heartbeat, now);
+    return true;
 }
 
 EndpointUpdate PhaseRouter::observeAnswer(Ticket ticket, const EndpointAnswer &answer, Time now)
--- a/tests/unit/refusedconnectiontest.cpp
+++ b/tests/unit/refusedconnectiontest.cpp
@@ -96,3 +96,17 @@
     request.excluded = {EndpointId("b")};
     CHECK(fleet.router.place(request, at(700)).run == EndpointId("a"));
 }
+
+// Guards against calls that try every endpoint of a service after all of them have ended: only the first refusal of each is free of the limit on attempts.
+TEST_CASE("A refused connection is news once", "[phaserouter][refused]")
+{
+    PlainFleet fleet;
+    const EndpointId endpoint("a");
+    const std::int64_t startedAt = fleet.records[endpoint].startedAt;
+    CHECK(fleet.router.recordRefusedConnection(endpoint, startedAt, at(0)));
+    CHECK_FALSE(fleet.router.recordRefusedConnection(endpoint, startedAt, at(1000)));
+    // A later refusal does not renew the first one, so a call tests the address again two seconds after that.
+    CHECK(fleet.chosen(1999) == "b");
+    CHECK(fleet.chosen(2000) == "a");
+    CHECK(fleet.router.recordRefusedConnection(endpoint, startedAt, at(2000)));
+}
