Count heartbeats once if an older record follows a newer one

Found by a review by reading. Cause: after a newer record that another gateway has told, the older one from the store set the count back, and the heartbeats between them counted twice. Change: an older record is counted as a record and changes nothing else. Test: one more step in "The span of a history is counted in heartbeats of one start of an endpoint".

--- a/src/membership/heartbeatspan.cpp
+++ b/src/membership/heartbeatspan.cpp
@@ -9,14 +9,18 @@
 {
     Counted &counted = endpoints_[record.id];
     const EndpointRecord &last = counted.last;
+    const std::size_t place = size_++;
+    const bool sameStart = last.startedAt == record.startedAt && last.heartbeat && record.heartbeat;
+    if (sameStart && *record.heartbeat < *last.heartbeat) {
+        // An older record, after a newer one that another gateway has told: the heartbeats between them would count twice.
+        return;
+    }
     // Records that tell of a change are written between the regular ones.
-    const bool regular = last.startedAt == record.startedAt && last.leaving == record.leaving && last.phase == record.phase && last.heartbeat
-                         && record.heartbeat && *record.heartbeat > *last.heartbeat;
+    const bool regular = sameStart && last.leaving == record.leaving && last.phase == record.phase && *record.heartbeat > *last.heartbeat;
     if (regular) {
-        counted.regular.push_back(size_);
+        counted.regular.push_back(place);
     }
     counted.last = record;
-    ++size_;
 }
 
 std::size_t HeartbeatSpan::size() const
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -390,6 +390,14 @@
     CHECK(span.intervals() == 2);
     span.add(heartbeat("e2", 4, 2));
     CHECK(span.intervals() == 2);
+    // A record that was told before it is read again, with those that precede it, counts once.
+    span.add(heartbeat("e3", 1));
+    span.add(heartbeat("e3", 3));
+    span.add(heartbeat("e3", 1));
+    span.add(heartbeat("e3", 2));
+    span.add(heartbeat("e3", 3));
+    span.add(heartbeat("e3", 4));
+    CHECK(span.intervals() == 2);
 }
 
 // Guards against gateways that tell each other for ever of a version that has left, so that no stream of an unknown origin goes on any more.
