Do not use objects of the exchange and the store's observation after their end

What an operator could see: a crash while a gateway stops. Found by a review by reading; not seen. Cause: the handler of a cancelled timer wrote to the observation that the destructor had ended, and a datagram could call a handler that was not set. Change: both check first.

--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -272,7 +272,7 @@
     try {
         const PeerDatagram datagram = decodeDatagram(bytes);
         const std::optional<Duration> silence = peers_.recordDatagram({sender, datagram.region}, now);
-        if (silence) {
+        if (silence && peersReturned_) {
             peersReturned_(*silence);
         }
         if (datagram.processCount > 0) {
--- a/src/gateway/storeobservation.cpp
+++ b/src/gateway/storeobservation.cpp
@@ -84,8 +84,12 @@
     const Time now = MilliClock::now();
     timer_.expires_after(nextRequestedRead(now) - now);
     timer_.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            // Only the destructor cancels the timer.
+            return;
+        }
         requested_ = false;
-        if (!error && readNow_) {
+        if (readNow_) {
             readNow_();
         }
     });
