Choose among suspected endpoints without copying them at each placement

A newcomer would stumble over the nested conditions, and each placement copied two lists. No placement changes; the tests of the router are the same.

--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -70,20 +70,28 @@
     std::vector<const Endpoint *> suspected;
     std::vector<const Endpoint *> ended;
     for (const Endpoint *endpoint : sample) {
-        if (canServe(*endpoint, request, now)) {
-            auto &group = isHealthy(*endpoint, now) ? candidates : endpoint->refusal.isEnded(now) ? ended : suspected;
-            group.push_back(endpoint);
+        if (!canServe(*endpoint, request, now)) {
+            continue;
+        }
+        if (isHealthy(*endpoint, now)) {
+            candidates.push_back(endpoint);
+        } else if (endpoint->refusal.isEnded(now)) {
+            ended.push_back(endpoint);
+        } else {
+            suspected.push_back(endpoint);
         }
     }
     const auto canRunCalls = [](const Endpoint *endpoint) {
         return endpoint->record.phase != EnginePhase::Prefill;
     };
-    // A suspected endpoint is better than none: the failures may be caused by this process or its network link. One whose process has ended may be back.
-    for (const auto &others : {suspected, ended}) {
+    const auto addUnlessOneRunsCalls = [&](const std::vector<const Endpoint *> &others) {
         if (std::ranges::none_of(candidates, canRunCalls)) {
             std::ranges::copy_if(others, std::back_inserter(candidates), canRunCalls);
         }
-    }
+    };
+    // A suspected endpoint is better than none: the failures may be caused by this process or its network link. One whose process has ended may be back.
+    addUnlessOneRunsCalls(suspected);
+    addUnlessOneRunsCalls(ended);
     return candidates;
 }
 
