Run the test that waits for the linter after all others

What was slow: in a run beside other work the test `lint` was chosen in the middle, waited 594 s for the linter and held up the tests that run alone meanwhile. Change: a whole run has CTest play all tests but `lint` and then `lint`; both results are counted, and a missing one fails the run. With arguments there is one run of CTest as before.

--- a/test.sh
+++ b/test.sh
@@ -24,10 +24,28 @@
     trap 'kill -- "-$LINT_PID" 2>/dev/null' EXIT
 fi
 
-ctest --test-dir "$BUILD" -j "$TEST_JOBS" --output-on-failure --no-tests=error --output-junit results.xml "$@" | tee "$BUILD/ctest.log"
+run_tests() {
+    local results=$1
+    shift
+    ctest --test-dir "$BUILD" -j "$TEST_JOBS" --output-on-failure --no-tests=error --output-junit "$results" "$@" | tee -a "$BUILD/ctest.log"
+}
 
-passed=$(grep -c '<testcase .*status="run"' "$BUILD/results.xml")
-mapfile -t failures < <(grep -oE '<testcase name="[^"]*"[^>]*status="fail"' "$BUILD/results.xml" | sed -E 's/<testcase name="([^"]*)".*/\1/; s/&lt;/</g; s/&gt;/>/g; s/&quot;/"/g; s/&amp;/\&/g')
+RESULTS=("$BUILD/results.xml" "$BUILD/results-lint.xml")
+rm -f "$BUILD/ctest.log" "${RESULTS[@]}"
+if [ "$#" -eq 0 ]; then
+    # The test `lint` waits for the linter, so within one run it would hold up the tests that run alone.
+    run_tests results.xml -E '^lint$'
+    run_tests results-lint.xml -R '^lint$'
+else
+    RESULTS=("$BUILD/results.xml")
+    run_tests results.xml "$@"
+fi
+
+for results in "${RESULTS[@]}"; do
+    [ -s "$results" ] || { echo "$results is missing"; echo "0 passed, 1 failed"; exit 1; }
+done
+passed=$(cat "${RESULTS[@]}" | grep -c '<testcase .*status="run"')
+mapfile -t failures < <(cat "${RESULTS[@]}" | grep -oE '<testcase name="[^"]*"[^>]*status="fail"' | sed -E 's/<testcase name="([^"]*)".*/\1/; s/&lt;/</g; s/&gt;/>/g; s/&quot;/"/g; s/&amp;/\&/g')
 failed=0
 known=0
 for name in "${failures[@]}"; do
