Read load reports with the relative time of work as fourth figure

Cause: parseLoad() took exactly three figures, so the reports of endpoints that share their machines were dropped without a trace, and placement knew only the own attempts and the notices of peers.

Change: a fourth figure is read as ReportedLoad::relativeTime (bounded to 0.05 to 100); it is not used yet. A report that cannot be read is told from a missing one, counted, and logged at most each 10 s for an endpoint.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -112,6 +112,8 @@
     LimitChange limitChange = LimitChange::None;
     /// \brief The answer names a limit that cannot be read, and no such answer was reported in the last seconds.
     bool limitUnreadable = false;
+    /// \brief The answer reports a load that cannot be read, and no such answer was reported in the last seconds.
+    bool loadUnreadable = false;
     bool newlyLeaving = false;
     /// \brief The endpoint has asked this process to send no calls for this time.
     std::optional<Duration> pause;
--- a/include/mimosatally/serving/endpointanswer.h
+++ b/include/mimosatally/serving/endpointanswer.h
@@ -12,6 +12,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// \brief Time that work takes on the endpoint's machine at this moment, relative to the usual one; empty if the endpoint does not report it.
+    std::optional<double> relativeTime = std::nullopt;
 };
 
 /// \brief Status and header fields of an answer that determine its handling.
@@ -24,6 +26,8 @@
     /// \brief The answer carries a proof that the endpoint itself produced it.
     bool sealed = false;
     std::optional<ReportedLoad> load;
+    /// \brief The answer reports a load that cannot be read.
+    bool loadUnreadable = false;
     /// \brief Time for which the endpoint keeps an idle connection open.
     std::optional<Duration> keepAlive;
     /// \brief The endpoint accepts no new calls and will exit.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -225,6 +225,12 @@
     if (update.limitUnreadable) {
         logEvent(LogEvent::EndpointLimitUnreadable, {{"request", call_.id}, {"endpoint", endpoint}});
     }
+    if (answer.loadUnreadable) {
+        gateway_.metrics.increment("mimosatally_unreadable_load_reports_total", {});
+    }
+    if (update.loadUnreadable) {
+        logEvent(LogEvent::EndpointLoadUnreadable, {{"request", call_.id}, {"endpoint", endpoint}});
+    }
     gateway_.limitReport.recordChange(call_.id, endpoint, update.limitChange, MilliClock::now());
     if (update.pause) {
         logEvent(LogEvent::EndpointPaused, {{"request", call_.id}, {"endpoint", endpoint}, {"pause_ms", *update.pause}});
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -20,10 +20,18 @@
 constexpr Duration MAX_PAUSE = std::chrono::hours(24);
 /// \brief Maximum number of prefill notices kept for other processes; exceeded between two calls of takePrefillNotices() only if the notices are not taken.
 constexpr std::size_t MAX_NOTICES = 1000;
-/// \brief Interval between reports of unreadable limits of one endpoint.
+/// \brief Interval between reports of unreadable limits or loads of one endpoint.
 constexpr Duration FINDING_INTERVAL = Duration(10'000);
 constexpr double MIN_SLOWNESS = 0.3;
 constexpr double MAX_SLOWNESS = 8;
+
+/// \brief Returns whether a finding that was last reported at \a reportedAt is reported again, and records that.
+bool isFindingDue(Time &reportedAt, Time now)
+{
+    const bool due = reportedAt == Time::min() || now - reportedAt >= FINDING_INTERVAL;
+    reportedAt = due ? now : reportedAt;
+    return due;
+}
 } // namespace
 
 PhaseRouter::Impl::Endpoint *PhaseRouter::Impl::targetOf(const Attempt &attempt)
@@ -254,11 +262,8 @@
     update.newlyLeaving = answer.leaving && !endpoint->announcedLeaving && !endpoint->record.leaving;
     endpoint->announcedLeaving = endpoint->announcedLeaving || answer.leaving;
     update.limitChange = endpoint->limit.recordAnswer(answer, found->second.beganAt, impl_->limitPhase(*endpoint), now);
-    if (answer.requestLimitUnreadable
-        && (endpoint->unreadableLimitReportedAt == Time::min() || now - endpoint->unreadableLimitReportedAt >= FINDING_INTERVAL)) {
-        endpoint->unreadableLimitReportedAt = now;
-        update.limitUnreadable = true;
-    }
+    update.limitUnreadable = answer.requestLimitUnreadable && isFindingDue(endpoint->unreadableLimitReportedAt, now);
+    update.loadUnreadable = answer.loadUnreadable && isFindingDue(endpoint->unreadableLoadReportedAt, now);
     if (answer.retryAfter) {
         update.pause = pause(endpoint->record.id, *answer.retryAfter, now);
     }
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -105,6 +105,7 @@
     RecentSends sentRuns;
     /// \brief Last report of a limit that could not be read.
     Time unreadableLimitReportedAt = Time::min();
+    Time unreadableLoadReportedAt = Time::min();
     /// \brief Start of the current period in which attempts are open and no answer arrives; empty if there is none.
     std::optional<Time> unansweredSince;
 };
--- a/tests/unit/platformcodectest.cpp
+++ b/tests/unit/platformcodectest.cpp
@@ -137,6 +137,37 @@
     CHECK_FALSE(platform::decodeAnswer(header).load);
 }
 
+TEST_CASE("A load report with the relative time of work on the machine is read", "[platform]")
+{
+    http::response_header<> header;
+    header.result(200);
+    header.set("X-Mimosatally-Server-Load", "3,1,8,250");
+    const EndpointAnswer answer = platform::decodeAnswer(header);
+    REQUIRE(answer.load);
+    CHECK(answer.load->running == 3);
+    CHECK(answer.load->relativeTime == 2.5);
+    header.set("X-Mimosatally-Server-Load", "3,1,8");
+    CHECK_FALSE(platform::decodeAnswer(header).load->relativeTime);
+    header.set("X-Mimosatally-Server-Load", "3,1,8,0");
+    CHECK(platform::decodeAnswer(header).load->relativeTime == 0.05);
+    header.set("X-Mimosatally-Server-Load", "3,1,8,1000000");
+    CHECK(platform::decodeAnswer(header).load->relativeTime == 100);
+}
+
+TEST_CASE("An unreadable load report is told from a missing one", "[platform]")
+{
+    http::response_header<> header;
+    header.result(200);
+    CHECK_FALSE(platform::decodeAnswer(header).loadUnreadable);
+    for (const char *text : {"3,1", "3,1,8,100,5", "3,1,8,-1", "3,1,8,x", "3,1,8,", "3,1,8,1e9", "1000000001,1,8", "3,,8", ","}) {
+        CAPTURE(text);
+        header.set("X-Mimosatally-Server-Load", text);
+        const EndpointAnswer answer = platform::decodeAnswer(header);
+        CHECK_FALSE(answer.load);
+        CHECK(answer.loadUnreadable);
+    }
+}
+
 TEST_CASE("Server-Leaving and Retry-After of an answer are decoded", "[platform]")
 {
     http::response_header<> header;
