--- a/include/mimosatally/core/quantity.h
+++ b/include/mimosatally/core/quantity.h
@@ -66,6 +66,8 @@
 using RequestRate = Quantity<struct RequestRateTag>;
 /// \brief Position of a record in a stream of the log service; the first record has offset 0.
 using Offset = Quantity<struct OffsetTag>;
+/// \brief Number of a usage window: window k begins k times the length of a window after the start of 1970, in true time.
+using UsageWindow = Quantity<struct UsageWindowTag>;
 /// \brief Number of times that a store has returned from an older copy of its records. Offsets are given out again in each era.
 using StoreEra = Quantity<struct StoreEraTag>;
 /// \brief Fencing token of a lease: the log offset of the record that acquired it.
--- a/include/mimosatally/core/strongid.h
+++ b/include/mimosatally/core/strongid.h
@@ -49,6 +49,8 @@
 using InstanceId = StrongId<struct InstanceTag>;
 using ModelId = StrongId<struct ModelTag>;
 using OperatorId = StrongId<struct OperatorTag>;
+/// \brief Organisation on whose behalf callers send calls; they authenticate with one of its keys.
+using OrganisationId = StrongId<struct OrganisationTag>;
 using ProcessId = StrongId<struct ProcessTag>;
 using RecordId = StrongId<struct RecordTag>;
 using RegionId = StrongId<struct RegionTag>;
--- a/include/mimosatally/gateway/gatewaysettings.h
+++ b/include/mimosatally/gateway/gatewaysettings.h
@@ -10,6 +10,25 @@
 namespace mimosatally
 {
 
+/// \brief The platform's API, which one gateway at a time calls; an empty address means that there is none.
+struct PlatformApiSettings {
+    std::string address;
+    /// \brief Usage of organisations is reported to the platform.
+    bool reportsUsage = false;
+    /// \brief The platform is told how many endpoints each service needs.
+    bool scalesServices = false;
+    /// \brief Calls per second that the platform accepts from all gateways together.
+    double callsPerSecond = 50;
+    /// \brief The platform and the engines reject calls with an outdated fencing token.
+    bool fencesChecked = true;
+    /// \brief Length of the window of one usage report.
+    Duration usageWindow = Duration(5000);
+    /// \brief Largest error of a reported count, relative to the true one.
+    double usageTolerance = 0.05;
+    /// \brief Time after the end of a window until which its report is due.
+    Duration usageDue = Duration(10'000);
+};
+
 /// \brief Settings of a gateway process; docs/configuration.md describes the file.
 struct GatewaySettings {
     /// \brief File that the settings were read from.
@@ -46,6 +65,13 @@
     /// \brief Fraction of a service's engines that are assigned to prefill; fewer if the others would have too few slots for decode.
     double prefillShare = 0.625;
     std::size_t maxConnections = 3000;
+    PlatformApiSettings platformApi;
+    /// \brief Calls in progress end when a configuration comes into force without their key.
+    bool strictRevoke = false;
+    /// \brief Maximum fraction of the requests to a service that get an extra attempt because the first one is slow; 0 means none.
+    double extraAttemptLimit = 0;
+    /// \brief Calls are ordered and refused by ContentionControl also if the configuration has no organisations.
+    bool contentionControl = false;
     /// \brief Memory that the process may occupy, in bytes; what answers and requests may hold together is a part of it.
     std::size_t memoryLimit = std::size_t(256) * 1024 * 1024;
     LogLevel logLevel = LogLevel::Info;
--- a/include/mimosatally/serving/endpointattempt.h
+++ b/include/mimosatally/serving/endpointattempt.h
@@ -32,6 +32,8 @@
     std::optional<boost::asio::ip::tcp::endpoint> cacheSource;
     /// \brief Id of the last event that the caller has received; if empty, the caller's own field is passed on.
     std::optional<std::string> resumeAfter;
+    /// \brief Organisation of the call, empty if it has none. Set if the configuration has organisations; the caller's key is not forwarded then.
+    std::optional<OrganisationId> organisation = std::nullopt;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/serving/route.h
+++ b/include/mimosatally/serving/route.h
@@ -50,6 +50,8 @@
     std::vector<WeightedService> services;
     /// \brief Maximum number of endpoints on which one call may run.
     int maxAttempts = 1;
+    /// \brief Calls need no key, also if the configuration has organisations.
+    bool isPublic = false;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/serving/servingconfiguration.h
+++ b/include/mimosatally/serving/servingconfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "organisation.h"
 #include "route.h"
 
 #include <cstdint>
@@ -46,6 +47,8 @@
     std::vector<Route> routes;
     std::map<ServiceId, ServiceProfile> services;
     CallerLimits limits;
+    /// \brief Empty if callers do not authenticate.
+    std::optional<std::vector<Organisation>> organisations;
 };
 
 } // namespace mimosatally
--- /dev/null
+++ b/include/mimosatally/usage/usagereport.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <mimosatally/Core>
+
+#include <cstdint>
+#include <map>
+
+namespace mimosatally
+{
+
+/// \brief Requests of each organisation that began to run in one window.
+using UsageCounts = std::map<OrganisationId, std::int64_t>;
+
+/// \brief Usage of one window as it is reported to the platform. Once written down it never changes.
+struct UsageReport {
+    UsageWindow window;
+    UsageCounts counts;
+
+    bool operator==(const UsageReport &) const = default;
+};
+
+} // namespace mimosatally
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -32,11 +32,16 @@
 }
 } // namespace
 
-CallFlow::CallFlow(
-    GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route)
+CallFlow::CallFlow(GatewayState &gateway,
+                   HttpExchange &exchange,
+                   CallRequest call,
+                   CallerOrganisation organisation,
+                   std::shared_ptr<const ServingConfiguration> configuration,
+                   const Route &route)
     : gateway_(gateway)
     , exchange_(exchange)
     , call_(std::move(call))
+    , organisation_(std::move(organisation))
     , configuration_(std::move(configuration))
     , route_(route)
     , stream_(call_.id, chooseService())
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -33,7 +33,13 @@
 {
 public:
     /// \param route belongs to \a configuration.
-    CallFlow(GatewayState &gateway, HttpExchange &exchange, CallRequest call, std::shared_ptr<const ServingConfiguration> configuration, const Route &route);
+    /// \param organisation of the caller.
+    CallFlow(GatewayState &gateway,
+             HttpExchange &exchange,
+             CallRequest call,
+             CallerOrganisation organisation,
+             std::shared_ptr<const ServingConfiguration> configuration,
+             const Route &route);
 
     ~CallFlow();
     CallFlow(const CallFlow &) = delete;
@@ -111,6 +117,7 @@
     GatewayState &gateway_;
     HttpExchange &exchange_;
     CallRequest call_;
+    CallerOrganisation organisation_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     const Route &route_;
     PlacementRequest placementRequest_;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -67,7 +67,7 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    CallFlow flow(gateway_, exchange, std::move(*call), gateway_.configuration, *route);
+    CallFlow flow(gateway_, exchange, std::move(*call), CallerOrganisation(), gateway_.configuration, *route);
     co_await flow.run();
 }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -11,6 +11,9 @@
 
 const std::vector<std::string> LOG_LEVELS = {"debug", "info", "warning", "error"};
 constexpr std::int64_t MAX_CONNECTIONS = 60'000;
+constexpr double MAX_CALLS_PER_SECOND = 1'000'000;
+/// \brief Extra attempts share the retry budget, which is a fifth of the requests on the usual platforms.
+constexpr double MAX_EXTRA_ATTEMPT_LIMIT = 0.2;
 constexpr double MAX_RETRY_SLACK = 1'000'000;
 constexpr std::int64_t BYTES_PER_MEGABYTE = std::int64_t(1024) * 1024;
 /// \brief Smallest memory limit; the program itself occupies some 15 MB.
@@ -33,6 +36,22 @@
     return value;
 }
 
+void readPlatformApi(TomlTable &root, PlatformApiSettings &result)
+{
+    TomlTable table = root.table("platform_api");
+    result.address = optionalAddress(table, "address");
+    // Platforms may add duties that this version does not know.
+    for (const std::string &duty : table.strings("duties")) {
+        result.reportsUsage = result.reportsUsage || duty == "usage_report";
+        result.scalesServices = result.scalesServices || duty == "autoscale";
+    }
+    result.callsPerSecond = numberUpTo(table, "calls_per_second", result.callsPerSecond, MAX_CALLS_PER_SECOND);
+    result.fencesChecked = table.boolean("fences_checked", result.fencesChecked);
+    result.usageWindow = table.fractionalDuration("usage_window", result.usageWindow);
+    result.usageTolerance = numberUpTo(table, "usage_tolerance", result.usageTolerance, 1);
+    result.usageDue = table.fractionalDuration("usage_due", result.usageDue);
+}
+
 void readRegions(TomlTable &root, GatewaySettings &result)
 {
     for (TomlTable &row : root.tables("data_centres")) {
@@ -66,6 +85,12 @@
     result.retryWindow = root.fractionalDuration("retry_window", result.retryWindow);
     result.prefillShare = numberUpTo(root, "prefill_share", result.prefillShare, 1);
     result.maxConnections = static_cast<std::size_t>(root.integer("max_connections", static_cast<std::int64_t>(result.maxConnections), 1, MAX_CONNECTIONS));
+    result.strictRevoke = root.boolean("strict_revoke", result.strictRevoke);
+    result.extraAttemptLimit = numberUpTo(root, "extra_attempt_limit", result.extraAttemptLimit, MAX_EXTRA_ATTEMPT_LIMIT);
+    result.contentionControl = root.boolean("contention_control", result.contentionControl);
+    if (root.has("platform_api")) {
+        readPlatformApi(root, result.platformApi);
+    }
     const auto defaultMemoryMb = static_cast<std::int64_t>(result.memoryLimit) / BYTES_PER_MEGABYTE;
     result.memoryLimit =
         static_cast<std::size_t>(root.integer("memory_limit_mb", defaultMemoryMb, MIN_MEMORY_LIMIT_MB, MAX_MEMORY_LIMIT_MB) * BYTES_PER_MEGABYTE);
