--- a/include/mimosatally/serving/servingconfiguration.h
+++ b/include/mimosatally/serving/servingconfiguration.h
@@ -49,6 +49,8 @@
     CallerLimits limits;
     /// \brief Empty if callers do not authenticate.
     std::optional<std::vector<Organisation>> organisations;
+    /// \brief Length of the longest key in bytes.
+    std::size_t maxKeyBytes = 0;
 };
 
 } // namespace mimosatally
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -12,6 +12,7 @@
 
 namespace
 {
+constexpr unsigned STATUS_UNAUTHORIZED = 401;
 constexpr unsigned STATUS_BAD_GATEWAY = 502;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
@@ -54,12 +55,28 @@
 }
 } // namespace
 
+const std::string &CallFlow::organisationText() const
+{
+    static const std::string none = "-";
+    return caller_.organisation.id.empty() ? none : caller_.organisation.id.value();
+}
+
+void CallFlow::countResult(const char *result)
+{
+    gateway_.metrics.increment("mimosatally_calls_total", std::string("result=\"") + result + '"');
+    if (!caller_.organisation.id.empty()) {
+        gateway_.metrics.increment("mimosatally_organisation_calls_total",
+                                   "organisation=\"" + gateway_.organisationLabels.labelOf(caller_.organisation.id) + "\",result=\"" + result + '"');
+    }
+}
+
 void CallFlow::logPlaced(const EndpointId &endpoint, const Placement &placement)
 {
     const EndpointRecord *record = gateway_.router.record(endpoint);
     logEvent(LogEvent::GatewayCallPlaced,
              {{"request", call_.id},
               {"route", route_.id},
+              {"organisation", organisationText()},
               {"repeat", route_.retryPolicy == RetryPolicy::Idempotent ? "idempotent" : "once"},
               {"attempt", attempts_},
               {"endpoint", endpoint},
@@ -87,6 +104,7 @@
     const Duration total = MilliClock::now() - arrived_;
     logEvent(LogEvent::GatewayCallAnswered,
              {{"request", call_.id},
+              {"organisation", organisationText()},
               {"endpoint", endpoint},
               {"status", status},
               {"first_byte_ms", firstByte_.value_or(total)},
@@ -111,15 +129,31 @@
               {"earlier_requests", call.connectionUse().earlierRequests},
               {"skipped_answers", call.connectionUse().skippedAnswers},
               {"attempts", attempts_}});
-    gateway_.metrics.increment("mimosatally_calls_total", isSuccess(status) ? "result=\"answered\"" : "result=\"endpoint_failure\"");
+    countResult(isSuccess(status) ? "answered" : "endpoint_failure");
     constexpr double millisecondsPerSecond = 1000;
     gateway_.metrics.observe("mimosatally_first_byte_seconds",
                              "route=\"" + route_.id.value() + '"',
                              static_cast<double>(firstByte_.value_or(total).count()) / millisecondsPerSecond);
 }
 
+awaitable<void> CallFlow::endRevoked()
+{
+    constexpr const char *reason = "key-revoked";
+    if (streaming_) {
+        cutStream(reason);
+        co_return;
+    }
+    const unsigned status = mayHaveRun_ ? STATUS_BAD_GATEWAY : STATUS_UNAUTHORIZED;
+    logFailed(status, reason);
+    co_await respondError(status, reason, std::nullopt);
+}
+
 awaitable<void> CallFlow::giveUp()
 {
+    if (guard_->stopReason() == StopReason::KeyRevoked) {
+        co_await endRevoked();
+        co_return;
+    }
     if (streaming_) {
         cutStream("stream-broken");
         co_return;
@@ -147,6 +181,7 @@
     logEvent(LogEvent::GatewayCallFailed,
              {{"request", call_.id},
               {"route", route_.id},
+              {"organisation", organisationText()},
               {"status", status},
               {"reason", reason},
               {"cause", lastFailure_},
@@ -155,7 +190,7 @@
               {"attempts", attempts_},
               {"runs", runs_},
               {"after_ms", MilliClock::now() - arrived_}});
-    gateway_.metrics.increment("mimosatally_calls_total", "result=\"failed\"");
+    countResult("failed");
 }
 
 awaitable<void> CallFlow::refuse(Duration retryAfter, const char *reason)
@@ -163,13 +198,14 @@
     logEvent(LogEvent::GatewayCallRefused,
              {{"request", call_.id},
               {"route", route_.id},
+              {"organisation", organisationText()},
               {"reason", reason},
               {"cause", lastFailure_},
               {"retry_after_ms", retryAfter},
               {"attempts", attempts_},
               {"after_ms", MilliClock::now() - arrived_},
               {"configuration", configuration_->version}});
-    gateway_.metrics.increment("mimosatally_calls_total", "result=\"refused\"");
+    countResult("refused");
     co_await respondError(STATUS_UNAVAILABLE, reason, retryAfter);
 }
 
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -35,20 +35,20 @@
 CallFlow::CallFlow(GatewayState &gateway,
                    HttpExchange &exchange,
                    CallRequest call,
-                   CallerOrganisation organisation,
+                   CallerIdentity caller,
                    std::shared_ptr<const ServingConfiguration> configuration,
                    const Route &route)
     : gateway_(gateway)
     , exchange_(exchange)
     , call_(std::move(call))
-    , organisation_(std::move(organisation))
+    , caller_(std::move(caller))
     , configuration_(std::move(configuration))
     , route_(route)
     , stream_(call_.id, chooseService())
     , registration_(gateway.streams, gateway.streamLookup)
     , arrived_(MilliClock::now())
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
-    , activeEntry_(gateway.activeCalls.emplace(arrived_, guard_))
+    , activeEntry_(gateway.activeCalls.emplace(arrived_, ActiveCall {guard_, route.isPublic ? CallerIdentity() : caller_}))
     , suspects_(gateway.suspects, exchange.request(), call_.promptParts)
 {
     placementRequest_.promptParts = call_.promptParts;
@@ -133,6 +133,10 @@
         co_return false;
     }
     const Time now = MilliClock::now();
+    if (guard_->stopReason() == StopReason::KeyRevoked) {
+        co_await endRevoked();
+        co_return false;
+    }
     if (now >= guard_->deadline()) {
         co_await giveUp();
         co_return false;
@@ -234,7 +238,7 @@
 awaitable<bool> CallFlow::retryOrGiveUp(NextStep next)
 {
     const StopReason stopReason = guard_->stopReason();
-    if (stopReason == StopReason::CallerDisconnected) {
+    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::KeyRevoked) {
         co_return true;
     }
     if (stopReason != StopReason::DeadlinePassed && (retryGranted_ || canRetry(next))) {
@@ -283,6 +287,9 @@
     EndpointAttempt attempt;
     attempt.target = endpoint;
     attempt.remainingTime = guard_->remainingTime(MilliClock::now());
+    if (configuration_->organisations) {
+        attempt.organisation = caller_.organisation.id;
+    }
     if (streaming_) {
         attempt.resumeAfter = framer_.lastEventId();
     }
@@ -368,6 +375,7 @@
 {
     switch (guard_->stopReason()) {
     case StopReason::CallerDisconnected:
+    case StopReason::KeyRevoked:
         return AttemptOutcome::Abandoned;
     case StopReason::DeadlinePassed:
     case StopReason::AttemptTimedOut:
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callauthentication.h"
 #include "callguard.h"
 #include "callsuspects.h"
 #include "endpointcall.h"
@@ -33,11 +34,10 @@
 {
 public:
     /// \param route belongs to \a configuration.
-    /// \param organisation of the caller.
     CallFlow(GatewayState &gateway,
              HttpExchange &exchange,
              CallRequest call,
-             CallerOrganisation organisation,
+             CallerIdentity caller,
              std::shared_ptr<const ServingConfiguration> configuration,
              const Route &route);
 
@@ -102,12 +102,18 @@
     /// \brief Returns the timeout of an attempt that another one can follow. \param predictedMs predicted time to the first byte.
     [[nodiscard]] Duration attemptTimeout(double predictedMs) const;
     [[nodiscard]] ServiceId chooseService();
+    /// \brief Name of the caller's organisation, or `-`.
+    [[nodiscard]] const std::string &organisationText() const;
+    /// \brief Counts the final result of the call.
+    void countResult(const char *result);
     void logPlaced(const EndpointId &endpoint, const Placement &placement);
     void logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
     void logAnswered(const EndpointId &endpoint, const EndpointCall &call);
     void logFailed(unsigned status, const char *reason);
 
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
+    /// \brief Ends a call whose key is not valid any more.
+    boost::asio::awaitable<void> endRevoked();
     /// \brief Ends the call with an error when attempts or time are used up.
     boost::asio::awaitable<void> giveUp();
     /// \brief Ends a stream visibly before its last event.
@@ -117,7 +123,7 @@
     GatewayState &gateway_;
     HttpExchange &exchange_;
     CallRequest call_;
-    CallerOrganisation organisation_;
+    CallerIdentity caller_;
     std::shared_ptr<const ServingConfiguration> configuration_;
     const Route &route_;
     PlacementRequest placementRequest_;
@@ -125,7 +131,7 @@
     StreamRegistration registration_;
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
-    std::multimap<Time, std::weak_ptr<CallGuard>>::iterator activeEntry_;
+    std::multimap<Time, ActiveCall>::iterator activeEntry_;
     CallSuspects suspects_;
     EventFramer framer_;
     /// \brief Prefix of the prompt that the prefilling engine is expected to have cached or to fetch.
--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -47,6 +47,11 @@
     cancel(StopReason::CallerDisconnected);
 }
 
+void CallGuard::revokeKey()
+{
+    cancel(StopReason::KeyRevoked);
+}
+
 void CallGuard::expireNow()
 {
     deadline_ = std::min(deadline_, MilliClock::now());
@@ -58,6 +63,11 @@
     return stopReason_;
 }
 
+bool CallGuard::isCallStopped() const
+{
+    return stopReason_ != StopReason::None && stopReason_ != StopReason::AttemptTimedOut;
+}
+
 Time CallGuard::deadline() const
 {
     return deadline_;
@@ -92,7 +102,7 @@
 
 void CallGuard::cancel(StopReason reason)
 {
-    if (stopReason_ == StopReason::CallerDisconnected || stopReason_ == StopReason::DeadlinePassed) {
+    if (isCallStopped()) {
         return;
     }
     stopReason_ = reason;
--- a/src/gateway/callguard.h
+++ b/src/gateway/callguard.h
@@ -18,6 +18,8 @@
     DeadlinePassed,
     /// \brief The current attempt reached its deadline; another one may follow.
     AttemptTimedOut,
+    /// \brief The key of the caller is not valid any more.
+    KeyRevoked,
 };
 
 /// \brief Cancels the pending I/O of a call when its caller disconnects or a deadline passes, by closing the socket of the current attempt.
@@ -37,10 +39,15 @@
 
     void callerDisconnected();
 
+    /// \brief Ends the call because the key of its caller is not valid any more.
+    void revokeKey();
+
     /// \brief Ends the deadline of the call.
     void expireNow();
 
     [[nodiscard]] StopReason stopReason() const;
+    /// \brief Returns whether the call itself was stopped and not only its current attempt.
+    [[nodiscard]] bool isCallStopped() const;
     [[nodiscard]] Time deadline() const;
     [[nodiscard]] Duration remainingTime(Time now) const;
 
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 constexpr unsigned STATUS_BAD_REQUEST = 400;
+constexpr unsigned STATUS_UNAUTHORIZED = 401;
 constexpr unsigned STATUS_NOT_FOUND = 404;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 /// \brief Time after which a newly started process has its configuration.
@@ -55,6 +56,15 @@
         co_return;
     }
     const Route *route = gateway_.routes.find(call->host, call->path);
+    std::optional<CallerIdentity> caller = authentication_.authenticate(gateway_.keys, route, platform::callerKey(exchange.request()));
+    if (!caller) {
+        logEvent(LogEvent::GatewayCallRefused, {{"request", call->id}, {"reason", "unknown-key"}, {"configuration", gateway_.configuration->version}});
+        gateway_.metrics.increment("mimosatally_calls_unauthenticated_total", {});
+        HttpResponse response = makeErrorResponse(STATUS_UNAUTHORIZED, "unknown-key", std::nullopt);
+        response.set(boost::beast::http::field::www_authenticate, "Bearer");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (route == nullptr) {
         logEvent(LogEvent::GatewayCallRefused, {{"request", call->id}, {"reason", "no-route"}, {"configuration", gateway_.configuration->version}});
         HttpResponse response = makeErrorResponse(STATUS_NOT_FOUND, "no-route", std::nullopt);
@@ -67,7 +77,7 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    CallFlow flow(gateway_, exchange, std::move(*call), CallerOrganisation(), gateway_.configuration, *route);
+    CallFlow flow(gateway_, exchange, std::move(*call), std::move(*caller), gateway_.configuration, *route);
     co_await flow.run();
 }
 
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callauthentication.h"
 #include "gatewaystate.h"
 
 #include <mimosatally/Http>
@@ -9,7 +10,7 @@
 namespace mimosatally::internal
 {
 
-/// \brief Serves calls: finds the route, admits, places and sends the call, retries where that is allowed, and relays the answer.
+/// \brief Serves calls: authenticates the caller, finds the route, admits, places and sends the call, retries where that is allowed, and relays the answer.
 class CallHandler
 {
 public:
@@ -22,6 +23,7 @@
     [[nodiscard]] bool canOutlastShutdown(const CallRequest &call, const Route &route) const;
 
     GatewayState &gateway_;
+    CallAuthentication authentication_;
 };
 
 } // namespace mimosatally::internal
--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -282,8 +282,7 @@
 
 awaitable<Liveness> EndpointCall::probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt)
 {
-    const StopReason stopReason = guard_.stopReason();
-    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::DeadlinePassed) {
+    if (guard_.isCallStopped()) {
         co_return Liveness::NotAsked;
     }
     AnsweringProcess process = {std::move(endpoint), connectionUse_.address, startedAt};
@@ -307,8 +306,7 @@
 
 awaitable<boost::system::error_code> EndpointCall::tryConnection()
 {
-    const StopReason stopReason = guard_.stopReason();
-    if (stopReason == StopReason::CallerDisconnected || stopReason == StopReason::DeadlinePassed) {
+    if (guard_.isCallStopped()) {
         // The guard does not watch the connections of a call that has been stopped, so the wait would have no bound.
         co_return boost::asio::error::operation_aborted;
     }
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -77,7 +77,11 @@
     }
     putInForce(std::move(next));
     logEvent(LogEvent::ServingConfigurationInForce,
-             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"services", configuration->services.size()}});
+             {{"version", configuration->version},
+              {"routes", configuration->routes.size()},
+              {"services", configuration->services.size()},
+              {"organisations", configuration->organisations ? std::to_string(configuration->organisations->size()) : "-"},
+              {"keys", keys.size()}});
     return true;
 }
 
@@ -93,12 +97,35 @@
 {
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
+    keys = KeyTable(configuration);
+    for (const KeyDigest &key : keys.duplicates()) {
+        logEvent(LogEvent::KeyGivenTwice, {{"key", digestPrefix(key)}, {"version", configuration->version}});
+    }
+    if (settings.strictRevoke) {
+        endRevokedCalls();
+    }
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
     limitIdleConnections();
     streams.extendLifetime(originLifetime(longestStream(*configuration)));
+    metrics.set("mimosatally_organisation_keys", {}, static_cast<double>(keys.size()));
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
 }
 
+void GatewayState::endRevokedCalls()
+{
+    std::size_t ended = 0;
+    for (const auto &[arrived, call] : activeCalls) {
+        const std::shared_ptr<CallGuard> guard = call.guard.lock();
+        if (guard && !CallAuthentication::isValid(keys, call.caller)) {
+            guard->revokeKey();
+            ++ended;
+        }
+    }
+    if (ended > 0) {
+        logEvent(LogEvent::RevokedCallsEnded, {{"version", configuration->version}, {"calls", ended}});
+    }
+}
+
 void GatewayState::applyEndpoints(Time now)
 {
     registry.expire(now);
@@ -117,8 +144,8 @@
 void GatewayState::expireActiveCalls()
 {
     // A call that ends is removed by its own coroutine, later.
-    for (const auto &[arrived, weak] : activeCalls) {
-        if (const std::shared_ptr<CallGuard> guard = weak.lock()) {
+    for (const auto &[arrived, call] : activeCalls) {
+        if (const std::shared_ptr<CallGuard> guard = call.guard.lock()) {
             guard->expireNow();
         }
     }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "callauthentication.h"
 #include "callguard.h"
 #include "connectionpool.h"
 #include "crashwatch.h"
 #include "limitreport.h"
 #include "livenessprobe.h"
+#include "organisationlabels.h"
 #include "streamlookup.h"
 
 #include <mimosatally/Gateway>
@@ -20,6 +22,13 @@
 namespace mimosatally::internal
 {
 
+/// \brief A call that is not answered yet.
+struct ActiveCall {
+    std::weak_ptr<CallGuard> guard;
+    /// \brief Without a key if the call does not need one.
+    CallerIdentity caller;
+};
+
 /// \brief State shared by the components of one gateway process, which all run on one thread.
 struct GatewayState {
     GatewayState(boost::asio::io_context &context, const GatewaySettings &processSettings);
@@ -56,6 +65,8 @@
     Metrics metrics;
     std::shared_ptr<const ServingConfiguration> configuration;
     RouteTable routes;
+    KeyTable keys;
+    OrganisationLabels organisationLabels;
     EndpointRegistry registry;
     StoreEraTracker storeEra;
     PhaseRouter router;
@@ -79,10 +90,12 @@
     Time longCallsRefusedFrom = Time::max();
     std::uint64_t callsReceived = 0;
     /// \brief Calls that are not answered yet, by their arrival times.
-    std::multimap<Time, std::weak_ptr<CallGuard>> activeCalls;
+    std::multimap<Time, ActiveCall> activeCalls;
 
 private:
     void putInForce(ServingConfiguration next);
+    /// \brief Ends the calls in progress whose keys are not valid any more.
+    void endRevokedCalls();
     void logEndpointChanges();
     /// \brief Keeps no more idle connections to an endpoint than this gateway's part of those that it accepts from all callers.
     void limitIdleConnections();
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -338,14 +338,18 @@
     if (record.key != platform::CONFIGURATION_KEY || !record.value) {
         return;
     }
-    const PositionedRecord positioned {era, record};
+    PositionedRecord positioned {era, record};
     try {
         ServingConfiguration next = platform::decodeConfiguration(*record.value);
+        if (next.organisations) {
+            // The record is passed on to other gateways, which need no keys to authenticate callers.
+            positioned.record.value = platform::withKeyDigests(*record.value);
+        }
         std::optional<PositionedRecord> &newest = newestRecords_.configuration;
         const bool sameVersion = gateway_.configuration && newest && next.version == gateway_.configuration->version;
         if (sameVersion && positioned.position() > newest->position()) {
             // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
-            if (newest->record.value != record.value) {
+            if (newest->record.value != positioned.record.value) {
                 gateway_.replaceConfiguration(std::move(next));
             }
             newest = positioned;
