--- a/include/mimosatally/usage/usagereport.h
+++ b/include/mimosatally/usage/usagereport.h
@@ -19,4 +19,7 @@
     bool operator==(const UsageReport &) const = default;
 };
 
+/// \brief Returns the window of a point in true time. \param unixMs milliseconds since the start of 1970. \param length length of a window.
+[[nodiscard]] UsageWindow usageWindowAt(std::int64_t unixMs, Duration length);
+
 } // namespace mimosatally
