Carry usage notices, the time of day and the newest written window in datagrams

New fields at the end of PeerDatagram, which processes of an older version ignore. Times, windows and names out of range are rejected.

--- a/src/gateway/peerdatagram.cpp
+++ b/src/gateway/peerdatagram.cpp
@@ -24,6 +24,8 @@
 constexpr Duration MAX_TIME_SINCE_PROBE = CrashSuspects::MAX_PROBE_INTERVAL * 2;
 constexpr int MAX_PROBES = 1000;
 constexpr std::int64_t MAX_REQUEST_RATE = 1'000'000'000;
+/// \brief Stands for the sum of a usage window that is not closed.
+constexpr std::int64_t NOT_CLOSED = -1;
 
 udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &address)
 {
@@ -172,6 +174,72 @@
     return notice;
 }
 
+void writeUsageNotice(const HashedUsageNotice &notice, schema::UsageNotice::Builder message)
+{
+    message.setProcess(notice.process.value());
+    message.setWindow(notice.window.count());
+    message.setSequence(notice.sequence);
+    message.setClosedTotal(notice.closedTotal.value_or(NOT_CLOSED));
+    auto organisations = message.initOrganisations(static_cast<unsigned>(notice.counts.size()));
+    auto counts = message.initCounts(static_cast<unsigned>(notice.counts.size()));
+    for (unsigned i = 0; i < counts.size(); ++i) {
+        organisations.set(i, notice.counts[i].organisation);
+        counts.set(i, static_cast<std::uint32_t>(notice.counts[i].count));
+    }
+}
+
+HashedUsageNotice readUsageNotice(schema::UsageNotice::Reader message)
+{
+    const auto process = message.getProcess();
+    const auto organisations = message.getOrganisations();
+    const auto counts = message.getCounts();
+    if (process.size() == 0 || process.size() > MAX_USAGE_PROCESS_BYTES || organisations.size() != counts.size()) {
+        throw MalformedInputError("a usage notice has no process, too long a name or a different number of counts and organisations");
+    }
+    if (message.getWindow() < 0 || message.getWindow() > FleetClock::MAX_UNIX_MS || message.getClosedTotal() < NOT_CLOSED) {
+        throw MalformedInputError("a usage notice has a window or a sum out of range");
+    }
+    HashedUsageNotice notice;
+    notice.process = ProcessId(std::string(process.begin(), process.size()));
+    notice.window = UsageWindow(message.getWindow());
+    notice.sequence = message.getSequence();
+    if (message.getClosedTotal() != NOT_CLOSED) {
+        notice.closedTotal = message.getClosedTotal();
+    }
+    for (unsigned i = 0; i < counts.size(); ++i) {
+        notice.counts.push_back({organisations[i], counts[i]});
+    }
+    return notice;
+}
+
+void writeUsage(const PeerDatagram &datagram, schema::PeerDatagram::Builder message)
+{
+    message.setUnixMs(datagram.unixMs);
+    message.setLastWrittenWindow(datagram.lastWritten.value_or(UsageWindow(0)).count());
+    auto notices = message.initUsageNotices(static_cast<unsigned>(datagram.usageNotices.size()));
+    for (unsigned i = 0; i < notices.size(); ++i) {
+        writeUsageNotice(datagram.usageNotices[i], notices[i]);
+    }
+}
+
+void readUsage(schema::PeerDatagram::Reader message, PeerDatagram &datagram)
+{
+    const std::int64_t lastWritten = message.getLastWrittenWindow();
+    if (message.getUnixMs() < 0 || message.getUnixMs() > FleetClock::MAX_UNIX_MS || lastWritten < 0 || lastWritten > FleetClock::MAX_UNIX_MS) {
+        throw MalformedInputError("a datagram has a time of day or a window out of range");
+    }
+    if (message.getUsageNotices().size() > MAX_USAGE_NOTICES_PER_DATAGRAM) {
+        throw MalformedInputError("a datagram has too many usage notices");
+    }
+    datagram.unixMs = message.getUnixMs();
+    if (lastWritten > 0) {
+        datagram.lastWritten = UsageWindow(lastWritten);
+    }
+    for (const auto notice : message.getUsageNotices()) {
+        datagram.usageNotices.push_back(readUsageNotice(notice));
+    }
+}
+
 /// \brief Bytes of a text in a message: its pointer, its characters and the terminating zero, in whole words.
 std::size_t encodedBytes(const std::string &text)
 {
@@ -250,6 +318,7 @@
         datagram.streamNotices.push_back(readStreamNotice(streamNotice));
     }
     datagram.streamQueries = readRoots(message.getStreamQueries());
+    readUsage(message, datagram);
     return datagram;
 }
 } // namespace
@@ -318,6 +387,7 @@
     for (unsigned i = 0; i < streamQueries.size(); ++i) {
         streamQueries.set(i, datagram.streamQueries[i].value());
     }
+    writeUsage(datagram, message);
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const auto bytes = words.asChars();
     return {bytes.begin(), bytes.size()};
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "streamorigins.h"
+#include "usagedatagram.h"
 
 #include <mimosatally/Membership>
 #include <mimosatally/Routing>
@@ -25,6 +26,11 @@
     std::vector<StreamNotice> streamNotices;
     /// \brief Requests that brought the first events of streams whose origins the sender does not know.
     std::vector<RequestId> streamQueries;
+    /// \brief Sender's time of day in milliseconds since the start of 1970; zero if it is not told.
+    std::int64_t unixMs = 0;
+    std::vector<HashedUsageNotice> usageNotices;
+    /// \brief Newest usage window whose report is written down, as far as the sender knows.
+    std::optional<UsageWindow> lastWritten;
 };
 
 /// \brief Maximum size of a datagram, small enough that none is fragmented.
@@ -53,6 +59,9 @@
 /// \brief Distributes queries over datagrams that are not longer than MAX_DATAGRAM_BYTES.
 std::vector<PeerDatagram> batchStreamQueries(const RegionId &region, const std::vector<RequestId> &roots);
 
+/// \brief Distributes notices, and the counts of long ones, over datagrams that are not longer than MAX_DATAGRAM_BYTES.
+std::vector<PeerDatagram> batchUsageNotices(const RegionId &region, const std::vector<UsageNotice> &notices);
+
 std::string encodeDatagram(const PeerDatagram &datagram);
 
 /// \throws MalformedInputError if \a bytes are not a valid datagram.
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -224,6 +224,19 @@
   # Ids of the requests that brought the first events.
 }
 
+struct UsageNotice {
+  # What one process has counted in one window. Counts are cumulative, and the higher count of an organisation is the newer one.
+  process @0 :Text;
+  # Id of the process with its start.
+  window @1 :Int64;
+  sequence @2 :UInt64;
+  closedTotal @3 :Int64;
+  # Sum of all counts if the process counts nothing more in the window; otherwise -1.
+  organisations @4 :List(UInt64);
+  # Hashes of the names of organisations.
+  counts @5 :List(UInt32);
+}
+
 struct PeerDatagram {
   # One datagram between gateways. It is not answered, and a lost one is not sent again.
   region @0 :Text;
@@ -238,4 +251,9 @@
   streamNotices @6 :List(StreamNotice);
   streamQueries @7 :List(Text);
   # Ids of requests that brought the first events of streams whose origins the sender does not know. Gateways that know one send it a notice.
+  unixMs @8 :Int64;
+  # In a heartbeat: the sender's time of day in milliseconds; zero if it is not told.
+  usageNotices @9 :List(UsageNotice);
+  lastWrittenWindow @10 :Int64;
+  # In a heartbeat: newest usage window whose report is written down; zero if none is known.
 }
