Count the runs of organisations and tell them to the other gateways

UsageCounter counts a request once: a stream at its first event, another call in the window in which the attempt was sent that ran or may have run. A window is closed 2 s after its end in true time. Notices are sent each second, when a window is closed and when the process stops; nothing without usage_report in the duties.

Single organisations with few requests can be off by more than 5%, docs/design/usage-counting.md.

--- a/include/mimosatally/usage/usageledger.h
+++ b/include/mimosatally/usage/usageledger.h
@@ -51,7 +51,7 @@
     /// \brief Counts a run of this process that began in \a window. \return false if the window is closed or no longer kept.
     bool count(UsageWindow window, const OrganisationId &organisation);
 
-    /// \brief Closes the windows before \a current for this process and drops those that are too old.
+    /// \brief Closes the windows before \a current for this process and drops old ones. If \a current is over MAX_WINDOWS back, it starts anew.
     void advance(UsageWindow current);
 
     /// \brief Closes all windows for this process, which is about to end.
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -120,6 +120,7 @@
     const AttemptPlan plan {endpoint, work, cachedPrefix_, source};
     RouterAttempt routerAttempt(gateway_.router, plan, placementRequest_);
     EndpointCall call(gateway_.connections, *guard_, gateway_.answerBytes);
+    sentAt_ = MilliClock::now();
     const bool canRepeat = route_.retryPolicy == RetryPolicy::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time attemptDeadline = canRepeat ? MilliClock::now() + timeout : guard_->deadline();
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
@@ -328,6 +329,9 @@
 
 awaitable<void> CallFlow::writeEvents(EndpointCall &call, std::string events)
 {
+    if (!events.empty()) {
+        countRun(MilliClock::now());
+    }
     if (!streaming_) {
         streaming_ = true;
         firstByte_ = MilliClock::now() - arrived_;
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -369,6 +369,20 @@
 {
     mayHaveRun_ = true;
     ++runs_;
+    // A stream begins to run with its first event.
+    if (route_.form != AnswerForm::Events) {
+        countRun(sentAt_);
+    }
+}
+
+void CallFlow::countRun(Time begun)
+{
+    // A call that continues a stream runs a request again that has counted at its first event.
+    const bool continues = call_.resumed && route_.form == AnswerForm::Events;
+    if (!usageCounted_ && !continues) {
+        usageCounted_ = true;
+        gateway_.usageCounter.count(caller_.organisation.id, begun);
+    }
 }
 
 AttemptOutcome CallFlow::failedAttemptOutcome() const
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -91,7 +91,10 @@
     [[nodiscard]] bool canRetry(NextStep next) const;
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
     [[nodiscard]] bool chargeRetryBudget(const Placement &placement);
+    /// \brief Records that an endpoint runs the call or may do so.
     void recordRun();
+    /// \brief Counts the request for the caller's organisation, once. \param begun when it began to run.
+    void countRun(Time begun);
     /// \brief Records that nothing listens at the address of an endpoint, if that is why \a call was not sent. \param startedAt of its incarnation.
     void recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt);
     /// \brief Reports to the router what the head of an answer says about its endpoint.
@@ -141,6 +144,10 @@
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
+    /// \brief Time at which the last attempt was sent.
+    Time sentAt_ = Time::min();
+    /// \brief The request is counted for the caller's organisation.
+    bool usageCounted_ = false;
     /// \brief Attempts whose connection was refused. Each takes a millisecond and excludes its endpoint, so they are not limited.
     int refusedAttempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -212,6 +212,7 @@
             const Time now = MilliClock::now();
             gateway_.connections.closeExpired(now);
             gateway_.applyEndpoints(now);
+            gateway_.usageCounter.update(ownUnixMs(), now);
             gateway_.crashWatch.decide(now);
             if (!noticeExchange_) {
                 gateway_.setProcessCount(configuredProcessCount(gateway_.settings), now);
@@ -342,6 +343,9 @@
         co_await awaitLastCall(end);
         gateway_.expireActiveCalls();
         co_await awaitLastCall(end + FINAL_ANSWER_TIME);
+        if (noticeExchange_) {
+            noticeExchange_->sendLastUsage();
+        }
         callerServer_.shutDownGracefully();
         stopped_ = true;
     }
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -46,6 +46,13 @@
     return longest;
 }
 
+/// \brief Id of this process in usage notices. It has the start of the process, so what an earlier process of the name has counted stays.
+ProcessId usageProcessOf(const GatewaySettings &settings)
+{
+    constexpr std::size_t maxNameBytes = 64;
+    return ProcessId(settings.process.value().substr(0, maxNameBytes) + '@' + std::to_string(ownUnixMs()));
+}
+
 std::uint64_t seedOf(const GatewaySettings &settings)
 {
     return std::hash<std::string>()(settings.process.value()) ^ static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count());
@@ -62,6 +69,8 @@
     , streams(metrics)
     , endpointObservation(context)
     , streamLookup(context, streams, endpointObservation, metrics)
+    , usageLedger(usageProcessOf(settings))
+    , usageCounter(usageLedger, fleetClock, settings, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , livenessProbe(context, connections, router, metrics)
@@ -97,6 +106,9 @@
 {
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
+    if (settings.platformApi.reportsUsage) {
+        organisationHashes.learn(*configuration);
+    }
     keys = KeyTable(configuration);
     for (const KeyDigest &key : keys.duplicates()) {
         logEvent(LogEvent::KeyGivenTwice, {{"key", digestPrefix(key)}, {"version", configuration->version}});
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -6,8 +6,10 @@
 #include "crashwatch.h"
 #include "limitreport.h"
 #include "livenessprobe.h"
+#include "organisationhashes.h"
 #include "organisationlabels.h"
 #include "streamlookup.h"
+#include "usagecounter.h"
 
 #include <mimosatally/Gateway>
 #include <mimosatally/Membership>
@@ -78,6 +80,11 @@
     /// \brief How fresh the endpoints read from the store are.
     StoreObservation endpointObservation;
     StreamLookup streamLookup;
+    /// \brief True time, by which usage windows are told apart.
+    FleetClock fleetClock;
+    UsageLedger usageLedger;
+    UsageCounter usageCounter;
+    OrganisationHashes organisationHashes;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     LivenessProbe livenessProbe;
--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -68,6 +68,7 @@
     , region_(regionOf(gateway.settings))
     , socket_(gateway.io, ownAddress(gateway.settings))
     , peers_(ownAddress(gateway.settings), region_, seedsOf(gateway.settings))
+    , usage_(gateway)
 {
     socket_.non_blocking(true);
     gateway_.streamLookup.setAsk([this](const std::vector<RequestId> &roots) {
@@ -106,6 +107,7 @@
         sendNotices(now);
         sendVersions(gateway_.streams.takeChangedVersions(now));
         sendStreamNotices(now);
+        sendUsage(usage_.takeDatagrams(region_, now));
         gateway_.setProcessCount(peers_.processCount(now), now);
         if (gateway_.suspects.takeChanged()) {
             sendSuspectNotices(now);
@@ -158,10 +160,26 @@
         datagram.limitNotices.resize(MAX_LIMIT_NOTICES_PER_DATAGRAM);
     }
     datagram.peers = peers_.introductions(MAX_PEERS_PER_DATAGRAM);
+    usage_.completeHeartbeat(datagram);
     sendTo(peers_.heartbeatTargets(), datagram);
     gateway_.metrics.set("mimosatally_peers", {}, static_cast<double>(peers_.size()));
 }
 
+void NoticeExchange::sendUsage(const std::vector<PeerDatagram> &datagrams)
+{
+    const std::vector<udp::endpoint> targets = activePeers();
+    for (const PeerDatagram &datagram : datagrams) {
+        sendTo(targets, datagram);
+    }
+}
+
+void NoticeExchange::sendLastUsage()
+{
+    if (gateway_.settings.platformApi.reportsUsage) {
+        sendUsage(usage_.takeLastDatagrams(region_));
+    }
+}
+
 void NoticeExchange::sendSuspectNotices(Time now)
 {
     const std::vector<SuspectNotice> notices = gateway_.suspects.notices(MAX_SUSPECT_NOTICES_PER_DATAGRAM * MAX_SUSPECT_DATAGRAMS, now);
@@ -283,6 +301,7 @@
         }
         // An origin stays true, so a notice on it counts also if it was queued during a stall.
         recordStreamNotices(datagram.streamNotices, now);
+        usage_.record(datagram, peerKey(sender), stale, now);
         if (!stale) {
             answerStreamQueries(datagram.streamQueries, sender, now);
             gateway_.router.recordPeerDatagram(now);
--- a/src/gateway/noticeexchange.h
+++ b/src/gateway/noticeexchange.h
@@ -2,6 +2,7 @@
 
 #include "gatewaystate.h"
 #include "peerdatagram.h"
+#include "usageexchange.h"
 
 #include <mimosatally/Supervision>
 
@@ -40,10 +41,14 @@
     /// \brief Receives datagrams until the task is stopped.
     boost::asio::awaitable<void> receive(TaskContext &context);
 
+    /// \brief Closes the usage windows of this process, which is about to end, and tells the others its last counts.
+    void sendLastUsage();
+
 private:
     [[nodiscard]] Duration interval() const;
     void sendNotices(Time now);
     void sendHeartbeat(Time now);
+    void sendUsage(const std::vector<PeerDatagram> &datagrams);
     /// \brief Sends what other processes must know of suspects, if anything.
     void sendSuspectNotices(Time now);
     /// \brief Sends the origins of own streams that other gateways have to know, if any.
@@ -63,6 +68,7 @@
     RegionId region_;
     boost::asio::ip::udp::socket socket_;
     PeerTable peers_;
+    UsageExchange usage_;
     std::function<void(Duration)> peersReturned_ = [](Duration) {};
     Time nextHeartbeat_ = Time::min();
     /// \brief Last run of the sending task; datagrams that were queued while the process was stalled are stale.
--- a/tests/gateway/gatewaygroup.h
+++ b/tests/gateway/gatewaygroup.h
@@ -19,9 +19,10 @@
         Relayed,
     };
 
-    /// \param storeOfLast store of the last gateway, if it is not that of the fixture.
-    GatewayGroup(GatewayFixture &fixture, int count, const std::string &storeOfLast = {}, Links links = Links::Direct)
+    /// \param storeOfLast store of the last gateway, if it is not that of the fixture. \param tables further tables of the settings files.
+    GatewayGroup(GatewayFixture &fixture, int count, const std::string &storeOfLast = {}, Links links = Links::Direct, std::string tables = {})
         : noticePort_(freePort())
+        , tables_(std::move(tables))
     {
         if (links == Links::Relayed) {
             relay_ = std::make_unique<NoticeRelay>(static_cast<unsigned short>(std::stoi(noticePort_)), static_cast<std::size_t>(count));
@@ -135,7 +136,8 @@
         std::ofstream(nameOf(static_cast<std::size_t>(number) - 1) + ".toml")
             << "process = \"g" << number << "\"\ndata_centre = \"here\"\nlisten = \"" << callerAddresses_.back() << "\"\nreadiness = \"" << freeAddress()
             << "\"\nmetrics = \"" << metricsAddresses_.back() << "\"\nstore = \"" << store << "\"\nnotices = \"" << hostOf(number) << ":" << noticePort_
-            << "\"\npeers = [" << peers << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n";
+            << "\"\npeers = [" << peers << "]\n[[data_centres]]\nid = \"here\"\nregion = \"r\"\n"
+            << tables_;
     }
 
     void start(std::size_t index)
@@ -155,6 +157,7 @@
     static constexpr int MAX_SEEDS = 3;
 
     std::string noticePort_;
+    std::string tables_;
     std::unique_ptr<NoticeRelay> relay_;
     std::vector<std::string> callerAddresses_;
     std::vector<std::string> metricsAddresses_;
--- a/tests/unit/usageledgertest.cpp
+++ b/tests/unit/usageledgertest.cpp
@@ -114,6 +114,12 @@
     ledger.record(notice("a", WINDOW + UsageWindow(UsageLedger::MAX_WINDOWS), {{HUKA, 4}}));
     CHECK(ledger.totals(WINDOW + UsageWindow(UsageLedger::MAX_WINDOWS)).counts.at(HUKA) == 4);
 
+    // A time of day that is hours ahead at the start must not make all runs late until then.
+    ledger.advance(WINDOW + UsageWindow(1000));
+    ledger.advance(WINDOW);
+    CHECK(ledger.count(WINDOW, HUKA));
+    CHECK(ledger.totals(WINDOW).counts == UsageCounts {{HUKA, 1}});
+
     CHECK_FALSE(ledger.lastWritten());
     ledger.recordWritten(NEXT);
     ledger.recordWritten(WINDOW);
