Start the ledger anew after a time of day that was far ahead

A process whose clock is hours ahead and that has heard no peer yet advanced its windows by hours, and all its runs counted as late until then.

--- a/src/usage/usageledger.cpp
+++ b/src/usage/usageledger.cpp
@@ -41,9 +41,16 @@
 
 void UsageLedger::advance(UsageWindow current)
 {
-    if (left_ || (current_ && current <= *current_)) {
+    const bool wasFarAhead = current_ && current + UsageWindow(MAX_WINDOWS) < *current_;
+    if (left_ || (current_ && current <= *current_ && !wasFarAhead)) {
         return;
     }
+    if (wasFarAhead) {
+        // The time was wrong before any peer was heard; nobody else has kept windows so far ahead.
+        own_.clear();
+        others_.clear();
+        countsHeld_ = 0;
+    }
     current_ = current;
     // Others wait for the counts of this process from its first notice on, also if it counts nothing.
     own_.try_emplace(current);
