Send a request only if its precondition holds when it is written

Cause: a check before HttpClient::send() is up to a connect timeout old when the first byte is written, and the process can be suspended in between.

Change: sendIf() asks its caller again once the connection stands, immediately before the request is written. send() is unchanged.

--- a/include/mimosatally/http/httpclient.h
+++ b/include/mimosatally/http/httpclient.h
@@ -55,6 +55,10 @@
     /// the error is a ConnectError.
     boost::asio::awaitable<HttpResponse> send(HttpRequest request, Duration timeout);
 
+    /// \brief Sends a request if \a allowed still returns true when the connection stands, immediately before the first byte is written.
+    /// \throws ConnectError if it does not, as nothing was sent. \throws UnreachableError as send().
+    boost::asio::awaitable<HttpResponse> sendIf(HttpRequest request, Duration timeout, std::function<bool()> allowed);
+
     /// \brief Sends a request and passes the response to the handlers as it arrives.
     /// \param idleTimeout maximum time without data. \throws UnreachableError as send().
     /// An exception of a handler closes the connection and propagates to the caller.
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -122,9 +122,19 @@
 }
 
 awaitable<HttpResponse> HttpClient::send(HttpRequest request, Duration timeout)
+{
+    return sendIf(std::move(request), timeout, [] {
+        return true;
+    });
+}
+
+awaitable<HttpResponse> HttpClient::sendIf(HttpRequest request, Duration timeout, std::function<bool()> allowed)
 {
     prepare(request);
     Stream stream = co_await acquire();
+    if (!allowed()) {
+        throw ConnectError(toString(server_) + ": the request is not allowed any more");
+    }
     boost::system::error_code error;
     stream->expires_after(timeout);
     co_await http::async_write(*stream, request, redirect_error(use_awaitable, error));
