--- a/scripts/check_platform_names.sh
+++ b/scripts/check_platform_names.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-NAMES='X-Mimosatally-(Target-Instance|Kv-|Serving-Stage|Prefix-Hash|Response-Seal|Not-Executed|Token-Counts|Request-|Server-Load|Model-Name|Pin-Ms|Tenant-Id|Lease-Holder|Fencing-Token)|/-/[a-z]|keyed\.(op|servers|status)|MIMOSATALLY_BOOT|kvHandle|pathPrefix"|targetLatencyMs|seqNum'
+NAMES='X-Mimosatally-(Target-Instance|Kv-|Serving-Stage|Prefix-Hash|Response-Seal|Not-Executed|Token-Counts|Request-|Server-Load|Model-Name|Pin-Ms|Tenant-Id|Lease-Holder|Fencing-Token)|/-/[a-z]|keyed\.(op|servers|status|usage)|MIMOSATALLY_BOOT|kvHandle|pathPrefix"|targetLatencyMs|seqNum'
 if git grep -nIE "$NAMES" -- src include; then
     echo "names of the platform outside platform/"
     exit 1
