Hold one lease for orders and calls to the platform

Cause: the lease was part of OrderController. Usage reports and scale orders need the same election, and a new holder must not call the platform while an earlier one may still do so.

Change: DutyLeaseState decides without I/O, DutyLease joins the store's group and renews. A process calls the platform only after a renewal that was sent a lease after the first answer of the same generation; orders wait alike where tokens are not checked. A rejected token is not used again, and the lease is left to end so that the store gives out a new generation. With [platform_api], a task of its own renews; without it, OrderController renews between its orders as before.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,4 +1,5 @@
 #include "callhandler.h"
+#include "dutylease.h"
 #include "endpointhistory.h"
 #include "loopmonitor.h"
 #include "noticeexchange.h"
@@ -93,7 +94,8 @@
         , callHandler_(gateway_)
         , storeFollower_(gateway_, rpc_)
         , endpointHistory_(gateway_)
-        , orderController_(gateway_)
+        , dutyLease_(gateway_)
+        , orderController_(gateway_, dutyLease_)
         , supervisor_(io_,
                       static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count()),
                       Supervisor::Options(),
@@ -182,6 +184,11 @@
         supervisor_.start("endpoints", [this](TaskContext &context) {
             return storeFollower_.followEndpoints(context);
         });
+        if (!gateway_.settings.platformApi.address.empty()) {
+            supervisor_.start("lease", [this](TaskContext &context) {
+                return dutyLease_.run(context);
+            });
+        }
         supervisor_.start("orders", [this](TaskContext &context) {
             return orderController_.run(context);
         });
@@ -354,6 +361,7 @@
     CallHandler callHandler_;
     StoreFollower storeFollower_;
     EndpointHistory endpointHistory_;
+    DutyLease dutyLease_;
     OrderController orderController_;
     Supervisor supervisor_;
     HttpServer callerServer_;
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -11,15 +11,9 @@
 {
 /// \brief Mean number of waiting requests per engine at which a phase is considered short of engines.
 constexpr double MIN_MEAN_WAITING = 1;
-constexpr Duration RENEWAL_INTERVAL = Duration(1000);
-constexpr Duration STORE_TIMEOUT = Duration(800);
 constexpr Duration ORDER_TIMEOUT = Duration(1000);
 /// \brief Largest report or answer of an engine, a JSON object of some hundred bytes.
 constexpr std::size_t MAX_ENGINE_ANSWER_BYTES = std::size_t(64) * 1024;
-/// \brief Time for an order to reach its engine before the lease expires.
-constexpr Duration LEASE_MARGIN = Duration(500);
-/// \brief Generations of one era; the era takes the bits above.
-constexpr std::int64_t GENERATIONS_PER_ERA = 1LL << 32;
 
 std::string_view phaseName(EnginePhase phase)
 {
@@ -44,71 +38,26 @@
 }
 } // namespace
 
-OrderController::OrderController(GatewayState &gateway)
+OrderController::OrderController(GatewayState &gateway, DutyLease &lease)
     : gateway_(gateway)
-    , store_(gateway.io, parseAddress(gateway.settings.store))
-    , member_(gateway.settings.process.value() + '-' + std::to_string(MilliClock::now().time_since_epoch().count()))
+    , lease_(lease)
 {
 }
 
 awaitable<void> OrderController::run(TaskContext &context)
 {
+    // With the platform's API, the lease is renewed by a task of its own.
+    const bool renewsLease = gateway_.settings.platformApi.address.empty();
     bool running = true;
     while (running) {
-        std::string failure;
-        try {
-            co_await renewLease();
-        } catch (const Error &error) {
-            failure = error.what();
+        if (renewsLease) {
+            co_await lease_.renew();
         }
-        if (!failure.empty()) {
-            gateway_.metrics.increment("mimosatally_store_failures_total", "topic=\"orders\"");
-        }
-        updateLeaseState(holdsLease(MilliClock::now()));
-        if (holdsLease_) {
+        if (lease_.coversOrders()) {
             co_await orderEngines();
         }
-        const Duration jitter(static_cast<Duration::rep>(static_cast<double>(RENEWAL_INTERVAL.count()) * gateway_.jitter() / 4));
-        running = co_await context.sleep(RENEWAL_INTERVAL + jitter);
-    }
-}
-
-awaitable<void> OrderController::renewLease()
-{
-    // The lease is counted from before the call, since the store starts it when the call arrives.
-    const Time sent = MilliClock::now();
-    const Duration lease = gateway_.settings.orderLease;
-    const std::int64_t known = generationEra_ == gateway_.storeEra.current() ? generation_ : 0;
-    const platform::Membership membership = co_await store_.joinOrderGroup(member_, known, lease, STORE_TIMEOUT);
-    if (gateway_.observeStoreEra(membership.era, "orders", MilliClock::now()) == StoreEraTracker::Observation::Outdated) {
-        co_return;
-    }
-    generation_ = membership.generation;
-    generationEra_ = gateway_.storeEra.current();
-    leaseUntil_ = membership.holdsPartition ? sent + lease : Time::min();
-}
-
-std::int64_t OrderController::fencingToken() const
-{
-    return generationEra_.count() * GENERATIONS_PER_ERA + generation_;
-}
-
-bool OrderController::holdsLease(Time now) const
-{
-    const StoreEraTracker &era = gateway_.storeEra;
-    const bool covered = leaseUntil_ != Time::min() && now + LEASE_MARGIN < leaseUntil_ && generationEra_ == era.current();
-    // In an era that a restore has begun, the holder of the last era may still count on its lease.
-    const bool predecessorExpired = era.current() == StoreEra() || now - era.since() >= gateway_.settings.orderLease;
-    return covered && predecessorExpired && fencingToken() != rejectedToken_;
-}
-
-void OrderController::updateLeaseState(bool holdsNow)
-{
-    if (holdsNow == holdsLease_) {
-        return;
+        running = co_await context.sleep(lease_.renewalPause());
     }
-    holdsLease_ = holdsNow;
-    logEvent(holdsNow ? LogEvent::OrderLeaseHeld : LogEvent::OrderLeaseLost, {{"generation", generation_}, {"era", generationEra_}});
 }
 
 std::map<SoftwareVersion, std::vector<BalancedEngine>> OrderController::enginesOf(const ServiceId &service) const
@@ -162,7 +111,7 @@
 awaitable<void> OrderController::orderPhaseChange(PhaseBalancer &balancer, PhaseChange change)
 {
     const auto record = gateway_.registry.endpoints().find(change.engine);
-    if (!holdsLease(MilliClock::now()) || record == gateway_.registry.endpoints().end()) {
+    if (!lease_.coversOrders() || record == gateway_.registry.endpoints().end()) {
         balancer.recordRejection(change.engine, MilliClock::now());
         co_return;
     }
@@ -185,7 +134,8 @@
     if (!accepted) {
         balancer.recordRejection(change.engine, MilliClock::now());
     }
-    logEvent(LogEvent::PhaseOrderAnswered, {{"endpoint", change.engine}, {"generation", generation_}, {"era", generationEra_}, {"result", result}});
+    const DutyLeaseState &state = lease_.state();
+    logEvent(LogEvent::PhaseOrderAnswered, {{"endpoint", change.engine}, {"generation", state.generation()}, {"era", state.era()}, {"result", result}});
 }
 
 awaitable<bool> OrderController::sendOrder(HttpClient &client, PhaseChange change, std::string &result)
@@ -194,29 +144,32 @@
     HttpRequest reportRequest = platform::reportRequest();
     const HttpResponse reportResponse = co_await client.send(std::move(reportRequest), ORDER_TIMEOUT);
     const platform::EngineReport report = platform::decodeReport(reportResponse);
-    if (report.busy || report.phase == change.phase || !holdsLease(MilliClock::now())) {
+    if (report.busy || report.phase == change.phase || !lease_.coversOrders()) {
         result = report.busy ? "busy" : "not-needed";
         co_return false;
     }
     platform::PhaseOrder order;
     order.target = change.engine;
     order.phase = change.phase;
-    order.holder = member_;
-    order.fencingToken = fencingToken();
+    order.holder = lease_.member();
+    order.fencingToken = lease_.state().token();
     order.expectedOrders = report.ordersAccepted;
     logEvent(LogEvent::PhaseOrderSent,
              {{"endpoint", change.engine},
               {"phase", phaseName(change.phase)},
-              {"generation", generation_},
-              {"era", generationEra_},
+              {"generation", lease_.state().generation()},
+              {"era", lease_.state().era()},
               {"expected_orders", order.expectedOrders}});
     gateway_.router.reserveRequest(change.engine, MilliClock::now());
     HttpRequest request = platform::encodeOrder(order);
-    const HttpResponse response = co_await client.send(std::move(request), ORDER_TIMEOUT);
+    // Without the platform's API, engines reject what is sent after the lease has ended while the connection was made.
+    const HttpResponse response = co_await client.sendIf(std::move(request), ORDER_TIMEOUT, [this] {
+        return gateway_.settings.platformApi.address.empty() || lease_.coversOrders();
+    });
     const platform::OrderAnswer answer = platform::decodeOrderAnswer(response);
     result = answerName(answer);
     if (answer == platform::OrderAnswer::Fenced) {
-        rejectedToken_ = order.fencingToken;
+        lease_.recordRejection(order.fencingToken);
     }
     co_return answer == platform::OrderAnswer::Accepted || answer == platform::OrderAnswer::AlreadyHolds;
 }
