--- a/include/mimosatally/serving/servingconfiguration.h
+++ b/include/mimosatally/serving/servingconfiguration.h
@@ -24,6 +24,15 @@
     Duration roleChangeTime = Duration(0);
 };
 
+/// \brief Bounds within which the platform adds and removes endpoints of a service.
+struct ScalingProfile {
+    /// \brief Bounds of the number of endpoints in each data centre.
+    int minReplicas = 1;
+    int maxReplicas = 1;
+    /// \brief Time from the order of an endpoint until it serves.
+    Duration bootTime = Duration(0);
+};
+
 /// \brief Properties of each endpoint of a service.
 struct ServiceProfile {
     ServiceId id;
@@ -31,6 +40,8 @@
     int maxConnections = 1;
     /// \brief Empty for a plain service.
     std::optional<EngineProfile> engine;
+    /// \brief Empty if the number of endpoints is fixed.
+    std::optional<ScalingProfile> scaling = std::nullopt;
 };
 
 /// \brief Size limits and timeouts for the requests of one caller.
