--- a/src/gateway/engineorder.cpp
+++ b/src/gateway/engineorder.cpp
@@ -13,15 +13,17 @@
 constexpr int LAST_LEVEL = 9;
 } // namespace
 
-int engineOrder(int routePriority, Tokens prefillTokens)
+int prefillClassOf(Tokens prefillTokens)
 {
-    int prefillClass = 0;
     if (prefillTokens > SHORT_PREFILL) {
-        prefillClass = 2;
-    } else if (prefillTokens > Tokens(0)) {
-        prefillClass = 1;
+        return 2;
     }
-    const int level = prefillClass * LEVELS_PER_CLASS + std::clamp(routePriority, 0, LEVELS_PER_CLASS - 1);
+    return prefillTokens > Tokens(0) ? 1 : 0;
+}
+
+int engineOrder(int routePriority, Tokens prefillTokens)
+{
+    const int level = prefillClassOf(prefillTokens) * LEVELS_PER_CLASS + std::clamp(routePriority, 0, LEVELS_PER_CLASS - 1);
     return std::min(level, LAST_LEVEL);
 }
 
