Leave slots of a service free for more urgent calls

Cause: a call that can wait may take the last free slot of an engine, behind which a short urgent call then waits.

Change: a placement request may state slots to be left free. They are spread over the endpoints by their hash, alike in all processes, and endpoints without other free slots are left out; if no others can run the call, the placement says so. PhaseRouter::slots() estimates the use of a service's slots. Without a reserve placement is unchanged.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -30,6 +30,16 @@
     /// \brief Software version that the engines of the call must have, because an engine of this version wrote the events before; empty if any may run
     /// the call. No engine fits a version that is not known.
     std::optional<SoftwareVersion> version = std::nullopt;
+    /// \brief Slots of the service's endpoints that the call leaves free for more urgent calls.
+    double reservedSlots = 0;
+};
+
+/// \brief Estimated use of the slots of all endpoints of a service that take calls.
+struct ServiceSlots {
+    double total = 0;
+    /// \brief Running and waiting requests; more than `total` if requests wait.
+    double requests = 0;
+    double waiting = 0;
 };
 
 /// \brief Reason why an engine is expected to have a prompt prefix in its cache.
@@ -70,6 +80,8 @@
     /// \brief Time until an endpoint is expected to take this call; set if there is no endpoint only because of pauses that endpoints have asked for
     /// or limits that they have named.
     std::optional<Duration> retryAfter;
+    /// \brief No endpoint has a slot besides those that the call has to leave free.
+    bool withinReserve = false;
 };
 
 /// \brief Change of the request limit that an endpoint names in its answers.
@@ -272,6 +284,9 @@
     /// \brief Returns the mean number of requests of other processes that wait at an engine of a phase, from the reports of the last second.
     [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
 
+    /// \brief Returns the estimated use of the slots of the endpoints of \a service that take calls.
+    [[nodiscard]] ServiceSlots slots(const ServiceId &service, Time now) const;
+
     /// \brief Returns the estimated times of the engines of each service.
     [[nodiscard]] std::map<ServiceId, EngineTimes> engineTimes() const;
 
--- a/src/routing/phaserouter.cpp
+++ b/src/routing/phaserouter.cpp
@@ -108,8 +108,9 @@
         candidates = Impl::usableEndpoints(Impl::endpointsOfVersion(fleet, request), request, now);
     }
     impl_->keepRoomOnRareVersions(candidates, fleet, request, now);
-    const Placement placement =
-        impl_->engineProfiles.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
+    const bool withinReserve = impl_->keepReservedSlots(candidates, request, now);
+    Placement placement = impl_->engineProfiles.contains(request.service) ? impl_->placeEngine(candidates, prompt, now) : impl_->placePlain(candidates, now);
+    placement.withinReserve = withinReserve;
     return placement.run ? placement : impl_->notPlaced(fleet, request, now);
 }
 
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -222,6 +222,12 @@
     /// \brief Removes from \a candidates nearly full endpoints of rare versions if others can run a call that requires no version, so that streams
     /// that can go on only there find room.
     void keepRoomOnRareVersions(std::vector<const Endpoint *> &candidates, const ServiceFleet &fleet, const PlacementRequest &request, Time now) const;
+    /// \brief Returns the slots of \a endpoint that a call with a reserve of \a perEndpoint slots at each endpoint has to leave free. Fractions are rounded
+    /// so that all processes reserve the same endpoints' slots.
+    [[nodiscard]] static int reservedSlots(const Endpoint &endpoint, double perEndpoint);
+    /// \brief Removes from \a candidates the endpoints that run calls and whose free slots the call has to leave to more urgent ones, unless no other
+    /// candidate can run it. \return whether only such endpoints can run the call.
+    bool keepReservedSlots(std::vector<const Endpoint *> &candidates, const PlacementRequest &request, Time now) const;
     /// \brief Returns the endpoint of an attempt; null if it has been removed or replaced by another incarnation.
     [[nodiscard]] Endpoint *targetOf(const Attempt &attempt);
     /// \brief Returns the time until the first of \a fitting that is not leaving takes a call; empty if none is paused or limited.
