Use contention control for calls of organisations or by a setting

Change: where the configuration has organisations or contention_control is set, CallFlow asks ContentionControl instead of Admission, sends the level of UrgencyTable to engines and keeps waiting calls in RoomWaiters, which are placed again when a call ends or endpoints change. Elsewhere Admission and engineOrder() decide as before.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -1,5 +1,4 @@
 #include "callflow.h"
-#include "engineorder.h"
 #include "logtext.h"
 
 namespace mimosatally::internal
@@ -59,7 +58,7 @@
     EndpointAttempt attempt = attemptFor(endpoint);
     attempt.prefillOnly = true;
     attempt.cacheSource = cacheSource_;
-    attempt.priority = engineOrder(route_.priority, Tokens(0));
+    attempt.priority = orderAtEngine(Tokens(0));
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
     const AttemptPlan plan {endpoint, AttemptWork::Prefill, cachedPrefix_};
     RouterAttempt routerAttempt(gateway_.router, plan, placementRequest_);
@@ -110,10 +109,10 @@
     resumedAfter_ = streaming_ || !call_.resumed ? framer_.lastEventId() : call_.resumed->lastEventId;
     EndpointAttempt attempt = attemptFor(endpoint);
     if (work == AttemptWork::PrefillAndRun) {
-        attempt.priority = engineOrder(route_.priority, placementRequest_.promptTokens - cachedPrefix_.tokens);
+        attempt.priority = orderAtEngine(placementRequest_.promptTokens - cachedPrefix_.tokens);
         attempt.cacheSource = cacheSource_;
     } else if (prompt) {
-        attempt.priority = engineOrder(route_.priority, Tokens(0));
+        attempt.priority = orderAtEngine(Tokens(0));
     }
     attempt.prefilled = std::move(prompt);
     platform::EndpointRequest request = platform::encodeAttempt(exchange_.request(), attempt);
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -54,6 +54,9 @@
     placementRequest_.promptParts = call_.promptParts;
     placementRequest_.service = stream_.service();
     placementRequest_.promptTokens = call_.promptTokens;
+    if (gateway_.contention.isActive()) {
+        contention_.emplace(gateway_, call_, route_, caller_.organisation, arrived_);
+    }
 }
 
 CallFlow::~CallFlow()
@@ -145,6 +148,9 @@
     if (blocked) {
         co_return false;
     }
+    if (contention_) {
+        placementRequest_.reservedSlots = contention_->reservedSlots(placementRequest_.service, now);
+    }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
         const bool waits = awaitsVersion(placement, now);
@@ -156,17 +162,9 @@
         co_return false;
     }
     if (attempts_ == 0) {
-        AdmissionInput input;
-        input.firstByteMs = placement.firstByteMs;
-        input.queueMs = placement.queueMs;
-        input.elapsed = now - arrived_;
-        input.remainingTime = guard_->remainingTime(now);
-        input.latencyTarget = route_.latencyTarget;
-        const AdmissionDecision decision = Admission::decide(input, gateway_.jitter());
-        if (!decision.admitted) {
-            lastFailure_ = "predicted " + truncatedMs(placement.firstByteMs) + " ms, queue " + truncatedMs(placement.queueMs) + " ms";
-            co_await refuse(decision.retryAfter, "predicted-late");
-            co_return false;
+        const std::optional<bool> placeAgain = co_await admit(placement, now);
+        if (placeAgain) {
+            co_return *placeAgain;
         }
     }
     const bool withinBudget = chargeRetryBudget(placement);
@@ -184,6 +182,27 @@
     co_return retry;
 }
 
+awaitable<std::optional<bool>> CallFlow::admit(Placement placement, Time now)
+{
+    if (contention_) {
+        const std::optional<bool> placeAgain = co_await admitContended(placement, now);
+        co_return placeAgain;
+    }
+    AdmissionInput input;
+    input.firstByteMs = placement.firstByteMs;
+    input.queueMs = placement.queueMs;
+    input.elapsed = now - arrived_;
+    input.remainingTime = guard_->remainingTime(now);
+    input.latencyTarget = route_.latencyTarget;
+    const AdmissionDecision decision = Admission::decide(input, gateway_.jitter());
+    if (decision.admitted) {
+        co_return std::nullopt;
+    }
+    lastFailure_ = "predicted " + truncatedMs(placement.firstByteMs) + " ms, queue " + truncatedMs(placement.queueMs) + " ms";
+    co_await refuse(decision.retryAfter, "predicted-late");
+    co_return false;
+}
+
 bool CallFlow::awaitsVersion(const Placement &placement, Time now)
 {
     if (!placementRequest_.version || placement.versionGone || placement.retryAfter) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callauthentication.h"
+#include "callcontention.h"
 #include "callguard.h"
 #include "callsuspects.h"
 #include "endpointcall.h"
@@ -64,6 +65,12 @@
     /// \return whether the call goes on.
     boost::asio::awaitable<bool> bindResumedStream();
     boost::asio::awaitable<bool> placeAndAttempt();
+    /// \brief Decides whether a call that is placed for the first time may be sent. \return empty if it is sent now, otherwise whether another placement
+    /// follows.
+    boost::asio::awaitable<std::optional<bool>> admit(Placement placement, Time now);
+    /// \brief The same where calls contend for the slots of their service.
+    boost::asio::awaitable<std::optional<bool>> admitContended(Placement placement, Time now);
+    [[nodiscard]] int orderAtEngine(Tokens prefillTokens) const;
     /// \brief Ends a call that no endpoint may get.
     boost::asio::awaitable<void> endUnplaced(const Placement &placement);
     /// \brief Returns whether a call that no endpoint of its stream's version can run at present waits for one: engines of the version are registered, and
@@ -133,6 +140,8 @@
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, ActiveCall>::iterator activeEntry_;
     CallSuspects suspects_;
+    /// \brief Empty where calls are not controlled by ContentionControl.
+    std::optional<CallContention> contention_;
     EventFramer framer_;
     /// \brief Prefix of the prompt that the prefilling engine is expected to have cached or to fetch.
     CachedPrefix cachedPrefix_;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -57,6 +57,7 @@
     , settings(processSettings)
     , router(locationOf(processSettings), seedOf(processSettings))
     , limitReport(router, metrics)
+    , contentionReport(metrics)
     , suspects(seedOf(settings))
     , crashWatch(suspects, metrics)
     , streams(metrics)
@@ -104,7 +105,9 @@
     if (settings.strictRevoke) {
         endRevokedCalls();
     }
+    contention.configure(*configuration, settings.contentionControl);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
+    roomWaiters.wakeAll();
     limitIdleConnections();
     streams.extendLifetime(originLifetime(longestStream(*configuration)));
     metrics.set("mimosatally_organisation_keys", {}, static_cast<double>(keys.size()));
@@ -138,6 +141,7 @@
     appliedChanges_ = registry.changeCount();
     logEndpointChanges();
     router.setEndpoints(registry.endpoints(), *configuration, now);
+    roomWaiters.wakeAll();
     limitIdleConnections();
 }
 
@@ -172,6 +176,7 @@
 void GatewayState::setProcessCount(int count, Time now)
 {
     router.setProcessCount(count, now);
+    contention.setProcessCount(count);
     if (count != processCount_) {
         processCount_ = count;
         limitIdleConnections();
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -3,10 +3,13 @@
 #include "callauthentication.h"
 #include "callguard.h"
 #include "connectionpool.h"
+#include "contentioncontrol.h"
+#include "contentionreport.h"
 #include "crashwatch.h"
 #include "limitreport.h"
 #include "livenessprobe.h"
 #include "organisationlabels.h"
+#include "roomwaiters.h"
 #include "streamlookup.h"
 
 #include <mimosatally/Gateway>
@@ -71,6 +74,10 @@
     StoreEraTracker storeEra;
     PhaseRouter router;
     LimitReport limitReport;
+    ContentionControl contention;
+    ContentionReport contentionReport;
+    /// \brief Calls that wait in this process for a slot of their service.
+    RoomWaiters roomWaiters;
     CrashSuspects suspects;
     CrashWatch crashWatch;
     /// \brief Versions that wrote the first events of streams.
