Use the speeds of endpoints in all predictions

Predictions of prefill, first event, generation, queue, slot wait and plain calls, the work announced to peers and the timeouts derived from them use the learned speed and the reported factor, and the times of a service are learned as those of an engine of mean speed.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -192,6 +192,27 @@
     double regionAffinityHit = 0;
 };
 
+/// \brief Learned speeds of the endpoints of one service and phase; 1 is the speed that its learned times assume.
+struct SpeedSummary {
+    /// \brief Endpoints whose speed is measured.
+    std::size_t measured = 0;
+    double min = 1;
+    double median = 1;
+    double max = 1;
+};
+
+/// \brief Speed of one endpoint as a process uses it, with the age of what it is known from.
+struct SpeedUse {
+    /// \brief Learned speed relative to the mean of the service.
+    double speed = 1;
+    /// \brief Time since the last attempt from which the speed was learned; empty if there is none.
+    std::optional<Duration> speedAge;
+    /// \brief Time that work takes now relative to the usual one, from the endpoint's reports.
+    double factor = 1;
+    /// \brief Time since the last report; empty if there is none.
+    std::optional<Duration> factorAge;
+};
+
 /// \brief Places calls on endpoints that are called directly, with prefill and decode on different engines where that is faster.
 ///
 /// Performs no I/O. Several processes place calls on the same endpoints. Each knows its own attempts exactly, and estimates the work of the
@@ -275,6 +296,12 @@
     /// \brief Returns the estimated times of the engines of each service.
     [[nodiscard]] std::map<ServiceId, EngineTimes> engineTimes() const;
 
+    /// \brief Returns the learned speeds of the endpoints of each service and phase.
+    [[nodiscard]] std::map<std::pair<ServiceId, std::optional<EnginePhase>>, SpeedSummary> speedSummaries() const;
+
+    /// \brief Returns the speed of \a endpoint; empty if the endpoint is unknown or predictions for its service do not use speeds.
+    [[nodiscard]] std::optional<SpeedUse> speedUse(const EndpointId &endpoint, Time now) const;
+
     /// \brief Returns the limit that \a endpoint has named; empty if it names none.
     [[nodiscard]] std::optional<RequestLimitUse> requestLimit(const EndpointId &endpoint, Time now) const;
 
--- a/src/routing/enginemodel.cpp
+++ b/src/routing/enginemodel.cpp
@@ -138,6 +138,12 @@
     return times;
 }
 
+double EngineModel::serviceMs(const Sample &sample) const
+{
+    const Tokens cached = sample.work != AttemptWork::Run && isCacheHit(sample) ? sample.cache.tokens : Tokens(0);
+    return prefillMs(sample.work, {sample.prompt, cached}) + firstByteMs(sample.work);
+}
+
 void EngineModel::recordFirstByte(const Sample &sample)
 {
     ++samples_;
--- a/src/routing/enginemodel.h
+++ b/src/routing/enginemodel.h
@@ -56,6 +56,9 @@
         double measuredMs = 0;
     };
 
+    /// \brief Returns the expected time of an attempt without its wait and the transfer, with or without a cache hit, whichever fits the measured time.
+    [[nodiscard]] double serviceMs(const Sample &sample) const;
+
     /// \brief Updates the model with an attempt's first byte.
     void recordFirstByte(const Sample &sample);
 
--- a/src/routing/phaseestimates.cpp
+++ b/src/routing/phaseestimates.cpp
@@ -116,7 +116,7 @@
     const double requests = phase == EnginePhase::Prefill ? foreign.requests : foreign.waiting;
     const double prefillMs = endpoint.model->meanPrefillMs(phase);
     const double backlogMs = endpoint.prefillBacklog.remainingMs(now);
-    const double reportedMs = requests * prefillMs * endpoint.slowness;
+    const double reportedMs = requests * prefillMs * prefillFactor(endpoint, now);
     // The backlog contains the prefills that peers have announced; a report also contains those that were not announced.
     return freshness(lastPeerDatagram, now, MAX_PEER_SILENCE) > 0 ? std::max(backlogMs, reportedMs) : backlogMs + reportedMs;
 }
@@ -125,7 +125,7 @@
 {
     const double requests = endpoint.ownAttempts + foreignLoad(endpoint, now).requests;
     const double slots = endpoint.record.slots;
-    return requests < slots ? 0 : endpoint.model->generationMs() / slots * (requests - slots + 1);
+    return requests < slots ? 0 : endpoint.model->generationMs() * timeFactor(endpoint, now) / slots * (requests - slots + 1);
 }
 
 double PhaseRouter::Impl::transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -53,6 +53,10 @@
     attempt.startedAt = target.record.startedAt;
     attempt.work = plan.work;
     attempt.beganAt = now;
+    attempt.usesSpeeds = impl_->usesSpeeds(target.record.service, now);
+    attempt.timeFactor = impl_->timeFactor(target, now);
+    attempt.reportedFactor = target.speed.momentaryFactor(now);
+    const double prefillFactor = impl_->prefillFactor(target, now);
     if (target.model != nullptr) {
         internal::EngineModel &model = impl_->engineModels[target.record.service];
         attempt.prefixHashes = prefixHashesOf(request.promptParts);
@@ -63,14 +67,15 @@
         attempt.queueMs += plan.work == AttemptWork::Run ? 0 : impl_->queueMs(target, now);
         attempt.backlogCorrections = target.prefillBacklog.corrections();
         attempt.delayMs = impl_->delayMs(target.record.service, plan.work, now);
-        attempt.predictedMs = roundTripMs(target.distance) + attempt.queueMs + attempt.delayMs + attempt.workMs + model.firstByteMs(plan.work);
+        attempt.predictedMs = roundTripMs(target.distance) + attempt.queueMs + attempt.delayMs + attempt.workMs * attempt.timeFactor
+                              + model.firstByteMs(plan.work) * attempt.timeFactor;
         model.recordPrefillStart(target.record.phase.value_or(EnginePhase::Decode), attempt.workMs);
         for (std::size_t part = 0; part < attempt.prefixHashes.size(); ++part) {
             impl_->cache.store(target.cacheIndex, attempt.prefixHashes[part], static_cast<std::size_t>(request.promptParts[part].tokens.count()));
         }
     } else {
         const auto mean = impl_->plainCallMs.find(request.service);
-        attempt.predictedMs = roundTripMs(target.distance) + (mean == impl_->plainCallMs.end() ? INITIAL_PLAIN_CALL_MS : mean->second);
+        attempt.predictedMs = roundTripMs(target.distance) + (mean == impl_->plainCallMs.end() ? INITIAL_PLAIN_CALL_MS : mean->second) * attempt.timeFactor;
     }
     const auto source = impl_->endpoints.find(plan.promptSource);
     if (source != impl_->endpoints.end()) {
@@ -81,9 +86,9 @@
         source->second.transferBacklogMs += attempt.transferMs;
         target.transferBacklogMs += attempt.transferMs;
     }
-    target.prefillBacklog.add(attempt.workMs * target.slowness, now);
+    target.prefillBacklog.add(attempt.workMs * prefillFactor, now);
     if (attempt.workMs > 0) {
-        impl_->addNotice(attempt, target, request, now);
+        impl_->addNotice(attempt, attempt.workMs * prefillFactor, target, request, now);
     }
     target.limit.take(now);
     (plan.work == AttemptWork::Prefill ? target.sentPrefills : target.sentRuns).add(now);
@@ -96,12 +101,12 @@
     return ticket;
 }
 
-void PhaseRouter::Impl::addNotice(const Attempt &attempt, const Endpoint &target, const PlacementRequest &request, Time now)
+void PhaseRouter::Impl::addNotice(const Attempt &attempt, double prefillMs, const Endpoint &target, const PlacementRequest &request, Time now)
 {
     PrefillNotice notice;
     notice.endpoint = internal::hashOf(target.record.id);
     notice.startedAt = target.record.startedAt;
-    notice.prefillMs = attempt.workMs * target.slowness;
+    notice.prefillMs = prefillMs;
     for (std::size_t part = 0; part < attempt.prefixHashes.size(); ++part) {
         notice.prefixes.push_back({attempt.prefixHashes[part], request.promptParts[part].tokens});
     }
@@ -171,14 +176,15 @@
     endpoint.unansweredSince = endpoint.ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
     if (!attempt.prefixHashes.empty()) {
         const double measuredMs = toMs(now - attempt.beganAt);
-        const double unexplainedMs = measuredMs - (attempt.predictedMs - attempt.delayMs + attempt.workMs * (endpoint.slowness - 1));
+        const double slowerMs = attempt.usesSpeeds ? 0 : attempt.workMs * (endpoint.slowness - 1);
+        const double unexplainedMs = measuredMs - (attempt.predictedMs - attempt.delayMs + slowerMs);
         impl_->recordDelay(attempt, endpoint, unexplainedMs, now);
         if (attempt.work == AttemptWork::Prefill) {
             endpoint.prefillBacklog.correct(unexplainedMs, attempt.backlogCorrections, now);
         }
         updateMean(endpoint.slowness, std::clamp(measuredMs / attempt.predictedMs, MIN_SLOWNESS, MAX_SLOWNESS));
-        const double netMs = std::max(0.0, measuredMs - roundTripMs(endpoint.distance));
-        impl_->engineModels[endpoint.record.service].recordFirstByte({attempt.work, attempt.prompt, attempt.cache, attempt.transferMs, attempt.queueMs, netMs});
+        attempt.speedSample = impl_->speedSampleOf(attempt, endpoint, now);
+        impl_->engineModels[endpoint.record.service].recordFirstByte(Impl::modelSampleOf(attempt, endpoint, now));
     }
 }
 
@@ -227,11 +233,14 @@
         endpoint.health.recordFailure(now);
     }
     if (result == AttemptOutcome::Answered && !attempt.prefixHashes.empty() && attempt.work != AttemptWork::Prefill && attempt.answeredAt != Time::min()) {
-        impl_->engineModels[endpoint.record.service].recordGeneration(toMs(now - attempt.answeredAt));
+        impl_->engineModels[endpoint.record.service].recordGeneration(toMs(now - attempt.answeredAt) / attempt.timeFactor);
     }
     if (result == AttemptOutcome::Answered && attempt.prefixHashes.empty() && attempt.work == AttemptWork::Run) {
         auto &mean = impl_->plainCallMs.emplace(endpoint.record.service, INITIAL_PLAIN_CALL_MS).first->second;
-        updateMean(mean, std::max(1.0, toMs(now - attempt.beganAt) - roundTripMs(endpoint.distance)));
+        updateMean(mean, std::max(1.0, (toMs(now - attempt.beganAt) - roundTripMs(endpoint.distance)) / attempt.timeFactor));
+    }
+    if (result == AttemptOutcome::Answered) {
+        impl_->learnSpeed(attempt, endpoint, now);
     }
 }
 
@@ -290,6 +299,10 @@
     state.foreign.requests = std::max(0, load.running + load.waiting - state.ownAttempts);
     state.foreign.waiting = std::max(0, load.waiting - state.ownUnanswered);
     state.reportedAt = now;
+    if (load.relativeTime) {
+        state.speed.reportRelativeTime(*load.relativeTime, now);
+        impl_->relativeTimeReportedAt[state.record.service] = now;
+    }
     internal::MeanLoad &mean = impl_->meanLoads[{state.record.service, state.record.phase}];
     updateMean(mean.load.requests, state.foreign.requests);
     updateMean(mean.load.waiting, state.foreign.waiting);
--- a/src/routing/phaserouterfleet.cpp
+++ b/src/routing/phaserouterfleet.cpp
@@ -81,6 +81,12 @@
     std::erase_if(lastReturn, [this](const auto &entry) {
         return !services.contains(entry.first);
     });
+    std::erase_if(phaseSpeeds, [this](const auto &entry) {
+        return !services.contains(entry.first.first);
+    });
+    std::erase_if(relativeTimeReportedAt, [this](const auto &entry) {
+        return !services.contains(entry.first);
+    });
     std::erase_if(delays, [this](const auto &entry) {
         return !services.contains(entry.first.first);
     });
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -4,6 +4,7 @@
 #include "endpointhealth.h"
 #include "endpointlimit.h"
 #include "enginemodel.h"
+#include "enginespeed.h"
 #include "refusedconnection.h"
 
 #include <mimosatally/routing/phaserouter.h>
@@ -43,6 +44,16 @@
     Time observedAt = Time::min();
 };
 
+/// \brief Speeds of the endpoints of one service and phase, whose times come from the same model.
+struct PhaseSpeeds {
+    SpeedSummary summary;
+    /// \brief Geometric mean of the measured speeds; an endpoint that is not measured is taken to have it.
+    double mean = 1;
+    /// \brief The measured speeds differ by more than their uncertainty and the least difference that is used.
+    bool differ = false;
+    Time updatedAt = Time::min();
+};
+
 /// \brief Estimated engine time of queued work that runs sequentially; it decreases as time passes.
 class Backlog
 {
@@ -89,6 +100,7 @@
     Time reportedAt = Time::min();
     /// \brief Mean ratio of measured to predicted times; 1 is nominal.
     double slowness = 1;
+    EngineSpeed speed;
     /// \brief Recent share of calls that the endpoint failed, 0 to 1.
     double failureShare = 0;
     /// \brief End of the back-off after a rejected call; the back-off grows with each consecutive rejection.
@@ -136,6 +148,13 @@
         /// \brief Engine that keeps the prefilled prompt, and the time of its transfer.
         EndpointId promptSource;
         double transferMs = 0;
+        /// \brief timeFactor() of the prediction, and the reported factor when the attempt began.
+        double timeFactor = 1;
+        double reportedFactor = 1;
+        /// \brief The prediction uses the endpoint's speed.
+        bool usesSpeeds = false;
+        /// \brief Service time, which is recorded once the attempt is known to have run.
+        std::optional<internal::EngineSpeed::Sample> speedSample;
         bool awaitingFirstByte = true;
         Time answeredAt = Time::min();
         std::vector<std::uint64_t> prefixHashes;
@@ -231,6 +250,22 @@
     [[nodiscard]] std::optional<Duration> returnTime(const ServiceId &service, const std::vector<const Endpoint *> &fitting, Time now);
     [[nodiscard]] static bool isHealthy(const Endpoint &endpoint, Time now);
     [[nodiscard]] Tokens cachedTokens(const Endpoint &endpoint, const PlacementRequest &request, const std::vector<std::uint64_t> &prefixHashes) const;
+    /// \brief Returns whether predictions and choices for a service use the speeds of its endpoints.
+    [[nodiscard]] bool usesSpeeds(const ServiceId &service, Time now) const;
+    /// \brief Time that work takes now at an endpoint relative to the mean of its service; 1 for a service whose speeds are not used.
+    [[nodiscard]] double timeFactor(const Endpoint &endpoint, Time now) const;
+    /// \brief Like timeFactor(), with the mean ratio of measured to predicted times for a service whose speeds are not used.
+    [[nodiscard]] double prefillFactor(const Endpoint &endpoint, Time now) const;
+    /// \brief Returns the first byte of \a attempt for the times of its service: what it would have been at an endpoint of mean speed.
+    [[nodiscard]] static internal::EngineModel::Sample modelSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now);
+    /// \brief Returns the service time of an attempt whose first byte arrives now; empty if the endpoint had a queue.
+    [[nodiscard]] std::optional<internal::EngineSpeed::Sample> speedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const;
+    /// \brief Returns the same for a plain call that ends now.
+    [[nodiscard]] std::optional<internal::EngineSpeed::Sample> plainSpeedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const;
+    /// \brief Records the service time of an attempt that has run.
+    void learnSpeed(const Attempt &attempt, Endpoint &endpoint, Time now);
+    [[nodiscard]] static std::vector<const internal::EngineSpeed *> measuredSpeeds(const ServiceFleet &fleet, std::optional<EnginePhase> phase);
+    void updatePhaseSpeeds(const ServiceId &service, std::optional<EnginePhase> phase, Time now);
     [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
     /// \brief Requests of other processes at an endpoint: from its own report while that is recent, otherwise the mean of its service and phase.
     [[nodiscard]] internal::ForeignLoad foreignLoad(const Endpoint &endpoint, Time now) const;
@@ -286,7 +321,8 @@
     void removeUnusedState();
     /// \brief Removes profiles and models of services without any endpoint.
     void pruneEngineModels();
-    void addNotice(const Attempt &attempt, const Endpoint &target, const PlacementRequest &request, Time now);
+    /// \param prefillMs expected engine time of the prefill at \a target.
+    void addNotice(const Attempt &attempt, double prefillMs, const Endpoint &target, const PlacementRequest &request, Time now);
 
     void endTransfer(const Attempt &attempt);
 
@@ -301,6 +337,9 @@
     std::unordered_map<internal::CacheIndex::EndpointIndex, EndpointId> endpointOfCacheIndex;
     std::map<std::pair<ServiceId, std::optional<EnginePhase>>, internal::MeanLoad> meanLoads;
     std::map<std::pair<ServiceId, AttemptWork>, internal::ObservedDelay> delays;
+    std::map<std::pair<ServiceId, std::optional<EnginePhase>>, internal::PhaseSpeeds> phaseSpeeds;
+    /// \brief Time of the last report of a relative time by an endpoint of each service.
+    std::map<ServiceId, Time> relativeTimeReportedAt;
     /// \brief Profiles of the services whose endpoints are engines, and the times of these engines.
     std::map<ServiceId, EngineProfile> engineProfiles;
     std::map<ServiceId, internal::EngineModel> engineModels;
--- a/src/routing/placementestimates.cpp
+++ b/src/routing/placementestimates.cpp
@@ -43,9 +43,10 @@
     const PrefixSource prefix = prefixFor(endpoint, work, prompt);
     estimate.cache = prefix.cache;
     estimate.cacheSource = prefix.source;
-    const double prefillMs = prefix.prefillMs * endpoint.slowness;
+    const double prefillMs = prefix.prefillMs * prefillFactor(endpoint, now);
+    const double factor = timeFactor(endpoint, now);
     estimate.queueMs = queueMs(endpoint, now) + delayMs(endpoint.record.service, work, now);
-    estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + prefillMs + endpoint.model->firstByteMs(work);
+    estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + prefillMs + endpoint.model->firstByteMs(work) * factor;
     estimate.costMs =
         estimate.timeMs + (ENGINE_TIME_WEIGHT - 1) * prefillMs + distancePenaltyMs(endpoint.distance) + endpoint.failureShare * FAILURE_PENALTY_MS;
     if (work == AttemptWork::PrefillAndRun) {
@@ -54,7 +55,7 @@
         estimate.queueMs += wait;
         estimate.timeMs += wait;
         // The prefill runs between the decode steps of the batch and delays all running generations.
-        estimate.costMs += wait + batchPenaltyMs(endpoint, requests) + requests * prefillMs * DELAYED_GENERATION_WEIGHT;
+        estimate.costMs += wait + batchPenaltyMs(endpoint, requests) * factor + requests * prefillMs * DELAYED_GENERATION_WEIGHT;
     }
     return estimate;
 }
@@ -64,8 +65,8 @@
     AttemptEstimate estimate;
     estimate.endpoint = &endpoint;
     estimate.queueMs = slotWaitMs(endpoint, now) + endpoint.transferBacklogMs + delayMs(endpoint.record.service, AttemptWork::Run, now);
-    estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + endpoint.model->firstByteMs(AttemptWork::Run) * endpoint.slowness;
-    estimate.costMs = estimate.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreignLoad(endpoint, now).requests)
+    estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + endpoint.model->firstByteMs(AttemptWork::Run) * prefillFactor(endpoint, now);
+    estimate.costMs = estimate.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreignLoad(endpoint, now).requests) * timeFactor(endpoint, now)
                       + endpoint.failureShare * FAILURE_PENALTY_MS + distancePenaltyMs(endpoint.distance);
     return estimate;
 }
@@ -117,7 +118,7 @@
     AttemptEstimate estimate;
     estimate.endpoint = &endpoint;
     const auto mean = plainCallMs.find(endpoint.record.service);
-    const double workMs = (mean == plainCallMs.end() ? INITIAL_PLAIN_CALL_MS : mean->second) * endpoint.slowness;
+    const double workMs = (mean == plainCallMs.end() ? INITIAL_PLAIN_CALL_MS : mean->second) * prefillFactor(endpoint, now);
     const double requests = endpoint.ownAttempts + foreignLoad(endpoint, now).requests;
     const double slots = endpoint.record.slots;
     estimate.queueMs = std::max(0.0, requests - slots + 1) * workMs / slots;
