--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -30,6 +30,16 @@
     /// \brief Software version that the engines of the call must have, because an engine of this version wrote the events before; empty if any may run
     /// the call. No engine fits a version that is not known.
     std::optional<SoftwareVersion> version = std::nullopt;
+    /// \brief Slots of the service's endpoints that the call leaves free for more urgent calls.
+    double reservedSlots = 0;
+};
+
+/// \brief Estimated use of the slots of all endpoints of a service that take calls.
+struct ServiceSlots {
+    double total = 0;
+    /// \brief Running and waiting requests; more than `total` if requests wait.
+    double requests = 0;
+    double waiting = 0;
 };
 
 /// \brief Reason why an engine is expected to have a prompt prefix in its cache.
@@ -70,6 +80,8 @@
     /// \brief Time until an endpoint is expected to take this call; set if there is no endpoint only because of pauses that endpoints have asked for
     /// or limits that they have named.
     std::optional<Duration> retryAfter;
+    /// \brief No endpoint has a slot besides those that the call has to leave free.
+    bool withinReserve = false;
 };
 
 /// \brief Change of the request limit that an endpoint names in its answers.
@@ -192,6 +204,27 @@
     double regionAffinityHit = 0;
 };
 
+/// \brief Learned speeds of the endpoints of one service and phase; 1 is the speed that its learned times assume.
+struct SpeedSummary {
+    /// \brief Endpoints whose speed is measured.
+    std::size_t measured = 0;
+    double min = 1;
+    double median = 1;
+    double max = 1;
+};
+
+/// \brief Speed of one endpoint as a process uses it, with the age of what it is known from.
+struct SpeedUse {
+    /// \brief Learned speed relative to the mean of the service.
+    double speed = 1;
+    /// \brief Time since the last attempt from which the speed was learned; empty if there is none.
+    std::optional<Duration> speedAge;
+    /// \brief Time that work takes now relative to the usual one, from the endpoint's reports.
+    double factor = 1;
+    /// \brief Time since the last report; empty if there is none.
+    std::optional<Duration> factorAge;
+};
+
 /// \brief Places calls on endpoints that are called directly, with prefill and decode on different engines where that is faster.
 ///
 /// Performs no I/O. Several processes place calls on the same endpoints. Each knows its own attempts exactly, and estimates the work of the
@@ -272,9 +305,18 @@
     /// \brief Returns the mean number of requests of other processes that wait at an engine of a phase, from the reports of the last second.
     [[nodiscard]] double meanWaiting(const ServiceId &service, EnginePhase phase, Time now) const;
 
+    /// \brief Returns the estimated use of the slots of the endpoints of \a service that take calls.
+    [[nodiscard]] ServiceSlots slots(const ServiceId &service, Time now) const;
+
     /// \brief Returns the estimated times of the engines of each service.
     [[nodiscard]] std::map<ServiceId, EngineTimes> engineTimes() const;
 
+    /// \brief Returns the learned speeds of the endpoints of each service and phase.
+    [[nodiscard]] std::map<std::pair<ServiceId, std::optional<EnginePhase>>, SpeedSummary> speedSummaries() const;
+
+    /// \brief Returns the speed of \a endpoint; empty if the endpoint is unknown or predictions for its service do not use speeds.
+    [[nodiscard]] std::optional<SpeedUse> speedUse(const EndpointId &endpoint, Time now) const;
+
     /// \brief Returns the limit that \a endpoint has named; empty if it names none.
     [[nodiscard]] std::optional<RequestLimitUse> requestLimit(const EndpointId &endpoint, Time now) const;
 
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callauthentication.h"
+#include "callcontention.h"
 #include "callguard.h"
 #include "callsuspects.h"
 #include "endpointcall.h"
@@ -64,6 +65,12 @@
     /// \return whether the call goes on.
     boost::asio::awaitable<bool> bindResumedStream();
     boost::asio::awaitable<bool> placeAndAttempt();
+    /// \brief Decides whether a call that is placed for the first time may be sent. \return empty if it is sent now, otherwise whether another placement
+    /// follows.
+    boost::asio::awaitable<std::optional<bool>> admit(Placement placement, Time now);
+    /// \brief The same where calls contend for the slots of their service.
+    boost::asio::awaitable<std::optional<bool>> admitContended(Placement placement, Time now);
+    [[nodiscard]] int orderAtEngine(Tokens prefillTokens) const;
     /// \brief Ends a call that no endpoint may get.
     boost::asio::awaitable<void> endUnplaced(const Placement &placement);
     /// \brief Returns whether a call that no endpoint of its stream's version can run at present waits for one: engines of the version are registered, and
@@ -91,7 +98,10 @@
     [[nodiscard]] bool canRetry(NextStep next) const;
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
     [[nodiscard]] bool chargeRetryBudget(const Placement &placement);
+    /// \brief Records that an endpoint runs the call or may do so.
     void recordRun();
+    /// \brief Counts the request for the caller's organisation, once. \param begun when it began to run.
+    void countRun(Time begun);
     /// \brief Records that nothing listens at the address of an endpoint, if that is why \a call was not sent. \param startedAt of its incarnation.
     void recordIfRefused(const EndpointCall &call, const EndpointId &endpoint, std::int64_t startedAt);
     /// \brief Reports to the router what the head of an answer says about its endpoint.
@@ -133,6 +143,8 @@
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, ActiveCall>::iterator activeEntry_;
     CallSuspects suspects_;
+    /// \brief Empty where calls are not controlled by ContentionControl.
+    std::optional<CallContention> contention_;
     EventFramer framer_;
     /// \brief Prefix of the prompt that the prefilling engine is expected to have cached or to fetch.
     CachedPrefix cachedPrefix_;
@@ -141,6 +153,10 @@
     /// \brief Attempts that may have run the call.
     int runs_ = 0;
     int attempts_ = 0;
+    /// \brief Time at which the last attempt was sent.
+    Time sentAt_ = Time::min();
+    /// \brief The request is counted for the caller's organisation.
+    bool usageCounted_ = false;
     /// \brief Attempts whose connection was refused. Each takes a millisecond and excludes its endpoint, so they are not limited.
     int refusedAttempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -46,6 +46,13 @@
     return longest;
 }
 
+/// \brief Id of this process in usage notices. It has the start of the process, so what an earlier process of the name has counted stays.
+ProcessId usageProcessOf(const GatewaySettings &settings)
+{
+    constexpr std::size_t maxNameBytes = 64;
+    return ProcessId(settings.process.value().substr(0, maxNameBytes) + '@' + std::to_string(ownUnixMs()));
+}
+
 std::uint64_t seedOf(const GatewaySettings &settings)
 {
     return std::hash<std::string>()(settings.process.value()) ^ static_cast<std::uint64_t>(MilliClock::now().time_since_epoch().count());
@@ -57,11 +64,14 @@
     , settings(processSettings)
     , router(locationOf(processSettings), seedOf(processSettings))
     , limitReport(router, metrics)
+    , contentionReport(metrics)
     , suspects(seedOf(settings))
     , crashWatch(suspects, metrics)
     , streams(metrics)
     , endpointObservation(context)
     , streamLookup(context, streams, endpointObservation, metrics)
+    , usageLedger(usageProcessOf(settings))
+    , usageCounter(usageLedger, fleetClock, settings, metrics)
     , retries(allowanceOf(processSettings))
     , connections(context)
     , livenessProbe(context, connections, router, metrics)
@@ -97,6 +107,9 @@
 {
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
+    if (settings.platformApi.reportsUsage) {
+        organisationHashes.learn(*configuration);
+    }
     keys = KeyTable(configuration);
     for (const KeyDigest &key : keys.duplicates()) {
         logEvent(LogEvent::KeyGivenTwice, {{"key", digestPrefix(key)}, {"version", configuration->version}});
@@ -104,7 +117,9 @@
     if (settings.strictRevoke) {
         endRevokedCalls();
     }
+    contention.configure(*configuration, settings.contentionControl);
     router.setEndpoints(registry.endpoints(), *configuration, MilliClock::now());
+    roomWaiters.wakeAll();
     limitIdleConnections();
     streams.extendLifetime(originLifetime(longestStream(*configuration)));
     metrics.set("mimosatally_organisation_keys", {}, static_cast<double>(keys.size()));
@@ -138,6 +153,7 @@
     appliedChanges_ = registry.changeCount();
     logEndpointChanges();
     router.setEndpoints(registry.endpoints(), *configuration, now);
+    roomWaiters.wakeAll();
     limitIdleConnections();
 }
 
@@ -172,6 +188,7 @@
 void GatewayState::setProcessCount(int count, Time now)
 {
     router.setProcessCount(count, now);
+    contention.setProcessCount(count);
     if (count != processCount_) {
         processCount_ = count;
         limitIdleConnections();
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -3,11 +3,16 @@
 #include "callauthentication.h"
 #include "callguard.h"
 #include "connectionpool.h"
+#include "contentioncontrol.h"
+#include "contentionreport.h"
 #include "crashwatch.h"
 #include "limitreport.h"
 #include "livenessprobe.h"
+#include "organisationhashes.h"
 #include "organisationlabels.h"
+#include "roomwaiters.h"
 #include "streamlookup.h"
+#include "usagecounter.h"
 
 #include <mimosatally/Gateway>
 #include <mimosatally/Membership>
@@ -71,6 +76,10 @@
     StoreEraTracker storeEra;
     PhaseRouter router;
     LimitReport limitReport;
+    ContentionControl contention;
+    ContentionReport contentionReport;
+    /// \brief Calls that wait in this process for a slot of their service.
+    RoomWaiters roomWaiters;
     CrashSuspects suspects;
     CrashWatch crashWatch;
     /// \brief Versions that wrote the first events of streams.
@@ -78,6 +87,11 @@
     /// \brief How fresh the endpoints read from the store are.
     StoreObservation endpointObservation;
     StreamLookup streamLookup;
+    /// \brief True time, by which usage windows are told apart.
+    FleetClock fleetClock;
+    UsageLedger usageLedger;
+    UsageCounter usageCounter;
+    OrganisationHashes organisationHashes;
     KeyedRetryBudget<ServiceId> retries;
     ConnectionPool connections;
     LivenessProbe livenessProbe;
