--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -138,14 +138,19 @@
 
 awaitable<void> CallFlow::endRevoked()
 {
-    constexpr const char *reason = "key-revoked";
-    if (streaming_) {
-        cutStream(reason);
+    if (streaming_ || exchange_.hasResponded()) {
+        cutStream(REVOKED_REASON);
         co_return;
     }
-    const unsigned status = mayHaveRun_ ? STATUS_BAD_GATEWAY : STATUS_UNAUTHORIZED;
-    logFailed(status, reason);
-    co_await respondError(status, reason, std::nullopt);
+    if (mayHaveRun_) {
+        logFailed(STATUS_BAD_GATEWAY, REVOKED_REASON);
+        co_await respondError(STATUS_BAD_GATEWAY, REVOKED_REASON, std::nullopt);
+        co_return;
+    }
+    logRefused(REVOKED_REASON, std::nullopt);
+    HttpResponse response = makeErrorResponse(STATUS_UNAUTHORIZED, REVOKED_REASON, std::nullopt);
+    response.set(http::field::www_authenticate, "Bearer");
+    co_await exchange_.respond(std::move(response));
 }
 
 awaitable<void> CallFlow::giveUp()
@@ -193,7 +198,7 @@
     countResult("failed");
 }
 
-awaitable<void> CallFlow::refuse(Duration retryAfter, const char *reason)
+void CallFlow::logRefused(const char *reason, std::optional<Duration> retryAfter)
 {
     logEvent(LogEvent::GatewayCallRefused,
              {{"request", call_.id},
@@ -201,11 +206,16 @@
               {"organisation", organisationText()},
               {"reason", reason},
               {"cause", lastFailure_},
-              {"retry_after_ms", retryAfter},
+              {"retry_after_ms", retryAfter.value_or(Duration(0))},
               {"attempts", attempts_},
               {"after_ms", MilliClock::now() - arrived_},
               {"configuration", configuration_->version}});
     countResult("refused");
+}
+
+awaitable<void> CallFlow::refuse(Duration retryAfter, const char *reason)
+{
+    logRefused(reason, retryAfter);
     co_await respondError(STATUS_UNAVAILABLE, reason, retryAfter);
 }
 
--- a/src/gateway/callauthentication.cpp
+++ b/src/gateway/callauthentication.cpp
@@ -3,22 +3,26 @@
 namespace mimosatally::internal
 {
 
-std::optional<CallerIdentity> CallAuthentication::authenticate(const KeyTable &keys, const Route *route, std::optional<std::string_view> key) const
+Authentication CallAuthentication::authenticate(const KeyTable &keys, const Route *route, std::optional<std::string_view> key) const
 {
+    Authentication result;
     CallerIdentity caller;
     if (!keys.isActive()) {
-        return caller;
+        result.caller = caller;
+        return result;
     }
     if (key && key->size() <= keys.maxKeyBytes()) {
-        const KeyDigest digest = digester_.digest(*key);
-        if (const Organisation *organisation = keys.find(digest)) {
-            caller.organisation = {organisation->id, organisation->priority};
-            caller.key = digest;
-            return caller;
-        }
+        result.key = digester_.digest(*key);
     }
-    const bool needsKey = route == nullptr || !route->isPublic;
-    return needsKey ? std::nullopt : std::optional(caller);
+    const Organisation *organisation = result.key ? keys.find(*result.key) : nullptr;
+    if (organisation != nullptr) {
+        caller.organisation = {organisation->id, organisation->priority};
+        caller.key = result.key;
+    }
+    if (organisation != nullptr || (route != nullptr && route->isPublic)) {
+        result.caller = std::move(caller);
+    }
+    return result;
 }
 
 bool CallAuthentication::isValid(const KeyTable &keys, const CallerIdentity &caller)
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -85,14 +85,27 @@
             guard->callerDisconnected();
         }
     });
+    guard_->onKeyRevoked([this] {
+        // A caller that does not read would otherwise hold the answer for the whole time of a write.
+        if (exchange_.hasResponded()) {
+            exchange_.abort();
+        }
+    });
     bool retry = true;
     if (call_.resumed) {
         retry = co_await bindResumedStream();
     }
     gateway_.retries.recordRequest(placementRequest_.service, arrived_);
     gateway_.suspects.recordCall(suspects_.parts(), arrived_);
-    while (retry) {
-        retry = co_await placeAndAttempt();
+    try {
+        while (retry) {
+            retry = co_await placeAndAttempt();
+        }
+    } catch (const boost::system::system_error &) {
+        if (guard_->stopReason() == StopReason::KeyRevoked) {
+            cutStream(REVOKED_REASON);
+        }
+        throw;
     }
 }
 
@@ -287,7 +300,8 @@
     EndpointAttempt attempt;
     attempt.target = endpoint;
     attempt.remainingTime = guard_->remainingTime(MilliClock::now());
-    if (configuration_->organisations) {
+    // A call may have arrived before the first configuration with organisations, and be repeated after it.
+    if (configuration_->organisations || gateway_.keys.isActive()) {
         attempt.organisation = caller_.organisation.id;
     }
     if (streaming_) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -18,6 +18,9 @@
 /// \brief Returns an error answer of the gateway itself. \param retryAfter time after which a call that was not run may be retried.
 HttpResponse makeErrorResponse(unsigned status, const char *reason, std::optional<Duration> retryAfter);
 
+/// \brief Reason why a call ended whose key is not valid any more.
+constexpr const char *REVOKED_REASON = "key-revoked";
+
 /// \brief Retry delay for callers if the queueing delay is unknown.
 constexpr Duration DEFAULT_RETRY_AFTER = Duration(300);
 
@@ -110,6 +113,7 @@
     void logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
     void logAnswered(const EndpointId &endpoint, const EndpointCall &call);
     void logFailed(unsigned status, const char *reason);
+    void logRefused(const char *reason, std::optional<Duration> retryAfter);
 
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
     /// \brief Ends a call whose key is not valid any more.
--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -50,6 +50,14 @@
 void CallGuard::revokeKey()
 {
     cancel(StopReason::KeyRevoked);
+    if (stopReason_ == StopReason::KeyRevoked && keyRevoked_) {
+        keyRevoked_();
+    }
+}
+
+void CallGuard::onKeyRevoked(std::function<void()> callback)
+{
+    keyRevoked_ = std::move(callback);
 }
 
 void CallGuard::expireNow()
--- a/src/gateway/callguard.h
+++ b/src/gateway/callguard.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 
 namespace mimosatally::internal
@@ -42,6 +43,9 @@
     /// \brief Ends the call because the key of its caller is not valid any more.
     void revokeKey();
 
+    /// \brief Sets what revokeKey() does besides, such as to end a write to the caller.
+    void onKeyRevoked(std::function<void()> callback);
+
     /// \brief Ends the deadline of the call.
     void expireNow();
 
@@ -60,6 +64,7 @@
     Time deadline_;
     Time attemptDeadline_;
     boost::asio::ip::tcp::socket *socket_ = nullptr;
+    std::function<void()> keyRevoked_;
     StopReason stopReason_ = StopReason::None;
     std::uint64_t timerGeneration_ = 0;
 };
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -34,6 +34,20 @@
     return now >= gateway_.longCallsRefusedFrom && now + maxDuration > gateway_.stopDeadline;
 }
 
+awaitable<void> CallHandler::rejectUnauthenticated(HttpExchange &exchange, const CallRequest &call, const std::optional<KeyDigest> &key)
+{
+    logEvent(LogEvent::GatewayCallRefused,
+             {{"request", call.id},
+              {"reason", "unknown-key"},
+              {"key", key ? digestPrefix(*key) : "-"},
+              {"keys", gateway_.keys.size()},
+              {"configuration", gateway_.configuration->version}});
+    gateway_.metrics.increment("mimosatally_calls_unauthenticated_total", {});
+    HttpResponse response = makeErrorResponse(STATUS_UNAUTHORIZED, "unknown-key", std::nullopt);
+    response.set(boost::beast::http::field::www_authenticate, "Bearer");
+    co_await exchange.respond(std::move(response));
+}
+
 awaitable<void> CallHandler::handle(HttpExchange &exchange)
 {
     std::optional<CallRequest> call;
@@ -43,26 +57,23 @@
     } catch (const MalformedInputError &error) {
         decodeError = error.what();
     }
-    if (!call || call->id.empty()) {
-        logEvent(LogEvent::GatewayCallMalformed, {{"error", decodeError.empty() ? "no request id" : decodeError}});
-        HttpResponse response = makeErrorResponse(STATUS_BAD_REQUEST, "malformed", std::nullopt);
+    if (!gateway_.canServe()) {
+        logEvent(LogEvent::GatewayCallRefused,
+                 {{"request", call ? call->id : RequestId("-")}, {"reason", "no-configuration"}, {"retry_after_ms", STARTUP_RETRY_AFTER}});
+        HttpResponse response = makeErrorResponse(STATUS_UNAVAILABLE, "no-configuration", STARTUP_RETRY_AFTER);
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    if (!gateway_.canServe()) {
-        logEvent(LogEvent::GatewayCallRefused, {{"request", call->id}, {"reason", "no-configuration"}, {"retry_after_ms", STARTUP_RETRY_AFTER}});
-        HttpResponse response = makeErrorResponse(STATUS_UNAVAILABLE, "no-configuration", STARTUP_RETRY_AFTER);
+    if (!call || call->id.empty()) {
+        logEvent(LogEvent::GatewayCallMalformed, {{"error", decodeError.empty() ? "no request id" : decodeError}});
+        HttpResponse response = makeErrorResponse(STATUS_BAD_REQUEST, "malformed", std::nullopt);
         co_await exchange.respond(std::move(response));
         co_return;
     }
     const Route *route = gateway_.routes.find(call->host, call->path);
-    std::optional<CallerIdentity> caller = authentication_.authenticate(gateway_.keys, route, platform::callerKey(exchange.request()));
-    if (!caller) {
-        logEvent(LogEvent::GatewayCallRefused, {{"request", call->id}, {"reason", "unknown-key"}, {"configuration", gateway_.configuration->version}});
-        gateway_.metrics.increment("mimosatally_calls_unauthenticated_total", {});
-        HttpResponse response = makeErrorResponse(STATUS_UNAUTHORIZED, "unknown-key", std::nullopt);
-        response.set(boost::beast::http::field::www_authenticate, "Bearer");
-        co_await exchange.respond(std::move(response));
+    Authentication authentication = authentication_.authenticate(gateway_.keys, route, platform::callerKey(exchange.request()));
+    if (!authentication.caller) {
+        co_await rejectUnauthenticated(exchange, *call, authentication.key);
         co_return;
     }
     if (route == nullptr) {
@@ -77,7 +88,7 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    CallFlow flow(gateway_, exchange, std::move(*call), std::move(*caller), gateway_.configuration, *route);
+    CallFlow flow(gateway_, exchange, std::move(*call), std::move(*authentication.caller), gateway_.configuration, *route);
     co_await flow.run();
 }
 
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -19,6 +19,8 @@
     boost::asio::awaitable<void> handle(HttpExchange &exchange);
 
 private:
+    /// \brief Rejects a call that carries no valid key.
+    boost::asio::awaitable<void> rejectUnauthenticated(HttpExchange &exchange, const CallRequest &call, const std::optional<KeyDigest> &key);
     /// \brief Returns whether long calls are already refused and the call could still be running when the process exits.
     [[nodiscard]] bool canOutlastShutdown(const CallRequest &call, const Route &route) const;
 
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -98,8 +98,9 @@
     configuration = std::make_shared<const ServingConfiguration>(std::move(next));
     routes = RouteTable(configuration);
     keys = KeyTable(configuration);
-    for (const KeyDigest &key : keys.duplicates()) {
-        logEvent(LogEvent::KeyGivenTwice, {{"key", digestPrefix(key)}, {"version", configuration->version}});
+    if (!keys.duplicates().empty()) {
+        logEvent(LogEvent::KeyGivenTwice,
+                 {{"version", configuration->version}, {"keys", keys.duplicates().size()}, {"first", digestPrefix(keys.duplicates().front())}});
     }
     if (settings.strictRevoke) {
         endRevokedCalls();
--- a/src/serving/keytable.cpp
+++ b/src/serving/keytable.cpp
@@ -29,9 +29,12 @@
 KeyDigest KeyDigester::digest(std::string_view key) const
 {
     KeyDigest result {};
-    EVP_DigestInit_ex(context_.get(), algorithm_.get(), nullptr);
-    EVP_DigestUpdate(context_.get(), key.data(), key.size());
-    EVP_DigestFinal_ex(context_.get(), result.data(), nullptr);
+    const bool digested = algorithm_ && context_ && EVP_DigestInit_ex(context_.get(), algorithm_.get(), nullptr) == 1
+                          && EVP_DigestUpdate(context_.get(), key.data(), key.size()) == 1 && EVP_DigestFinal_ex(context_.get(), result.data(), nullptr) == 1;
+    if (!digested) {
+        // A digest that was not written would be the same for all keys.
+        throw Error("SHA-256 is not available");
+    }
     return result;
 }
 
@@ -48,6 +51,11 @@
         return;
     }
     const std::vector<Organisation> &organisations = *configuration_->organisations;
+    std::size_t keys = 0;
+    for (const Organisation &organisation : organisations) {
+        keys += organisation.keys.size();
+    }
+    entries_.reserve(keys);
     for (std::size_t i = 0; i < organisations.size(); ++i) {
         for (const KeyDigest &digest : organisations[i].keys) {
             entries_.push_back({digest, static_cast<std::uint32_t>(i)});
