--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -111,8 +111,9 @@
         organisationHashes.learn(*configuration);
     }
     keys = KeyTable(configuration);
-    for (const KeyDigest &key : keys.duplicates()) {
-        logEvent(LogEvent::KeyGivenTwice, {{"key", digestPrefix(key)}, {"version", configuration->version}});
+    if (!keys.duplicates().empty()) {
+        logEvent(LogEvent::KeyGivenTwice,
+                 {{"version", configuration->version}, {"keys", keys.duplicates().size()}, {"first", digestPrefix(keys.duplicates().front())}});
     }
     if (settings.strictRevoke) {
         endRevokedCalls();
