Report usage from the gateway that holds the lease

Change: a gateway with [platform_api] renews the lease in a task of its own and, if usage_report is one of its duties, runs UsageTask with the ledger and the clock of GatewayState.

This links only with the implementations of UsageLedger and FleetClock.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -6,6 +6,7 @@
 #include "ordercontroller.h"
 #include "settingsreload.h"
 #include "storefollower.h"
+#include "usagetask.h"
 
 #include <mimosatally/Gateway>
 #include <mimosatally/Http>
@@ -117,6 +118,12 @@
                            })
         , settingsReload_(gateway_, io_)
     {
+        if (!settings.platformApi.address.empty()) {
+            dutyClient_.emplace(io_, parseAddress(settings.platformApi.address), settings.platformApi.callsPerSecond);
+        }
+        if (dutyClient_ && settings.platformApi.reportsUsage) {
+            usageTask_.emplace(gateway_, dutyLease_, *dutyClient_, gateway_.usageLedger, gateway_.fleetClock);
+        }
         gateway_.streamLookup.setCover([this] {
             return endpointHistory_.cover();
         });
@@ -184,11 +191,16 @@
         supervisor_.start("endpoints", [this](TaskContext &context) {
             return storeFollower_.followEndpoints(context);
         });
-        if (!gateway_.settings.platformApi.address.empty()) {
+        if (dutyClient_) {
             supervisor_.start("lease", [this](TaskContext &context) {
                 return dutyLease_.run(context);
             });
         }
+        if (usageTask_) {
+            supervisor_.start("usage", [this](TaskContext &context) {
+                return usageTask_->run(context);
+            });
+        }
         supervisor_.start("orders", [this](TaskContext &context) {
             return orderController_.run(context);
         });
@@ -363,6 +375,8 @@
     EndpointHistory endpointHistory_;
     DutyLease dutyLease_;
     OrderController orderController_;
+    std::optional<platform::DutyClient> dutyClient_;
+    std::optional<UsageTask> usageTask_;
     Supervisor supervisor_;
     HttpServer callerServer_;
     HttpServer readinessServer_;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -13,6 +13,7 @@
 #include <mimosatally/Membership>
 #include <mimosatally/Routing>
 #include <mimosatally/Serving>
+#include <mimosatally/Usage>
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -83,6 +84,9 @@
     LivenessProbe livenessProbe;
     /// \brief Bytes of endpoints' answers that all calls hold together.
     ByteBudget answerBytes;
+    /// \brief Usage that this gateway and the others have counted.
+    UsageLedger usageLedger;
+    FleetClock fleetClock;
     /// \brief Set by the signal that stops the process.
     bool stopping = false;
     /// \brief Latest end of a stopping process, and the time from which calls that could last longer are refused.
--- a/src/usage/usagereporter.cpp
+++ b/src/usage/usagereporter.cpp
@@ -19,7 +19,7 @@
 constexpr Duration MAX_ERA_GAP = Duration(400);
 
 /// \brief Difference that is assumed between the clocks of two holders, which both follow the median of the fleet.
-constexpr std::int64_t MAX_CLOCK_DIFFERENCE_MS = 1000;
+constexpr std::int64_t MAX_CLOCK_DIFFERENCE_MS = 500;
 
 /// \brief Pause before the next attempt: doubled with each failure, and half of it random so that retries of several processes spread.
 Duration pauseAfter(int failures, double jitter)
