Change the quickest engine of a region to prefill and the slowest to decode

The balancer chose by region alone, so slow engines were as likely to prefill as quick ones. Speeds decide only which engine changes, not whether one does, and only from a difference of 15 percent: a change takes an engine out of service for seconds.

--- a/include/mimosatally/placement/phasebalancer.h
+++ b/include/mimosatally/placement/phasebalancer.h
@@ -16,6 +16,8 @@
     RegionId region;
     EnginePhase phase = EnginePhase::Decode;
     std::int64_t startedAt = 0;
+    /// \brief Learned speed relative to the other engines; 1 if it is not known.
+    double speed = 1;
 };
 
 /// \brief Load of a service by phase.
@@ -43,6 +45,9 @@
 /// In a fleet of more than MAX_PROACTIVE_FLEET_SIZE engines, engines change only to a phase in which requests wait, and only a few at
 /// a time: each change has a cost, and a phase with many engines can absorb a burst until more have changed.
 ///
+/// Speeds decide only which engine of a region changes: the quickest one to prefill, the slowest one to decode. They are no reason for a change,
+/// since a change takes an engine out of service for seconds.
+///
 /// An engine with a pending order gets no other order until its heartbeat shows the effect or the order has expired.
 class PhaseBalancer
 {
@@ -89,7 +94,8 @@
     /// \brief Returns whether \a prefill engines need no change: they are near enough to \a wanted, or the load does not require one.
     [[nodiscard]] bool isAcceptable(std::size_t prefill, std::size_t wanted, std::size_t total, PhasePressure pressure) const;
     void prunePending(const std::vector<BalancedEngine> &engines, Time now);
-    /// \brief Returns the engine whose change keeps the prefill shares of the regions closest to each other, or null if there is none.
+    /// \brief Returns the engine whose change keeps the prefill shares of the regions closest to each other, or null if there is none. Of a region's
+    /// engines it is the quickest one for prefill and the slowest one for decode, if their speeds differ clearly.
     [[nodiscard]] const BalancedEngine *selectEngine(const std::vector<BalancedEngine> &engines,
                                                      EnginePhase from,
                                                      const std::map<RegionId, double> &prefillShares) const;
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -117,7 +117,12 @@
     for (const auto &[id, record] : gateway_.registry.endpoints()) {
         if (record.service == service && record.phase && !record.leaving) {
             const auto region = gateway_.settings.regions.find(record.dataCentre);
-            engines[record.version].push_back({id, region == gateway_.settings.regions.end() ? RegionId() : region->second, *record.phase, record.startedAt});
+            const std::optional<SpeedUse> speed = gateway_.router.speedUse(id, MilliClock::now());
+            engines[record.version].push_back({id,
+                                               region == gateway_.settings.regions.end() ? RegionId() : region->second,
+                                               *record.phase,
+                                               record.startedAt,
+                                               speed ? speed->speed : 1});
         }
     }
     return engines;
--- a/src/placement/phasebalancer.cpp
+++ b/src/placement/phasebalancer.cpp
@@ -13,12 +13,20 @@
 /// \brief Minimum decode engines as a fraction of the number that the share requires; below it, one of only a few is missing and requests
 /// queue for the others.
 constexpr double MIN_DECODE_FRACTION = 0.75;
+/// \brief Ratio of two speeds from which they determine which engine changes; smaller differences may be errors of the learned speeds.
+constexpr double MIN_SPEED_RATIO = 1.15;
 
 EnginePhase otherPhase(EnginePhase phase)
 {
     return phase == EnginePhase::Prefill ? EnginePhase::Decode : EnginePhase::Prefill;
 }
 
+/// \brief Returns whether \a first is a better choice than \a second of the same region for a change from \a from, by their speeds.
+bool isBetterBySpeed(const BalancedEngine &first, const BalancedEngine &second, EnginePhase from)
+{
+    return from == EnginePhase::Decode ? first.speed > second.speed * MIN_SPEED_RATIO : first.speed * MIN_SPEED_RATIO < second.speed;
+}
+
 /// \brief Returns the share of prefill engines in each region.
 std::map<RegionId, double> prefillShares(const std::vector<BalancedEngine> &engines)
 {
@@ -81,7 +89,8 @@
         }
         // A decode engine is taken from the region with the lowest prefill share, a prefill engine from the one with the highest.
         const double cost = from == EnginePhase::Decode ? shares.at(engine.region) : -shares.at(engine.region);
-        if (best == nullptr || cost < (from == EnginePhase::Decode ? shares.at(best->region) : -shares.at(best->region))) {
+        const double bestCost = best == nullptr ? 0 : (from == EnginePhase::Decode ? shares.at(best->region) : -shares.at(best->region));
+        if (best == nullptr || cost < bestCost || (cost == bestCost && isBetterBySpeed(engine, *best, from))) {
             best = &engine;
         }
     }
--- a/tests/unit/phasebalancertest.cpp
+++ b/tests/unit/phasebalancertest.cpp
@@ -121,3 +121,22 @@
     CHECK(balancer.plan(fleet, {.serving = true, .prefillWaiting = true, .decodeWaiting = false}, at(0)).size() == 10);
     CHECK(balancer.plan(fleet, {.serving = true, .prefillWaiting = true, .decodeWaiting = false}, at(1000)).empty());
 }
+
+// Guards against prefills, which decide the time to the first event, on slow engines while quick ones are free to change, and against changes that only
+// exchange a slow prefill engine for a quick one: each takes an engine out of service for seconds.
+TEST_CASE("Of the engines of a region the quickest changes to prefill and the slowest to decode", "[placement]")
+{
+    const auto firstChange = [](std::initializer_list<EnginePhase> phases, const std::vector<double> &speeds) {
+        std::vector<BalancedEngine> fleet = engines(phases);
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            fleet[i].region = RegionId("r");
+            fleet[i].speed = speeds[i];
+        }
+        const std::vector<PhaseChange> changes = PhaseBalancer(0.5).plan(fleet, IDLE, at(0));
+        return changes.empty() ? EndpointId("-") : changes[0].engine;
+    };
+    CHECK(firstChange({P, D, D, D}, {1, 0.55, 1.2, 0.55}) == EndpointId("e2"));
+    CHECK(firstChange({P, P, P, D}, {1.2, 0.55, 1.2, 1.2}) == EndpointId("e1"));
+    CHECK(firstChange({P, D, D, D}, {1, 1, 1.1, 1}) == EndpointId("e1"));
+    CHECK(firstChange({P, P, D, D}, {0.55, 0.55, 1.2, 1.2}) == EndpointId("-"));
+}
