Choose at random among engines whose predicted cost is near the best

Many gateways choose by the same old reports, so all of them took the same engine. Calls do not leave the region by such a draw. A speed is now also learned from attempts behind a known queue, with a smaller weight: under load there are hardly any others.

--- a/src/routing/enginespeed.cpp
+++ b/src/routing/enginespeed.cpp
@@ -13,8 +13,8 @@
 constexpr double FIRST_SAMPLE_DIVISOR = 3;
 /// \brief Largest deviation, as a logarithm, that one sample contributes: a single outlier of any size moves the speed by 4 percent.
 constexpr double MAX_DEVIATION = 0.7;
-/// \brief Wait as a share of the service time above which a sample is ignored: the error of the predicted wait would exceed the difference of speeds.
-constexpr double MAX_QUEUE_SHARE = 0.3;
+/// \brief Share of the attempt's own work below which a sample is ignored: it would say more about the prediction of the queue than about the engine.
+constexpr double MIN_OWN_SHARE = 0.1;
 /// \brief Time without samples after which a learned deviation from 1 has halved, so that an endpoint that got no work is measured again.
 constexpr double HALF_LIFE_MS = 60'000;
 /// \brief Standard errors by which a speed is considered uncertain.
@@ -39,13 +39,16 @@
 bool EngineSpeed::record(const Sample &sample, Time now)
 {
     const bool isUsable = std::isfinite(sample.measuredMs) && sample.expectedMs > 0 && sample.measuredMs > 0 && sample.factor > 0;
-    if (!isUsable || sample.queueMs > MAX_QUEUE_SHARE * sample.expectedMs) {
+    const double knownMs = sample.expectedMs + std::max(0.0, sample.queueMs);
+    const double ownShare = sample.expectedMs / knownMs;
+    if (!isUsable || ownShare < MIN_OWN_SHARE) {
         return false;
     }
     const double current = logSpeed(now);
-    const double observed = std::log(sample.expectedMs * sample.factor / sample.measuredMs);
+    const double observed = std::log(knownMs * sample.factor / sample.measuredMs);
     const double difference = std::clamp(observed - current, -MAX_DEVIATION, MAX_DEVIATION);
-    const double weight = std::max(MIN_SAMPLE_WEIGHT, 1 / (samples_ + FIRST_SAMPLE_DIVISOR));
+    // The longer the queue, the more the sample depends on its prediction.
+    const double weight = std::sqrt(ownShare) * std::max(MIN_SAMPLE_WEIGHT, 1 / (samples_ + FIRST_SAMPLE_DIVISOR));
     logSpeed_ = std::clamp(current + weight * difference, std::log(MIN_SPEED), std::log(MAX_SPEED));
     deviation_ += weight * (std::abs(difference) - deviation_);
     samples_ = std::min(samples_ + 1, MIN_SAMPLES * MIN_SAMPLES);
--- a/src/routing/enginespeed.h
+++ b/src/routing/enginespeed.h
@@ -23,13 +23,13 @@
     /// \brief Age at which the last report has lost its weight to the mean of the last seconds.
     static constexpr Duration REPORT_LIFETIME = Duration(400);
 
-    /// \brief Service time of one attempt.
+    /// \brief Service time of one attempt and of the work that was known to be ahead of it. A slow engine is slow with its queue as well.
     struct Sample {
         /// \brief Time that the work takes on an engine of speed 1.
         double expectedMs = 0;
-        /// \brief Time without the round trip and the predicted wait.
+        /// \brief Time without the round trip, including the wait.
         double measuredMs = 0;
-        /// \brief Predicted wait behind other work.
+        /// \brief Time that the work known to be ahead takes on an engine of speed 1.
         double queueMs = 0;
         /// \brief Momentary factor during the attempt.
         double factor = 1;
--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -57,6 +57,7 @@
     attempt.timeFactor = impl_->timeFactor(target, now);
     attempt.reportedFactor = target.speed.momentaryFactor(now);
     const double prefillFactor = impl_->prefillFactor(target, now);
+    attempt.queueFactor = prefillFactor;
     if (target.model != nullptr) {
         internal::EngineModel &model = impl_->engineModels[target.record.service];
         attempt.prefixHashes = prefixHashesOf(request.promptParts);
@@ -90,6 +91,7 @@
     if (attempt.workMs > 0) {
         impl_->addNotice(attempt, attempt.workMs * prefillFactor, target, request, now);
     }
+    target.recentAttempts.add(Duration(0), now);
     target.limit.take(now);
     (plan.work == AttemptWork::Prefill ? target.sentPrefills : target.sentRuns).add(now);
     ++target.ownAttempts;
@@ -137,6 +139,7 @@
     // If the engine was idle in the meantime, it has already done a part of the prefill.
     const double idleMs = std::max(0.0, toMs(notice.age) - endpoint.prefillBacklog.remainingMs(now));
     endpoint.prefillBacklog.add(std::max(0.0, notice.prefillMs - idleMs), now);
+    endpoint.recentAttempts.add(notice.age, now);
     for (const PromptPrefix &prefix : notice.prefixes) {
         impl_->cache.store(endpoint.cacheIndex, prefix.hash, static_cast<std::size_t>(prefix.tokens.count()));
     }
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -5,6 +5,7 @@
 #include "endpointlimit.h"
 #include "enginemodel.h"
 #include "enginespeed.h"
+#include "nearequalchoice.h"
 #include "refusedconnection.h"
 
 #include <mimosatally/routing/phaserouter.h>
@@ -101,6 +102,8 @@
     /// \brief Mean ratio of measured to predicted times; 1 is nominal.
     double slowness = 1;
     EngineSpeed speed;
+    /// \brief Own attempts and those that peers have announced, which the last report may not contain.
+    FadingCount recentAttempts;
     /// \brief Recent share of calls that the endpoint failed, 0 to 1.
     double failureShare = 0;
     /// \brief End of the back-off after a rejected call; the back-off grows with each consecutive rejection.
@@ -151,6 +154,8 @@
         /// \brief timeFactor() of the prediction, and the reported factor when the attempt began.
         double timeFactor = 1;
         double reportedFactor = 1;
+        /// \brief prefillFactor() with which the wait was predicted.
+        double queueFactor = 1;
         /// \brief The prediction uses the endpoint's speed.
         bool usesSpeeds = false;
         /// \brief Service time, which is recorded once the attempt is known to have run.
@@ -258,7 +263,7 @@
     [[nodiscard]] double prefillFactor(const Endpoint &endpoint, Time now) const;
     /// \brief Returns the first byte of \a attempt for the times of its service: what it would have been at an endpoint of mean speed.
     [[nodiscard]] static internal::EngineModel::Sample modelSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now);
-    /// \brief Returns the service time of an attempt whose first byte arrives now; empty if the endpoint had a queue.
+    /// \brief Returns the service time of an attempt whose first byte arrives now; empty if its queue was not known.
     [[nodiscard]] std::optional<internal::EngineSpeed::Sample> speedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const;
     /// \brief Returns the same for a plain call that ends now.
     [[nodiscard]] std::optional<internal::EngineSpeed::Sample> plainSpeedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const;
@@ -295,6 +300,11 @@
     [[nodiscard]] double transferMs(const Endpoint &from, const Endpoint &to, Tokens tokens) const;
     /// \brief Returns \a decode with the transfer of the prompt from \a source added.
     [[nodiscard]] AttemptEstimate withTransfer(const AttemptEstimate &decode, const Endpoint &source, Tokens tokens) const;
+    /// \brief Returns the cheapest of \a costs or, if the speeds of their endpoints are used, one that is drawn at random among those of the least cost; see
+    /// chooseNearEqual(). \param endpoints endpoint of each cost.
+    [[nodiscard]] std::size_t choose(const std::vector<double> &costs, const std::vector<const Endpoint *> &endpoints, Time now) const;
+    /// \brief Returns the chosen one of \a estimates; one without an endpoint if there are none.
+    [[nodiscard]] AttemptEstimate chooseEstimate(const std::vector<AttemptEstimate> &estimates, Time now) const;
     /// \brief Returns the cheapest pair of a prefill of \a prefills and a decode at one of \a decodeEngines of the same version.
     [[nodiscard]] std::optional<std::pair<AttemptEstimate, AttemptEstimate>> bestSplit(const std::vector<AttemptEstimate> &prefills,
                                                                                        const std::vector<const Endpoint *> &decodeEngines,
--- a/src/routing/phaserouterspeeds.cpp
+++ b/src/routing/phaserouterspeeds.cpp
@@ -7,6 +7,7 @@
 namespace mimosatally
 {
 
+using internal::Distance;
 using internal::EngineModel;
 using internal::EngineSpeed;
 using internal::PhaseSpeeds;
@@ -22,6 +23,8 @@
 constexpr Duration REPORTING_TIME = Duration(10'000);
 /// \brief Interval at which the speeds of a service are compared; the comparison visits all its endpoints.
 constexpr Duration UPDATE_INTERVAL = Duration(200);
+/// \brief Time since the last datagram of a peer after which the work that others have sent is considered unknown.
+constexpr Duration MAX_PEER_SILENCE = Duration(3000);
 
 std::optional<Duration> ageOf(Time time, Time now)
 {
@@ -69,15 +72,15 @@
 
 std::optional<EngineSpeed::Sample> PhaseRouter::Impl::speedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const
 {
-    const bool hasQueue = endpoint.reportedAt >= attempt.beganAt && endpoint.foreign.waiting > 0;
-    if (endpoint.model == nullptr || hasQueue) {
+    const bool knowsQueue = internal::freshness(lastPeerDatagram, now, MAX_PEER_SILENCE) > 0 || endpoint.foreign.waiting == 0;
+    if (endpoint.model == nullptr || !knowsQueue) {
         return std::nullopt;
     }
     const EngineModel::Sample atMeanSpeed = modelSampleOf(attempt, endpoint, now);
     const double netMs = toMs(now - attempt.beganAt) - roundTripMs(endpoint.distance);
-    const double servedMs = netMs - attempt.queueMs - endpoint.model->transferMs(attempt.transferMs);
+    const double measuredMs = netMs - endpoint.model->transferMs(attempt.transferMs);
     const double factor = (attempt.reportedFactor + endpoint.speed.momentaryFactor(now)) / 2;
-    return EngineSpeed::Sample {endpoint.model->serviceMs(atMeanSpeed), servedMs, attempt.queueMs, factor};
+    return EngineSpeed::Sample {endpoint.model->serviceMs(atMeanSpeed), measuredMs, attempt.queueMs / attempt.queueFactor, factor};
 }
 
 std::optional<EngineSpeed::Sample> PhaseRouter::Impl::plainSpeedSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now) const
@@ -141,6 +144,40 @@
     speeds.differ = greatestLowerBound / leastUpperBound > (speeds.differ ? MIN_DIFFERENCE_IN_USE : MIN_DIFFERENCE);
 }
 
+std::size_t PhaseRouter::Impl::choose(const std::vector<double> &costs, const std::vector<const Endpoint *> &candidates, Time now) const
+{
+    const auto best = static_cast<std::size_t>(std::ranges::min_element(costs) - costs.begin());
+    if (!usesSpeeds(candidates[best]->record.service, now)) {
+        return best;
+    }
+    // Calls leave the region only if that is best, not because it is nearly as good.
+    const bool staysInRegion = candidates[best]->distance != Distance::OtherRegion;
+    std::vector<std::size_t> indices;
+    std::vector<internal::WeightedCost> weighted;
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+        if (staysInRegion && candidates[i]->distance == Distance::OtherRegion) {
+            continue;
+        }
+        indices.push_back(i);
+        weighted.push_back({costs[i], 1 / (timeFactor(*candidates[i], now) * (1 + candidates[i]->recentAttempts.value(now)))});
+    }
+    return indices[internal::chooseNearEqual(weighted, seed ^ internal::mix(++draws))];
+}
+
+PhaseRouter::Impl::AttemptEstimate PhaseRouter::Impl::chooseEstimate(const std::vector<AttemptEstimate> &estimates, Time now) const
+{
+    if (estimates.empty()) {
+        return {};
+    }
+    std::vector<double> costs;
+    std::vector<const Endpoint *> candidates;
+    for (const AttemptEstimate &estimate : estimates) {
+        costs.push_back(estimate.costMs);
+        candidates.push_back(estimate.endpoint);
+    }
+    return estimates[choose(costs, candidates, now)];
+}
+
 std::map<std::pair<ServiceId, std::optional<EnginePhase>>, SpeedSummary> PhaseRouter::speedSummaries() const
 {
     std::map<std::pair<ServiceId, std::optional<EnginePhase>>, SpeedSummary> summaries;
--- a/src/routing/placementestimates.cpp
+++ b/src/routing/placementestimates.cpp
@@ -86,17 +86,24 @@
     const std::vector<AttemptEstimate> &prefills, const std::vector<const Endpoint *> &decodeEngines, Tokens tokens, Time now) const
 {
     // Each prefill is paired only with the best decode engine of its region, which avoids a slow transfer, and with the best of all regions.
-    std::map<EngineGroup, AttemptEstimate> bestOfGroup;
-    std::map<SoftwareVersion, AttemptEstimate> bestOfVersion;
+    std::map<EngineGroup, std::vector<AttemptEstimate>> decodesOfGroup;
+    std::map<SoftwareVersion, std::vector<AttemptEstimate>> decodesOfVersion;
     for (const Endpoint *endpoint : decodeEngines) {
         const AttemptEstimate estimate = decodeEstimate(*endpoint, now);
-        for (AttemptEstimate *best : {&bestOfGroup[groupOf(*endpoint)], &bestOfVersion[endpoint->record.version]}) {
-            if (best->endpoint == nullptr || estimate.costMs < best->costMs) {
-                *best = estimate;
-            }
-        }
+        decodesOfGroup[groupOf(*endpoint)].push_back(estimate);
+        decodesOfVersion[endpoint->record.version].push_back(estimate);
+    }
+    std::map<EngineGroup, AttemptEstimate> bestOfGroup;
+    for (const auto &[group, decodes] : decodesOfGroup) {
+        bestOfGroup[group] = chooseEstimate(decodes, now);
     }
-    std::optional<std::pair<AttemptEstimate, AttemptEstimate>> result;
+    std::map<SoftwareVersion, AttemptEstimate> bestOfVersion;
+    for (const auto &[version, decodes] : decodesOfVersion) {
+        bestOfVersion[version] = chooseEstimate(decodes, now);
+    }
+    std::vector<std::pair<AttemptEstimate, AttemptEstimate>> pairs;
+    std::vector<double> costs;
+    std::vector<const Endpoint *> prefillEngines;
     for (const AttemptEstimate &prefill : prefills) {
         const auto ofVersion = bestOfVersion.find(prefill.endpoint->record.version);
         if (ofVersion == bestOfVersion.end() || !canExchangeCache(*prefill.endpoint, *ofVersion->second.endpoint)) {
@@ -104,13 +111,12 @@
         }
         const auto ofGroup = bestOfGroup.find(groupOf(*prefill.endpoint));
         for (const AttemptEstimate *decode : {ofGroup == bestOfGroup.end() ? &ofVersion->second : &ofGroup->second, &ofVersion->second}) {
-            const AttemptEstimate complete = withTransfer(*decode, *prefill.endpoint, tokens);
-            if (!result || prefill.costMs + complete.costMs < result->first.costMs + result->second.costMs) {
-                result = std::pair(prefill, complete);
-            }
+            pairs.emplace_back(prefill, withTransfer(*decode, *prefill.endpoint, tokens));
+            costs.push_back(pairs.back().first.costMs + pairs.back().second.costMs);
+            prefillEngines.push_back(prefill.endpoint);
         }
     }
-    return result;
+    return pairs.empty() ? std::nullopt : std::optional(pairs[choose(costs, prefillEngines, now)]);
 }
 
 PhaseRouter::Impl::AttemptEstimate PhaseRouter::Impl::plainCallEstimate(const Endpoint &endpoint, Time now) const
@@ -129,13 +135,11 @@
 
 Placement PhaseRouter::Impl::placePlain(const std::vector<const Endpoint *> &candidates, Time now) const
 {
-    AttemptEstimate best;
+    std::vector<AttemptEstimate> estimates;
     for (const Endpoint *candidate : candidates) {
-        const AttemptEstimate estimate = plainCallEstimate(*candidate, now);
-        if (best.endpoint == nullptr || estimate.costMs < best.costMs) {
-            best = estimate;
-        }
+        estimates.push_back(plainCallEstimate(*candidate, now));
     }
+    const AttemptEstimate best = chooseEstimate(estimates, now);
     Placement placement;
     if (best.endpoint != nullptr) {
         placement.run = best.endpoint->record.id;
@@ -154,16 +158,14 @@
 Placement PhaseRouter::Impl::placeOnDecodeEngine(const std::vector<const Endpoint *> &candidates, const Endpoint &source, Tokens tokens, Time now) const
 {
     Placement placement;
-    AttemptEstimate best;
+    std::vector<AttemptEstimate> estimates;
     for (const Endpoint *candidate : candidates) {
         if (candidate->record.phase == EnginePhase::Prefill || !canExchangeCache(source, *candidate)) {
             continue;
         }
-        const AttemptEstimate estimate = withTransfer(decodeEstimate(*candidate, now), source, tokens);
-        if (best.endpoint == nullptr || estimate.costMs < best.costMs) {
-            best = estimate;
-        }
+        estimates.push_back(withTransfer(decodeEstimate(*candidate, now), source, tokens));
     }
+    const AttemptEstimate best = chooseEstimate(estimates, now);
     if (best.endpoint != nullptr) {
         placement.run = best.endpoint->record.id;
         placement.firstByteMs = best.timeMs;
@@ -177,18 +179,16 @@
 {
     std::vector<AttemptEstimate> prefills;
     std::vector<const Endpoint *> decodeEngines;
-    AttemptEstimate oneEngine;
+    std::vector<AttemptEstimate> oneEngines;
     for (const Endpoint *candidate : candidates) {
         if (candidate->record.phase == EnginePhase::Prefill) {
             prefills.push_back(prefillEstimate(*candidate, AttemptWork::Prefill, prompt, now));
             continue;
         }
         decodeEngines.push_back(candidate);
-        const AttemptEstimate estimate = prefillEstimate(*candidate, AttemptWork::PrefillAndRun, prompt, now);
-        if (oneEngine.endpoint == nullptr || estimate.costMs < oneEngine.costMs) {
-            oneEngine = estimate;
-        }
+        oneEngines.push_back(prefillEstimate(*candidate, AttemptWork::PrefillAndRun, prompt, now));
     }
+    const AttemptEstimate oneEngine = chooseEstimate(oneEngines, now);
     Placement placement;
     if (oneEngine.endpoint == nullptr) {
         return placement;
--- a/tests/unit/enginesimulationtest.cpp
+++ b/tests/unit/enginesimulationtest.cpp
@@ -1,6 +1,6 @@
-#include <catch2/catch.hpp>
+#include "choosersimulation.h"
 
-#include "../bench/policy/enginesimulation.h"
+#include <catch2/catch.hpp>
 
 using namespace mimosatally;
 using namespace mimosatally::bench;
@@ -73,3 +73,16 @@
     CHECK(engine.role() == EngineRole::Prefill);
     CHECK_FALSE(engine.isChangingRole());
 }
+
+// Guards against gateways that send their calls to the same engines because they all know the same old reports, and against slow engines that get as
+// many calls as quick ones. The bound is the target of docs/organisations-and-load.md, section 6.
+TEST_CASE("Many choosers spread their calls over engines by speed", "[enginemodel]")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        test::ChooserSimulation simulation(seed);
+        simulation.run(20'000, 200);
+        const double busiest = test::ChooserSimulation::busiestOverMean(simulation.run(20'000, 336));
+        CAPTURE(seed, simulation.shareLaterThan(200), simulation.shareLaterThan(500));
+        CHECK(busiest < 1.4);
+    }
+}
--- a/tests/unit/enginespeedtest.cpp
+++ b/tests/unit/enginespeedtest.cpp
@@ -1,8 +1,10 @@
 #include "../src/routing/enginespeed.h"
+#include "../src/routing/nearequalchoice.h"
 #include "routerfleet.h"
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -77,7 +79,8 @@
 {
     internal::EngineSpeed speed;
     for (int i = 0; i < 60; ++i) {
-        CHECK_FALSE(speed.record({.expectedMs = 50, .measuredMs = 400, .queueMs = 100}, at(i * 100)));
+        CHECK_FALSE(speed.record({.expectedMs = 50, .measuredMs = 4000, .queueMs = 1000}, at(i * 100)));
+        CHECK(speed.record({.expectedMs = 50, .measuredMs = 400, .queueMs = 350}, at(i * 100)));
         CHECK(speed.record({.expectedMs = 50, .measuredMs = 125, .queueMs = 0, .factor = 2.5}, at(i * 100)));
     }
     CHECK(speed.speed(at(6000)) == Approx(1));
@@ -146,3 +149,20 @@
     CHECK(slowed.prefill == EndpointId("p1"));
     CHECK(slowed.firstByteMs > usual.firstByteMs + 50);
 }
+
+// Guards against gateways that all take the same engine, and against a choice of an engine that is clearly worse.
+TEST_CASE("A choice among near-equal costs follows the weights and leaves out the others", "[enginespeed]")
+{
+    std::array<int, 4> chosen {};
+    for (std::uint64_t i = 0; i < 4000; ++i) {
+        ++chosen.at(internal::chooseNearEqual({{100, 2}, {100, 1}, {100, 1}, {200, 100}}, i * 0x9e3779b97f4a7c15ULL));
+    }
+    CHECK(chosen[0] == Approx(2000).margin(200));
+    CHECK(chosen[1] == Approx(1000).margin(200));
+    CHECK(chosen[3] == 0);
+    CHECK(internal::chooseNearEqual({{7, 1}}, 3) == 0);
+    internal::FadingCount count;
+    count.add(Duration(0), at(0));
+    CHECK(count.value(at(0)) == 1);
+    CHECK(count.value(at(2000)) < 0.01);
+}
