Keep arguments of awaited duty calls alive by name

Cause: g++ 12 destroys temporary arguments of a co_await expression twice, so the first holder crashed when it took its epoch.

Change: the arguments are named before the call, as elsewhere.

--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -163,9 +163,10 @@
     gateway_.router.reserveRequest(change.engine, MilliClock::now());
     HttpRequest request = platform::encodeOrder(order);
     // Without the platform's API, engines reject what is sent after the lease has ended while the connection was made.
-    const HttpResponse response = co_await client.sendIf(std::move(request), ORDER_TIMEOUT, [this] {
+    std::function<bool()> allowed = [this] {
         return gateway_.settings.platformApi.address.empty() || lease_.coversOrders();
-    });
+    };
+    const HttpResponse response = co_await client.sendIf(std::move(request), ORDER_TIMEOUT, std::move(allowed));
     const platform::OrderAnswer answer = platform::decodeOrderAnswer(response);
     result = answerName(answer);
     if (answer == platform::OrderAnswer::Fenced) {
--- a/src/gateway/usagetask.cpp
+++ b/src/gateway/usagetask.cpp
@@ -113,7 +113,8 @@
     std::string failure;
     platform::AppendAnswer answer;
     try {
-        answer = co_await store_.append(platform::KeyedTopic::Usage, {PRODUCER, token, sequence}, record, STORE_TIMEOUT);
+        const platform::AppendPosition position {PRODUCER, token, sequence};
+        answer = co_await store_.append(platform::KeyedTopic::Usage, position, record, STORE_TIMEOUT);
         if (gateway_.observeStoreEra(answer.era, PRODUCER, MilliClock::now()) != StoreEraTracker::Observation::Unchanged) {
             failure = "the answer is of another era of the store";
         }
@@ -139,7 +140,8 @@
 
 awaitable<void> UsageTask::claimEpoch(const UsageEpochClaim &claim)
 {
-    co_await append(claim.sequence, std::nullopt);
+    const std::optional<platform::KeyedRecord> noRecord;
+    co_await append(claim.sequence, noRecord);
 }
 
 awaitable<void> UsageTask::readRecord()
@@ -178,9 +180,9 @@
 
 awaitable<void> UsageTask::write(const UsageWrite &write)
 {
-    platform::KeyedRecord record;
-    record.key = platform::USAGE_KEY;
-    record.value = platform::encodeUsageRecord(write.record);
+    std::optional<platform::KeyedRecord> record(std::in_place);
+    record->key = platform::USAGE_KEY;
+    record->value = platform::encodeUsageRecord(write.record);
     const bool written = co_await append(write.sequence, record);
     if (!written) {
         co_return;
@@ -194,9 +196,11 @@
 awaitable<void> UsageTask::send(const UsageSend &send)
 {
     const std::int64_t token = *reporter_.token();
-    const platform::DutyAnswer answer = co_await client_.reportUsage(send.report, {gateway_.settings.process, token}, [this, token] {
+    const platform::DutyAuthority authority {gateway_.settings.process, token};
+    platform::DutyClient::Guard guard = [this, token] {
         return lease_.coversDuties() && lease_.state().token() == token;
-    });
+    };
+    const platform::DutyAnswer answer = co_await client_.reportUsage(send.report, authority, std::move(guard));
     const UsageWindow window = send.report.window;
     const std::string_view result = platform::nameOf(answer);
     gateway_.metrics.increment("mimosatally_usage_reports_total", "result=\"" + std::string(result) + '"');
