Test the holder of the lease with killed, frozen and cut gateways

Change: two gateways between stand-ins of the store, which now takes appends and expires members if asked, and of the platform's API.

--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -38,6 +38,12 @@
     GatewayFixture(const GatewayFixture &) = delete;
     GatewayFixture &operator=(const GatewayFixture &) = delete;
 
+    /// \brief Context of the stand-ins, for further ones.
+    boost::asio::io_context &io()
+    {
+        return io_;
+    }
+
     /// \brief Runs \a function on the thread of the stand-ins.
     template<class Function>
     decltype(auto) onStandins(Function function)
--- a/tests/gateway/storestandin.h
+++ b/tests/gateway/storestandin.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -66,6 +67,9 @@
         std::map<std::string, std::size_t> firstKept;
         std::string holder;
         std::int64_t generation = 0;
+        /// \brief Position of the last append of a producer; the stand-in has one.
+        std::int64_t epoch = -1;
+        std::int64_t sequence = -1;
     };
 
     [[nodiscard]] Copy copy() const
@@ -88,6 +92,18 @@
         }
     }
 
+    /// \brief Removes the holder of the group when it has not renewed for the time that it asked for, as the platform's store does.
+    void expireMembers()
+    {
+        expiresMembers_ = true;
+    }
+
+    /// \brief Calls \a action after each append of a record, before it is answered.
+    void onAppend(std::function<void()> action)
+    {
+        onAppend_ = std::move(action);
+    }
+
     [[nodiscard]] int calls() const
     {
         return calls_;
@@ -117,6 +133,8 @@
                 response = co_await read(target);
             } else if (target.starts_with("/-/log-join")) {
                 response = join(exchange.request().body());
+            } else if (target.starts_with("/-/log-append")) {
+                response = append(target, exchange.request().body());
             }
         }
         if (era_) {
@@ -207,10 +225,46 @@
         co_return makeHttpResponse(200, "application/octet-stream", body);
     }
 
+    static HttpResponse rejectedAppend(const char *reason, std::int64_t expected)
+    {
+        return makeHttpResponse(409, "application/json", nlohmann::json({{"why", reason}, {"expected", expected}}).dump());
+    }
+
+    HttpResponse append(const std::string &target, const std::string &body)
+    {
+        const std::int64_t epoch = std::stoll(parameter(target, "epoch"));
+        const std::int64_t sequence = std::stoll(parameter(target, "seqNum"));
+        if (epoch < contents_.epoch) {
+            return rejectedAppend("fenced", 0);
+        }
+        const bool repeated = epoch == contents_.epoch && sequence <= contents_.sequence;
+        if (epoch == contents_.epoch && !repeated && sequence != contents_.sequence + 1) {
+            return rejectedAppend("seq", contents_.sequence + 1);
+        }
+        auto &records = contents_.topics[topicOf(target)];
+        if (!repeated) {
+            contents_.epoch = epoch;
+            contents_.sequence = sequence;
+            if (!body.empty()) {
+                const std::size_t keyBytes = static_cast<unsigned char>(body.at(4));
+                records.emplace_back(body.substr(5, keyBytes), body.substr(5 + keyBytes));
+            }
+        }
+        if (!body.empty() && onAppend_) {
+            onAppend_();
+        }
+        return makeHttpResponse(200, "application/json", nlohmann::json({{"offset", records.size()}, {"endOffset", records.size()}}).dump());
+    }
+
     HttpResponse join(const std::string &text)
     {
         const auto body = nlohmann::json::parse(text);
         const std::string member = body["member"];
+        const Time now = MilliClock::now();
+        if (expiresMembers_ && contents_.holder != member && now - holderRenewed_ > Duration(body["ttlMs"].get<std::int64_t>())) {
+            contents_.holder.clear();
+        }
+        holderRenewed_ = contents_.holder.empty() || contents_.holder == member ? now : holderRenewed_;
         if (contents_.holder.empty()) {
             contents_.holder = member;
             ++contents_.generation;
@@ -227,6 +281,9 @@
     Copy contents_;
     std::optional<std::int64_t> era_;
     StoreMode mode_ = StoreMode::Serving;
+    bool expiresMembers_ = false;
+    Time holderRenewed_ = Time(Duration(0));
+    std::function<void()> onAppend_;
     int calls_ = 0;
     std::map<std::string, int> callsByKind_;
 };
