Show the learned speeds in log lines and metrics

MT5080 states the learned speeds of each service every 5 s while predictions use them, MT5001 the speed and the reported factor of the chosen endpoints with their ages, and mimosatally_endpoint_speed their least, median and greatest value. Without use the fields are '-'.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -299,6 +299,9 @@
     /// \brief Returns the learned speeds of the endpoints of each service and phase.
     [[nodiscard]] std::map<std::pair<ServiceId, std::optional<EnginePhase>>, SpeedSummary> speedSummaries() const;
 
+    /// \brief Returns whether predictions and choices for \a service use the speeds of its endpoints.
+    [[nodiscard]] bool usesSpeeds(const ServiceId &service, Time now) const;
+
     /// \brief Returns the speed of \a endpoint; empty if the endpoint is unknown or predictions for its service do not use speeds.
     [[nodiscard]] std::optional<SpeedUse> speedUse(const EndpointId &endpoint, Time now) const;
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -1,5 +1,6 @@
 #include "callflow.h"
 #include "logtext.h"
+#include "speedreport.h"
 
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -93,6 +94,8 @@
               {"cache_source", placement.cacheSource.value_or(EndpointId("-"))},
               {"limit", limitText(gateway_.router, endpoint)},
               {"prefill_limit", limitText(gateway_.router, placement.prefill.value_or(EndpointId()))},
+              {"speed", internal::speedText(gateway_.router, endpoint, MilliClock::now())},
+              {"prefill_speed", internal::speedText(gateway_.router, placement.prefill.value_or(EndpointId()), MilliClock::now())},
               {"left_ms", guard_->remainingTime(MilliClock::now())},
               {"configuration", configuration_->version}});
 }
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -4,6 +4,7 @@
 #include "noticeexchange.h"
 #include "ordercontroller.h"
 #include "settingsreload.h"
+#include "speedreport.h"
 #include "storefollower.h"
 
 #include <mimosatally/Gateway>
@@ -233,6 +234,7 @@
             if (now >= nextEngineTimes) {
                 nextEngineTimes = now + ENGINE_TIMES_LOG_INTERVAL;
                 logEngineTimes();
+                internal::logSpeeds(gateway_.router, now);
             }
             flushLog();
             running = co_await context.sleep(HOUSEKEEPING_INTERVAL);
@@ -292,6 +294,7 @@
         metrics.set("mimosatally_requests_revoked", {}, static_cast<double>(callerServer_.heldBytes().revocations()));
         metrics.set("mimosatally_answers_revoked", {}, static_cast<double>(gateway_.answerBytes.revocations()));
         metrics.set("mimosatally_endpoints", {}, static_cast<double>(gateway_.registry.endpoints().size()));
+        internal::setSpeedMetrics(gateway_.router, metrics);
         metrics.set("mimosatally_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
         HttpResponse response = makeHttpResponse(STATUS_OK, "text/plain; version=0.0.4", metrics.exposition());
         co_await exchange.respond(std::move(response));
--- a/src/gateway/ordercontroller.cpp
+++ b/src/gateway/ordercontroller.cpp
@@ -118,11 +118,8 @@
         if (record.service == service && record.phase && !record.leaving) {
             const auto region = gateway_.settings.regions.find(record.dataCentre);
             const std::optional<SpeedUse> speed = gateway_.router.speedUse(id, MilliClock::now());
-            engines[record.version].push_back({id,
-                                               region == gateway_.settings.regions.end() ? RegionId() : region->second,
-                                               *record.phase,
-                                               record.startedAt,
-                                               speed ? speed->speed : 1});
+            engines[record.version].push_back(
+                {id, region == gateway_.settings.regions.end() ? RegionId() : region->second, *record.phase, record.startedAt, speed ? speed->speed : 1});
         }
     }
     return engines;
--- a/src/routing/phaserouterspeeds.cpp
+++ b/src/routing/phaserouterspeeds.cpp
@@ -187,6 +187,11 @@
     return summaries;
 }
 
+bool PhaseRouter::usesSpeeds(const ServiceId &service, Time now) const
+{
+    return impl_->usesSpeeds(service, now);
+}
+
 std::optional<SpeedUse> PhaseRouter::speedUse(const EndpointId &endpoint, Time now) const
 {
     const auto found = impl_->endpoints.find(endpoint);
