Compare arrivals and starts of contended calls over the same time

Cause: the rate of arrivals was measured over 0.5 s and that of starts over 2 s, so a service seemed overloaded in its first second of calls, and refused callers got returns at the end of their time instead of one after the other.

Change: both are measured over 0.5 s.

--- a/src/gateway/kinddemand.cpp
+++ b/src/gateway/kinddemand.cpp
@@ -36,6 +36,7 @@
 void KindDemand::recordStart(double ownMs, Time now)
 {
     starts_.add(1, now);
+    latestStarts_.add(1, now);
     ++inProgress_;
     updateMean(meanOwnMs_, ownMs);
 }
@@ -86,7 +87,7 @@
 
 double KindDemand::startsPerMs(Time now) const
 {
-    return starts_.perMs(now);
+    return latestStarts_.perMs(now);
 }
 
 double KindDemand::arrivalsPerMs(Time now) const
--- a/src/gateway/kinddemand.h
+++ b/src/gateway/kinddemand.h
@@ -36,10 +36,12 @@
 
 private:
     static constexpr Duration TIME_CONSTANT = Duration(2000);
+    static constexpr Duration LATEST_TIME_CONSTANT = Duration(500);
 
     DecayingSum arrivals_ {TIME_CONSTANT};
-    /// \brief Shows the begin and the end of a burst sooner.
-    DecayingSum latestArrivals_ {Duration(500)};
+    /// \brief These two show the begin and the end of a burst sooner.
+    DecayingSum latestArrivals_ {LATEST_TIME_CONSTANT};
+    DecayingSum latestStarts_ {LATEST_TIME_CONSTANT};
     DecayingSum starts_ {TIME_CONSTANT};
     DecayingSum refusals_ {TIME_CONSTANT};
     Time lastArrival_ = Time::min();
