--- a/src/gateway/contentioncontrol.cpp
+++ b/src/gateway/contentioncontrol.cpp
@@ -34,6 +34,8 @@
 constexpr int RETRY_DIVISOR = 3;
 /// \brief A queue that is too long for a call is not shorter much sooner.
 constexpr Duration MIN_RETRY_AFTER = Duration(150);
+/// \brief Bursts last some seconds, so a call with much time left need not wait longer.
+constexpr Duration MAX_RETRY_AFTER = Duration(2000);
 /// \brief Part of the longest delay over which the returns are spread if no room is expected before.
 constexpr double RETRY_SPREAD = 0.4;
 
@@ -249,7 +251,7 @@
 
 Duration ContentionControl::retryAfter(ServiceContention &service, const ContentionInput &input, std::optional<double> expectedWaitMs, double jitter, Time now)
 {
-    const Duration longest = input.remainingTime / RETRY_DIVISOR;
+    const Duration longest = std::min(input.remainingTime / RETRY_DIVISOR, MAX_RETRY_AFTER);
     if (expectedWaitMs) {
         const auto wait = std::max(MIN_RETRY_AFTER, Duration(static_cast<Duration::rep>(*expectedWaitMs) + 1));
         const Time next = std::max(now + wait, service.lastReturn + Duration(1));
