--- a/include/mimosatally/serving/organisation.h
+++ b/include/mimosatally/serving/organisation.h
@@ -19,6 +19,8 @@
     std::optional<int> priority;
     /// \brief Digests of its keys; the keys themselves are not kept.
     std::vector<KeyDigest> keys;
+
+    bool operator==(const Organisation &) const = default;
 };
 
 /// \brief Organisation of one call, as far as it decides about the call.
--- a/include/mimosatally/serving/route.h
+++ b/include/mimosatally/serving/route.h
@@ -29,6 +29,8 @@
 struct WeightedService {
     ServiceId service;
     int weight = 1;
+
+    bool operator==(const WeightedService &) const = default;
 };
 
 /// \brief Route from a host and path prefix to services.
@@ -52,6 +54,8 @@
     int maxAttempts = 1;
     /// \brief Calls need no key, also if the configuration has organisations.
     bool isPublic = false;
+
+    bool operator==(const Route &) const = default;
 };
 
 } // namespace mimosatally
--- a/include/mimosatally/serving/servingconfiguration.h
+++ b/include/mimosatally/serving/servingconfiguration.h
@@ -22,6 +22,8 @@
     Duration handleLifetime = Duration(0);
     /// \brief Time for which a role change takes an engine out of service.
     Duration roleChangeTime = Duration(0);
+
+    bool operator==(const EngineProfile &) const = default;
 };
 
 /// \brief Properties of each endpoint of a service.
@@ -31,6 +33,8 @@
     int maxConnections = 1;
     /// \brief Empty for a plain service.
     std::optional<EngineProfile> engine;
+
+    bool operator==(const ServiceProfile &) const = default;
 };
 
 /// \brief Size limits and timeouts for the requests of one caller.
@@ -39,6 +43,8 @@
     std::size_t maxBodyBytes = std::size_t(4) * 1024 * 1024;
     Duration headerTimeout = Duration(3000);
     Duration idleTimeout = Duration(15000);
+
+    bool operator==(const CallerLimits &) const = default;
 };
 
 /// \brief One version of the routes, services and limits that operators have configured.
--- a/src/cli/processcommands.cpp
+++ b/src/cli/processcommands.cpp
@@ -40,34 +40,6 @@
     startBoundedLogging(settings.process.value(), settings.logLevel);
     return runGateway(settings);
 }
-
-/// \brief Checks one file. \return the kind of file. \throws FindingsError
-std::string checkSingleFile(const std::string &file)
-{
-    const std::string text = readFile(file);
-    if (isGatewaySettings(text, file)) {
-        parseGatewaySettings(text, file);
-        return "settings of a gateway";
-    }
-    return std::string(toString(checkFile(text, file)));
-}
-
-int check(const Arguments &arguments)
-{
-    std::size_t findings = 0;
-    for (const std::string &file : arguments.at("FILE").asStringList()) {
-        try {
-            std::cout << file << ": " << checkSingleFile(file) << " without findings\n";
-        } catch (const FindingsError &error) {
-            std::cout << error.what() << '\n';
-            findings += error.findings().size();
-        }
-    }
-    if (findings > 0) {
-        std::cout << findings << " findings\n";
-    }
-    return findings == 0 ? ExitCode::Success : ExitCode::Negative;
-}
 } // namespace
 
 const Command ENTRY_COMMAND = {"entry",
@@ -100,15 +72,4 @@
 )",
                                  gateway};
 
-const Command CHECK_COMMAND = {"check",
-                               R"(Checks configuration and settings files and prints every finding with its line.
-
-Usage: mimosatally check FILE...
-       mimosatally check --help
-
-A file with the key `process` is a settings file: of an agent if it also has the key `endpoint`, of a gateway if it has the
-key `store`. Every other file is a configuration. Exit code 1 means findings.
-)",
-                               check};
-
 } // namespace mimosatally::internal
