--- a/include/mimosatally/serving/servingconfiguration.h
+++ b/include/mimosatally/serving/servingconfiguration.h
@@ -22,6 +22,8 @@
     Duration handleLifetime = Duration(0);
     /// \brief Time for which a role change takes an engine out of service.
     Duration roleChangeTime = Duration(0);
+
+    bool operator==(const EngineProfile &) const = default;
 };
 
 /// \brief Bounds within which the platform adds and removes endpoints of a service.
@@ -31,6 +33,8 @@
     int maxReplicas = 1;
     /// \brief Time from the order of an endpoint until it serves.
     Duration bootTime = Duration(0);
+
+    bool operator==(const ScalingProfile &) const = default;
 };
 
 /// \brief Properties of each endpoint of a service.
@@ -42,6 +46,8 @@
     std::optional<EngineProfile> engine;
     /// \brief Empty if the number of endpoints is fixed.
     std::optional<ScalingProfile> scaling = std::nullopt;
+
+    bool operator==(const ServiceProfile &) const = default;
 };
 
 /// \brief Size limits and timeouts for the requests of one caller.
@@ -50,6 +56,8 @@
     std::size_t maxBodyBytes = std::size_t(4) * 1024 * 1024;
     Duration headerTimeout = Duration(3000);
     Duration idleTimeout = Duration(15000);
+
+    bool operator==(const CallerLimits &) const = default;
 };
 
 /// \brief One version of the routes, services and limits that operators have configured.
