--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -76,7 +76,6 @@
     , connections(context)
     , livenessProbe(context, connections, router, metrics)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
-    , usageLedger(processSettings.process)
     , random_(seedOf(processSettings))
 {
 }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -98,9 +98,6 @@
     LivenessProbe livenessProbe;
     /// \brief Bytes of endpoints' answers that all calls hold together.
     ByteBudget answerBytes;
-    /// \brief Usage that this gateway and the others have counted.
-    UsageLedger usageLedger;
-    FleetClock fleetClock;
     /// \brief Set by the signal that stops the process.
     bool stopping = false;
     /// \brief Latest end of a stopping process, and the time from which calls that could last longer are refused.
