Send slow calls that may run twice to a second endpoint

A plain call of an idempotent route gets one extra attempt with its own connection, guard and router ticket on another machine; the call alone writes to the caller, and the attempt that loses is closed at once. With a limit of 0 no call is measured.

--- a/include/mimosatally/routing/retrybudget.h
+++ b/include/mimosatally/routing/retrybudget.h
@@ -58,6 +58,18 @@
         return true;
     }
 
+    /// \brief Takes one retry for an attempt that no failure asks for. Half of what the requests of a lifetime have earned stays reserved for retries after
+    /// failures. \return false if the budget does not allow it.
+    bool tryExtraAttempt(const Key &key, Time now)
+    {
+        Account &account = accountOf(key, now);
+        const std::int64_t earned = std::min((account.requests + account.previousRequests) * allowance_.earnedPerRequest, allowance_.maxBalance);
+        if (account.previousEarned + account.earned - ONE_RETRY < earned / 2) {
+            return false;
+        }
+        return tryRetry(key, now);
+    }
+
 private:
     static constexpr std::int64_t ONE_RETRY = 1000;
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -215,6 +215,9 @@
 
 awaitable<void> CallFlow::refuse(Duration retryAfter, const char *reason)
 {
+    if (gateway_.extraAttempts.isEnabled()) {
+        gateway_.extraAttempts.recordRefusal(placementRequest_.service, MilliClock::now());
+    }
     logRefused(reason, retryAfter);
     co_await respondError(STATUS_UNAVAILABLE, reason, retryAfter);
 }
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -122,10 +122,16 @@
     EndpointCall call(gateway_.connections, *guard_, gateway_.answerBytes);
     const bool canRepeat = route_.retryPolicy == RetryPolicy::Idempotent && runs_ + 1 < route_.maxAttempts;
     const Time attemptDeadline = canRepeat ? MilliClock::now() + timeout : guard_->deadline();
+    beginMeasurement(MilliClock::now());
+    if (!attempt.prefilled) {
+        armExtraAttempt(endpoint, timeout);
+    }
     const CallProgress progress = co_await call.open(address, std::move(request), call_.id, attemptDeadline);
     receivedRuns_ += progress == CallProgress::NotConnected ? 0 : 1;
     recordIfRefused(call, endpoint, startedAt);
     if (progress == CallProgress::HeadReceived) {
+        firstHeadReceived_ = true;
+        endMeasurement(!call.answer().notExecuted, MilliClock::now());
         guard_->extendAttempt(guard_->deadline());
         const NextStep next = co_await deliver(call, endpoint, routerAttempt.ticket());
         co_return next;
@@ -163,6 +169,13 @@
         placementRequest_.excluded.push_back(endpoint);
         co_return NextStep::RetryOutcomeUnknown;
     }
+    if (answer.status >= STATUS_SERVER_ERROR && mayExtraAttemptAnswer()) {
+        // The extra attempt may still have a good answer.
+        gateway_.router.end(ticket, AttemptOutcome::AnsweredFailure, now);
+        logFailedAttempt(endpoint, "run", call, true);
+        placementRequest_.excluded.push_back(endpoint);
+        co_return NextStep::RetryOutcomeUnknown;
+    }
     if (answer.status >= STATUS_SERVER_ERROR && canRetry(NextStep::RetryOutcomeUnknown) && gateway_.retries.tryRetry(placementRequest_.service, now)) {
         retryGranted_ = true;
         gateway_.router.end(ticket, AttemptOutcome::AnsweredFailure, now);
@@ -239,6 +252,10 @@
 
 void CallFlow::logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun)
 {
+    if (guard_->stopReason() == StopReason::Superseded && phase != std::string_view("extra")) {
+        // The attempt was cancelled because the call has its answer.
+        return;
+    }
     lastFailure_ = call.failure().empty() ? "status " + std::to_string(call.answer().status) : call.failure();
     logEvent(LogEvent::GatewayAttemptFailed,
              {{"request", call_.id},
@@ -281,6 +298,7 @@
     if (!whole) {
         co_return false;
     }
+    stopExtraAttempt();
     HttpResponse response;
     static_cast<http::fields &>(response) = platform::fieldsForCaller(call.header());
     response.result(call.answer().status);
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -50,6 +50,8 @@
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
     , activeEntry_(gateway.activeCalls.emplace(arrived_, ActiveCall {guard_, route.isPublic ? CallerIdentity() : caller_}))
     , suspects_(gateway.suspects, exchange.request(), call_.promptParts)
+    , extraTimer_(gateway.io)
+    , extraSignal_(gateway.io)
 {
     placementRequest_.promptParts = call_.promptParts;
     placementRequest_.service = stream_.service();
@@ -58,6 +60,10 @@
 
 CallFlow::~CallFlow()
 {
+    endMeasurement(false, MilliClock::now());
+    if (extra_) {
+        extra_->stop();
+    }
     gateway_.activeCalls.erase(activeEntry_);
 }
 
@@ -85,9 +91,10 @@
             guard->callerDisconnected();
         }
     });
-    guard_->onKeyRevoked([this] {
+    guard_->onStopped([this](StopReason reason) {
+        stopExtraAttempt();
         // A caller that does not read would otherwise hold the answer for the whole time of a write.
-        if (exchange_.hasResponded()) {
+        if (reason == StopReason::KeyRevoked && exchange_.hasResponded()) {
             exchange_.abort();
         }
     });
@@ -321,6 +328,7 @@
     ++attempts_;
     logPlaced(endpoint, placement);
     const Duration timeout = attemptTimeout(placement.firstByteMs);
+    predicted_ = Duration(static_cast<Duration::rep>(placement.firstByteMs));
     cacheSource_ = addressOf(placement.cacheSource);
     cachedPrefix_ = placement.cache;
     std::optional<PrefilledPrompt> prompt;
@@ -344,7 +352,8 @@
     }
     const EndpointId noPrefillEngine;
     const NextStep next = co_await runAt(endpoint, prompt, noPrefillEngine, work, timeout);
-    co_return next;
+    const NextStep settled = co_await settleExtraAttempt(next);
+    co_return settled;
 }
 
 awaitable<CallFlow::NextStep> CallFlow::runPrefilled(std::optional<PrefilledPrompt> prompt, EndpointId prefillEngine, SoftwareVersion version, Duration timeout)
@@ -390,6 +399,7 @@
     switch (guard_->stopReason()) {
     case StopReason::CallerDisconnected:
     case StopReason::KeyRevoked:
+    case StopReason::Superseded:
         return AttemptOutcome::Abandoned;
     case StopReason::DeadlinePassed:
     case StopReason::AttemptTimedOut:
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -4,6 +4,7 @@
 #include "callguard.h"
 #include "callsuspects.h"
 #include "endpointcall.h"
+#include "extraattempt.h"
 #include "gatewaystate.h"
 #include "streamidentity.h"
 #include "streamregistration.h"
@@ -11,6 +12,7 @@
 #include <mimosatally/Http>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace mimosatally::internal
 {
@@ -90,6 +92,26 @@
     boost::asio::awaitable<bool> deliverEvents(EndpointCall &call, EndpointId endpoint, PhaseRouter::Ticket ticket);
     boost::asio::awaitable<void> writeEvents(EndpointCall &call, std::string events);
 
+    /// \brief Records the first attempt with the policy of extra attempts, if there are any.
+    void beginMeasurement(Time now);
+    void endMeasurement(bool hasFirstByte, Time now);
+    [[nodiscard]] bool canHaveExtraAttempt() const;
+    /// \brief Considers an extra attempt after the delay that the policy gives. \param timeout of one attempt.
+    void armExtraAttempt(const EndpointId &first, Duration timeout);
+    /// \brief Places an extra attempt on another machine than \a first and, if there is a choice, in another data centre.
+    [[nodiscard]] Placement placeExtraAttempt(const EndpointId &first, Time now) const;
+    void considerExtraAttempt(const EndpointId &first, Duration timeout);
+    /// \brief Takes over the result of the extra attempt; the first attempt is cancelled if there is an answer.
+    void endExtraAttempt();
+    [[nodiscard]] bool mayExtraAttemptAnswer() const;
+    /// \brief Ends the extra attempt, if there is one, at once.
+    void stopExtraAttempt();
+    /// \brief Waits for an extra attempt after the first attempt has failed or was cancelled. \return step that follows both.
+    boost::asio::awaitable<NextStep> settleExtraAttempt(NextStep next);
+    boost::asio::awaitable<void> deliverExtraAnswer();
+    void logExtraDecision(const ExtraAttemptInputs &inputs, const Placement &placement, std::optional<ExtraAttemptDenial> denial);
+    void logExtraOutcome(LogEvent event, const char *result);
+
     /// \brief Returns whether the rules and limits of the call allow another attempt; the retry budget is not considered.
     [[nodiscard]] bool canRetry(NextStep next) const;
     /// \brief Charges the retry budget for the calls of the next attempt that repeat earlier ones. \return whether the budget allows them.
@@ -167,6 +189,15 @@
     std::optional<Duration> firstByte_;
     /// \brief Time from arrival until another engine had prefilled the prompt; zero if none has.
     Duration prefillTime_ = Duration(0);
+    /// \brief The call in the policy of extra attempts; empty if there are none.
+    std::optional<ExtraAttemptPolicy::CallId> measurement_;
+    std::shared_ptr<ExtraAttempt> extra_;
+    boost::asio::steady_timer extraTimer_;
+    /// \brief Cancelled when the extra attempt has ended.
+    boost::asio::steady_timer extraSignal_;
+    /// \brief Predicted time to the first byte of the current attempt.
+    Duration predicted_ = Duration(0);
+    bool firstHeadReceived_ = false;
     std::string lastFailure_;
     /// \brief Id of the event after which the last attempt had to go on; empty if it began the stream.
     std::string resumedAfter_;
--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -5,6 +5,15 @@
 namespace mimosatally::internal
 {
 
+namespace
+{
+/// \brief Returns whether another attempt may follow.
+bool isOfAttempt(StopReason reason)
+{
+    return reason == StopReason::AttemptTimedOut || reason == StopReason::Superseded;
+}
+} // namespace
+
 CallGuard::CallGuard(boost::asio::io_context &io, Time deadline)
     : timer_(io)
     , deadline_(deadline)
@@ -15,7 +24,7 @@
 void CallGuard::beginAttempt(boost::asio::ip::tcp::socket &socket, Time attemptDeadline)
 {
     socket_ = &socket;
-    if (stopReason_ == StopReason::AttemptTimedOut) {
+    if (isOfAttempt(stopReason_)) {
         stopReason_ = StopReason::None;
     }
     if (stopReason_ != StopReason::None) {
@@ -50,14 +59,16 @@
 void CallGuard::revokeKey()
 {
     cancel(StopReason::KeyRevoked);
-    if (stopReason_ == StopReason::KeyRevoked && keyRevoked_) {
-        keyRevoked_();
-    }
 }
 
-void CallGuard::onKeyRevoked(std::function<void()> callback)
+void CallGuard::supersedeAttempt()
 {
-    keyRevoked_ = std::move(callback);
+    cancel(StopReason::Superseded);
+}
+
+void CallGuard::onStopped(std::function<void(StopReason)> callback)
+{
+    stopped_ = std::move(callback);
 }
 
 void CallGuard::expireNow()
@@ -73,7 +84,7 @@
 
 bool CallGuard::isCallStopped() const
 {
-    return stopReason_ != StopReason::None && stopReason_ != StopReason::AttemptTimedOut;
+    return stopReason_ != StopReason::None && !isOfAttempt(stopReason_);
 }
 
 Time CallGuard::deadline() const
@@ -118,6 +129,9 @@
         boost::system::error_code ignored;
         socket_->close(ignored);
     }
+    if (isCallStopped() && stopped_) {
+        stopped_(reason);
+    }
 }
 
 } // namespace mimosatally::internal
--- a/src/gateway/callguard.h
+++ b/src/gateway/callguard.h
@@ -21,6 +21,8 @@
     AttemptTimedOut,
     /// \brief The key of the caller is not valid any more.
     KeyRevoked,
+    /// \brief An extra attempt has the answer.
+    Superseded,
 };
 
 /// \brief Cancels the pending I/O of a call when its caller disconnects or a deadline passes, by closing the socket of the current attempt.
@@ -43,8 +45,11 @@
     /// \brief Ends the call because the key of its caller is not valid any more.
     void revokeKey();
 
-    /// \brief Sets what revokeKey() does besides, such as to end a write to the caller.
-    void onKeyRevoked(std::function<void()> callback);
+    /// \brief Ends the current attempt because another one has the answer.
+    void supersedeAttempt();
+
+    /// \brief Sets what happens once the call itself is stopped, besides the end of its current attempt.
+    void onStopped(std::function<void(StopReason)> callback);
 
     /// \brief Ends the deadline of the call.
     void expireNow();
@@ -64,7 +69,7 @@
     Time deadline_;
     Time attemptDeadline_;
     boost::asio::ip::tcp::socket *socket_ = nullptr;
-    std::function<void()> keyRevoked_;
+    std::function<void(StopReason)> stopped_;
     StopReason stopReason_ = StopReason::None;
     std::uint64_t timerGeneration_ = 0;
 };
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -66,6 +66,7 @@
     , connections(context)
     , livenessProbe(context, connections, router, metrics)
     , answerBytes(processSettings.memoryLimit / ANSWERS_PER_MEMORY)
+    , extraAttempts(processSettings.extraAttemptLimit)
     , random_(seedOf(processSettings))
 {
 }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -91,6 +91,7 @@
     std::uint64_t callsReceived = 0;
     /// \brief Calls that are not answered yet, by their arrival times.
     std::multimap<Time, ActiveCall> activeCalls;
+    ExtraAttemptPolicy extraAttempts;
 
 private:
     void putInForce(ServingConfiguration next);
--- a/tests/gateway/endpointstandin.h
+++ b/tests/gateway/endpointstandin.h
@@ -71,16 +71,19 @@
     /// \brief Script whose answers depend on the connection.
     using ArrivalScript = std::function<AnswerSteps(const Arrival &)>;
 
-    EndpointStandin(boost::asio::io_context &io, Script script)
-        : EndpointStandin(io, ArrivalScript([script = std::move(script)](const Arrival &arrival) {
+    /// \param host address of its machine.
+    EndpointStandin(boost::asio::io_context &io, Script script, const std::string &host = "127.0.0.1")
+        : EndpointStandin(io,
+                          ArrivalScript([script = std::move(script)](const Arrival &arrival) {
                               return script(arrival.request);
-                          }))
+                          }),
+                          host)
     {
     }
 
-    EndpointStandin(boost::asio::io_context &io, ArrivalScript script)
+    EndpointStandin(boost::asio::io_context &io, ArrivalScript script, const std::string &host = "127.0.0.1")
         : io_(io)
-        , acceptor_(io, parseAddress("127.0.0.1:0"))
+        , acceptor_(io, parseAddress(host + ":0"))
         , script_(std::move(script))
     {
         // Programs that the test starts later must not keep the listening socket open after a crash.
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -58,11 +58,15 @@
     }
 
     template<class Script>
-    EndpointStandin &addEndpoint(
-        const std::string &id, const std::string &service, Script script, const std::string &extraFields = {}, const std::string &version = "v1")
+    EndpointStandin &addEndpoint(const std::string &id,
+                                 const std::string &service,
+                                 Script script,
+                                 const std::string &extraFields = {},
+                                 const std::string &version = "v1",
+                                 const std::string &host = "127.0.0.1")
     {
         return onStandins([&]() -> EndpointStandin & {
-            endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script)));
+            endpoints_.push_back(std::make_unique<EndpointStandin>(io_, std::move(script), host));
             announce(id, service, endpoints_.back()->address(), "ready", extraFields, version);
             return *endpoints_.back();
         });
