--- a/src/routing/extraattemptpolicy.cpp
+++ b/src/routing/extraattemptpolicy.cpp
@@ -207,8 +207,9 @@
             result.slow += now >= other.slowFrom ? 1 : 0;
         }
     }
-    if (counts->second.lastRefusal) {
-        result.sinceRefusal = now - *counts->second.lastRefusal;
+    const std::optional<Time> lastRefusal = counts->second.lastRefusal;
+    if (lastRefusal) {
+        result.sinceRefusal = now - *lastRefusal;
     }
     return result;
 }
--- a/src/serving/keytable.cpp
+++ b/src/serving/keytable.cpp
@@ -50,7 +50,8 @@
     if (!isActive()) {
         return;
     }
-    const std::vector<Organisation> &organisations = *configuration_->organisations;
+    const std::vector<Organisation> none;
+    const std::vector<Organisation> &organisations = configuration_->organisations ? *configuration_->organisations : none;
     std::size_t keys = 0;
     for (const Organisation &organisation : organisations) {
         keys += organisation.keys.size();
@@ -86,7 +87,8 @@
     if (found == entries_.end() || found->digest != digest) {
         return nullptr;
     }
-    return &(*configuration_->organisations)[found->organisation];
+    const std::optional<std::vector<Organisation>> &organisations = configuration_->organisations;
+    return organisations ? &(*organisations)[found->organisation] : nullptr;
 }
 
 std::size_t KeyTable::maxKeyBytes() const
