--- a/model/duties.pml
+++ b/model/duties.pml
@@ -6,7 +6,7 @@
  * in ticks for all processes alike. Each token has other counts, so a window that is computed under two tokens is found.
  *
  * Each macro of MUTATIONS removes one rule; the checker must then find an error.
- * MUTATIONS: ACT_AFTER_LEASE_END SEND_BEFORE_WRITE TAKEOVER_WITHOUT_READ NO_WAIT
+ * MUTATIONS: ACT_AFTER_LEASE_END SEND_BEFORE_WRITE TAKEOVER_WITHOUT_READ NO_WAIT WAIT_WITHOUT_RENEWAL
  */
 
 #ifdef LARGE
@@ -52,6 +52,8 @@
 
 #ifdef ACT_AFTER_LEASE_END
 #define MAY_ACT(g) (waitOver[g])
+#elif defined(WAIT_WITHOUT_RENEWAL)
+#define MAY_ACT(g) ((waitOver[g] || since[g] >= LEASE) && valid[g] > 0)
 #else
 #define MAY_ACT(g) (waitOver[g] && valid[g] > 0)
 #endif
