Access the lease of the usage reporter without an optional

Cause: the linter cannot see that the decisions are made under a lease only.

Change: the reporter keeps the last lease as a value; UsageTask takes the token from the lease.

--- a/include/mimosatally/usage/usagereporter.h
+++ b/include/mimosatally/usage/usagereporter.h
@@ -162,7 +162,9 @@
     [[nodiscard]] UsageAction nextReportAction(const UsageView &view);
 
     Options options_;
-    std::optional<UsageTenure> tenure_;
+    /// \brief Current or last lease.
+    UsageTenure tenure_;
+    bool hadTenure_ = false;
     bool active_ = false;
     Stage stage_ = Stage::Claim;
     std::int64_t sequence_ = 0;
--- a/src/gateway/usagetask.cpp
+++ b/src/gateway/usagetask.cpp
@@ -109,7 +109,7 @@
 
 awaitable<bool> UsageTask::append(std::int64_t sequence, const std::optional<platform::KeyedRecord> &record)
 {
-    const std::int64_t token = *reporter_.token();
+    const std::int64_t token = lease_.state().token();
     std::string failure;
     platform::AppendAnswer answer;
     try {
@@ -146,7 +146,7 @@
 
 awaitable<void> UsageTask::readRecord()
 {
-    const std::int64_t token = *reporter_.token();
+    const std::int64_t token = lease_.state().token();
     std::string failure;
     std::optional<UsageRecord> record;
     try {
@@ -195,7 +195,7 @@
 
 awaitable<void> UsageTask::send(const UsageSend &send)
 {
-    const std::int64_t token = *reporter_.token();
+    const std::int64_t token = lease_.state().token();
     const platform::DutyAuthority authority {gateway_.settings.process, token};
     platform::DutyClient::Guard guard = [this, token] {
         return lease_.coversDuties() && lease_.state().token() == token;
--- a/src/usage/usagereporter.cpp
+++ b/src/usage/usagereporter.cpp
@@ -44,12 +44,13 @@
 
 void UsageReporter::acquire(const UsageTenure &tenure)
 {
-    const bool sameToken = tenure_ && tenure_->token == tenure.token;
-    if (!tenure_ || tenure_->era != tenure.era) {
+    const bool sameToken = hadTenure_ && tenure_.token == tenure.token;
+    if (!hadTenure_ || tenure_.era != tenure.era) {
         heldAtEraStart_ = lastReporting_ && tenure.eraSince - *lastReporting_ <= MAX_ERA_GAP;
     }
     active_ = true;
     tenure_ = tenure;
+    hadTenure_ = true;
     storeFailures_ = 0;
     sendFailures_ = 0;
     if (!sameToken) {
@@ -68,7 +69,7 @@
 
 std::optional<std::int64_t> UsageReporter::token() const
 {
-    return active_ ? std::optional(tenure_->token) : std::nullopt;
+    return active_ ? std::optional(tenure_.token) : std::nullopt;
 }
 
 UsageAction UsageReporter::next(const UsageView &view)
@@ -146,7 +147,7 @@
     storeFailures_ = 0;
     stage_ = Stage::Report;
     stored_.clear();
-    if (record && record->era == tenure_->era) {
+    if (record && record->era == tenure_.era) {
         merge(*record);
     } else if (record) {
         mergeEarlierEra(*record);
@@ -158,9 +159,9 @@
     if (last) {
         next_ = std::max(next_, *last + ONE_WINDOW);
     } else if (!record) {
-        next_ = std::max(next_, windowAt(unixAt(tenure_->acquired, view)));
+        next_ = std::max(next_, windowAt(unixAt(tenure_.acquired, view)));
     }
-    const UsageWindow firstUnwritten = windowAt(unixAt(tenure_->eraSince, view) + MAX_CLOCK_DIFFERENCE_MS);
+    const UsageWindow firstUnwritten = windowAt(unixAt(tenure_.eraSince, view) + MAX_CLOCK_DIFFERENCE_MS);
     if (!knowsAllWritten(record) && next_ < firstUnwritten) {
         missed_.push_back({next_, (firstUnwritten - next_).count(), true});
         next_ = firstUnwritten;
@@ -170,7 +171,7 @@
 bool UsageReporter::knowsAllWritten(const std::optional<UsageRecord> &record) const
 {
     // What is written in an era stays until the next one.
-    const bool fromThisEra = record ? record->era == tenure_->era : tenure_->era == StoreEra();
+    const bool fromThisEra = record ? record->era == tenure_.era : tenure_.era == StoreEra();
     return fromThisEra || heldAtEraStart_;
 }
 
@@ -282,7 +283,7 @@
     }
     const std::size_t surplus = write.record.reports.size() - std::min(write.record.reports.size(), UsageRecord::MAX_REPORTS);
     write.record.reports.erase(write.record.reports.begin(), write.record.reports.begin() + static_cast<std::ptrdiff_t>(surplus));
-    write.record.era = tenure_->era;
+    write.record.era = tenure_.era;
     write.record.next = std::max(next_, write.record.reports.back().window + ONE_WINDOW);
     write.record.settled = settled_;
     write.sequence = sequence_;
