Take no part of an answer for a whole one after a reset during the upload

An endpoint that answers a long upload at once with 200 without a length and resets the connection meanwhile: the failed write takes the error, so the read afterwards ends as after an orderly close. The answer counted as unproven, the endpoint's process was alive, and the caller got the part as a whole answer. A body that ends with its connection now counts as reset if the request could not be written whole.

The test printed before: "200 == 502" and the part in the body. It passes now, with the gateway linked from the changed objects.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -70,6 +70,7 @@
     if (error) {
         // An endpoint may answer and close before it has read a long body; its answer can still be read.
         failure_ = "write: " + error.message();
+        writeFailed_ = true;
     }
     const bool received = co_await readHead(id);
     co_return received ? CallProgress::HeadReceived : CallProgress::OutcomeUnknown;
@@ -205,7 +206,7 @@
         fail("read", error);
     } else if (parser_->is_done()) {
         complete_ = true;
-        bodyEnd_ = framing_ == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing;
+        bodyEnd_ = reachedEnd();
     }
     if (hasEnded()) {
         bodyEnded_ = MilliClock::now();
@@ -213,6 +214,14 @@
     co_return std::string_view(data_.data(), count);
 }
 
+BodyEnd EndpointCall::reachedEnd() const
+{
+    if (framing_ != BodyFraming::ConnectionEnd) {
+        return BodyEnd::Framing;
+    }
+    return writeFailed_ ? BodyEnd::ConnectionReset : BodyEnd::ConnectionClosed;
+}
+
 awaitable<std::string> EndpointCall::readAll(std::size_t maxBytes)
 {
     std::string body;
--- a/src/gateway/endpointcall.h
+++ b/src/gateway/endpointcall.h
@@ -119,6 +119,8 @@
     boost::asio::awaitable<Liveness> probeProcess(LivenessProbe &probe, EndpointId endpoint, std::int64_t startedAt);
     /// \brief Opens another connection to the endpoint, which is kept for later calls.
     boost::asio::awaitable<boost::system::error_code> tryConnection();
+    /// \brief Returns how a body ended that was read as far as it goes.
+    [[nodiscard]] BodyEnd reachedEnd() const;
     void fail(const char *step, const boost::system::error_code &error);
     void failOverLimit(std::string failure);
     void updateReservation();
@@ -147,6 +149,8 @@
     /// \brief The body was read as far as its framing or the end of the connection says.
     bool complete_ = false;
     bool broken_ = false;
+    /// \brief Writing the request failed. The error has taken the reset of the connection, so reading ends as if the peer had closed it in an orderly way.
+    bool writeFailed_ = false;
     bool refused_ = false;
     bool headRequest_ = false;
     static constexpr std::size_t READ_BYTES = std::size_t(8) * 1024;
