Fail attempts whose answer has a status outside 100 to 599 at the gateway

The parser accepts any three digits. 000 and 099 were taken for interim answers, so the call waited until its deadline; 600 and 999 were taken for final ones. Such an answer is now a failed attempt whose outcome is unknown, and none to the probe of a process.

No test covers the probe.

--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -1,5 +1,6 @@
 #include "endpointcall.h"
 
+#include "http/answerstatus.h"
 #include "http/receivedchunks.h"
 
 #include <algorithm>
@@ -114,6 +115,11 @@
             break;
         }
         answer_ = platform::decodeAnswer(parser_->get().base());
+        if (!isAnswerStatus(answer_.status)) {
+            failure_ = "status " + std::to_string(answer_.status) + " is no answer";
+            forgetAnswer();
+            break;
+        }
         if (answer_.status < FIRST_SUCCESS_STATUS) {
             // An interim answer has no body; the final one follows on this connection.
             failure_ = "too many interim answers";
--- a/src/gateway/livenessprobe.cpp
+++ b/src/gateway/livenessprobe.cpp
@@ -1,6 +1,7 @@
 #include "livenessprobe.h"
 
 #include "callguard.h"
+#include "http/answerstatus.h"
 
 #include <platform/callcodec.h>
 
@@ -150,7 +151,7 @@
     parser.header_limit(MAX_ANSWER_HEADER_BYTES);
     parser.body_limit(MAX_REPORT_BYTES);
     co_await http::async_read(connection->socket, connection->buffer, parser, redirect_error(use_awaitable, error));
-    if (error) {
+    if (error || !isAnswerStatus(parser.get().result_int())) {
         co_return Reply();
     }
     const EndpointAnswer answer = platform::decodeAnswer(parser.get().base());
--- a/tests/gateway/spoiltanswertest.cpp
+++ b/tests/gateway/spoiltanswertest.cpp
@@ -101,3 +101,38 @@
     CHECK(response.body().find("part of the answer") == std::string::npos);
     CHECK(fixture.gateway().output().find("GatewayCallAnswered") == std::string::npos);
 }
+
+// Guards against a status that no caller can read, and against a call that may have run and is waited for or refused because of it.
+TEST_CASE("An answer with a status outside 100 to 599 is a failed attempt whose outcome is unknown", "[gateway][spoilt]")
+{
+    GatewayFixture fixture;
+    std::mutex mutex;
+    std::string status;
+    EndpointStandin &endpoint = fixture.addEndpoint("i-1", "plain", [&](const HttpRequest &request) -> AnswerSteps {
+        const std::string id = requestIdOf(request);
+        if (request.target() == "/post/sound") {
+            return {bytes(wholeAnswer(id, "yes"))};
+        }
+        const std::lock_guard lock(mutex);
+        return {bytes("HTTP/1.1 " + status + " X\r\nX-Mimosatally-Request-Id: " + id + "\r\nX-Mimosatally-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno")};
+    });
+    fixture.configure();
+    fixture.startGateway();
+    fixture.awaitReady();
+    int number = 0;
+    for (const char *spoilt : {"000", "0", "099", "600", "999", "2000", "+20", "-20", "   ", ""}) {
+        INFO("status \"" << spoilt << '"');
+        {
+            const std::lock_guard lock(mutex);
+            status = spoilt;
+        }
+        const Time begun = MilliClock::now();
+        const HttpResponse response = fixture.call(GatewayFixture::request(http::verb::post, "/post/x", "r" + std::to_string(++number)));
+        CHECK(response.result_int() == 502);
+        CHECK(response.body() != "no");
+        CHECK(MilliClock::now() - begun < Duration(1500));
+        // Two failures in a row would eject the endpoint.
+        CHECK(fixture.call(GatewayFixture::request(http::verb::post, "/post/sound", "s" + std::to_string(number))).body() == "yes");
+        CHECK(endpoint.arrivals().size() == static_cast<std::size_t>(number) * 2);
+    }
+}
