Fail calls of HttpClient whose answer has a status outside 100 to 599

The agent passed such an answer on, took an order for refused and a process for alive; an order answered so counted as rejected. Such calls now fail as ones whose outcome is unknown, for all users of HttpClient: agent, store, log service, instance list and engine reports.

The test printed before, for each of 000, 099, 600 and 999: "0:{}" ("99:{}", ...) in place of "unreachable" for a request and a call, "refused" in place of "unknown", "alive" in place of "silent", "rejected" in place of "unreachable"; 20 checks in all. It passes now: 63 assertions in 3 test cases. The resets during an upload were handled by HttpClient before, and the entry rejected such a status before.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include <mimosatally/Http>
 
+#include "answerstatus.h"
 #include "receivedchunks.h"
 
 #include <array>
@@ -58,6 +59,9 @@
         parser = std::make_unique<http::response_parser<Body>>();
         parser->body_limit(bodyLimit);
         co_await http::async_read_header(stream, buffer, *parser, redirect_error(use_awaitable, error));
+        if (!error && !internal::isAnswerStatus(parser->get().result_int())) {
+            co_return http::make_error_code(http::error::bad_status);
+        }
         const bool interim = !error && http::to_status_class(parser->get().result_int()) == http::status_class::informational;
         if (!interim) {
             co_return error;
