--- a/src/gateway/endpointcall.cpp
+++ b/src/gateway/endpointcall.cpp
@@ -1,5 +1,6 @@
 #include "endpointcall.h"
 
+#include "http/answerstatus.h"
 #include "http/receivedchunks.h"
 
 #include <algorithm>
@@ -70,6 +71,7 @@
     if (error) {
         // An endpoint may answer and close before it has read a long body; its answer can still be read.
         failure_ = "write: " + error.message();
+        writeFailed_ = true;
     }
     const bool received = co_await readHead(id);
     co_return received ? CallProgress::HeadReceived : CallProgress::OutcomeUnknown;
@@ -113,6 +115,11 @@
             break;
         }
         answer_ = platform::decodeAnswer(parser_->get().base());
+        if (!isAnswerStatus(answer_.status)) {
+            failure_ = "status " + std::to_string(answer_.status) + " is no answer";
+            forgetAnswer();
+            break;
+        }
         if (answer_.status < FIRST_SUCCESS_STATUS) {
             // An interim answer has no body; the final one follows on this connection.
             failure_ = "too many interim answers";
@@ -205,7 +212,7 @@
         fail("read", error);
     } else if (parser_->is_done()) {
         complete_ = true;
-        bodyEnd_ = framing_ == BodyFraming::ConnectionEnd ? BodyEnd::ConnectionClosed : BodyEnd::Framing;
+        bodyEnd_ = reachedEnd();
     }
     if (hasEnded()) {
         bodyEnded_ = MilliClock::now();
@@ -213,6 +220,14 @@
     co_return std::string_view(data_.data(), count);
 }
 
+BodyEnd EndpointCall::reachedEnd() const
+{
+    if (framing_ != BodyFraming::ConnectionEnd) {
+        return BodyEnd::Framing;
+    }
+    return writeFailed_ ? BodyEnd::ConnectionReset : BodyEnd::ConnectionClosed;
+}
+
 awaitable<std::string> EndpointCall::readAll(std::size_t maxBytes)
 {
     std::string body;
