Avoid endpoints that claim to be idle and reject calls

Where speeds are used, an endpoint that rejected its last calls costs up to 1 s more, halved each 2 s, is not believed to be quicker than usual, and the time of its rejections is not learned as time of work. In the test's 60 s with 600 calls, an idle endpoint that rejects everything got 66 with a penalty of 300 ms and gets fewer than 30 with this one.

A test also shows that calls leave the region only if a remote engine is better by more than the way.

--- a/src/routing/phaserouterattempts.cpp
+++ b/src/routing/phaserouterattempts.cpp
@@ -163,34 +163,45 @@
 void PhaseRouter::recordFirstByte(Ticket ticket, Time now)
 {
     const auto found = impl_->attempts.find(ticket);
-    if (found == impl_->attempts.end() || !found->second.awaitingFirstByte) {
+    if (found != impl_->attempts.end()) {
+        impl_->recordFirstByte(found->second, false, now);
+    }
+}
+
+void PhaseRouter::Impl::recordFirstByte(Attempt &attempt, bool rejected, Time now)
+{
+    if (!attempt.awaitingFirstByte) {
         return;
     }
-    Impl::Attempt &attempt = found->second;
     attempt.awaitingFirstByte = false;
-    impl_->endTransfer(attempt);
-    Impl::Endpoint *target = impl_->targetOf(attempt);
+    endTransfer(attempt);
+    Endpoint *target = targetOf(attempt);
     if (target == nullptr) {
         return;
     }
-    Impl::Endpoint &endpoint = *target;
-    --endpoint.ownUnanswered;
+    --target->ownUnanswered;
     attempt.answeredAt = now;
-    endpoint.unansweredSince = endpoint.ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
-    if (!attempt.prefixHashes.empty()) {
-        const double measuredMs = toMs(now - attempt.beganAt);
-        const double slowerMs = attempt.usesSpeeds ? 0 : attempt.workMs * (endpoint.slowness - 1);
-        const double unexplainedMs = measuredMs - (attempt.predictedMs - attempt.delayMs + slowerMs);
-        impl_->recordDelay(attempt, endpoint, unexplainedMs, now);
-        if (attempt.work == AttemptWork::Prefill) {
-            endpoint.prefillBacklog.correct(unexplainedMs, attempt.backlogCorrections, now);
-        }
-        updateMean(endpoint.slowness, std::clamp(measuredMs / attempt.predictedMs, MIN_SLOWNESS, MAX_SLOWNESS));
-        attempt.speedSample = impl_->speedSampleOf(attempt, endpoint, now);
-        impl_->engineModels[endpoint.record.service].recordFirstByte(Impl::modelSampleOf(attempt, endpoint, now));
+    target->unansweredSince = target->ownAttempts > 1 ? std::optional<Time>(now) : std::nullopt;
+    // The time of a rejection is no time of work. An endpoint that rejects at once would make the whole service look quick.
+    if (!attempt.prefixHashes.empty() && !(rejected && attempt.usesSpeeds)) {
+        learnFirstByte(attempt, *target, now);
     }
 }
 
+void PhaseRouter::Impl::learnFirstByte(Attempt &attempt, Endpoint &endpoint, Time now)
+{
+    const double measuredMs = toMs(now - attempt.beganAt);
+    const double slowerMs = attempt.usesSpeeds ? 0 : attempt.workMs * (endpoint.slowness - 1);
+    const double unexplainedMs = measuredMs - (attempt.predictedMs - attempt.delayMs + slowerMs);
+    recordDelay(attempt, endpoint, unexplainedMs, now);
+    if (attempt.work == AttemptWork::Prefill) {
+        endpoint.prefillBacklog.correct(unexplainedMs, attempt.backlogCorrections, now);
+    }
+    updateMean(endpoint.slowness, std::clamp(measuredMs / attempt.predictedMs, MIN_SLOWNESS, MAX_SLOWNESS));
+    attempt.speedSample = speedSampleOf(attempt, endpoint, now);
+    engineModels[endpoint.record.service].recordFirstByte(modelSampleOf(attempt, endpoint, now));
+}
+
 void PhaseRouter::end(Ticket ticket, AttemptOutcome result, Time now)
 {
     const auto found = impl_->attempts.find(ticket);
@@ -207,7 +218,7 @@
     }
     Impl::Endpoint &endpoint = *target;
     if (result == AttemptOutcome::Answered || result == AttemptOutcome::Rejected || result == AttemptOutcome::AnsweredFailure) {
-        recordFirstByte(ticket, now);
+        impl_->recordFirstByte(found->second, result == AttemptOutcome::Rejected, now);
         endpoint.health.recordSuccess(now);
         endpoint.refusal.observeAnswer(found->second.beganAt);
     }
@@ -215,8 +226,11 @@
         // An engine that changes its phase rejects all calls for seconds, and its heartbeat reports the change late.
         endpoint.rejectionBackoff = std::clamp(endpoint.rejectionBackoff * 2, MIN_REJECTION_BACKOFF, MAX_REJECTION_BACKOFF);
         endpoint.avoidedUntil = std::max(endpoint.avoidedUntil, now + endpoint.rejectionBackoff);
+        ++endpoint.consecutiveRejections;
+        endpoint.rejectedAt = now;
     } else if (result == AttemptOutcome::Answered) {
         endpoint.rejectionBackoff = Duration(0);
+        endpoint.consecutiveRejections = 0;
     }
     if (result != AttemptOutcome::Abandoned && result != AttemptOutcome::Rejected) {
         updateMean(endpoint.failureShare, result == AttemptOutcome::Answered ? 0 : 1);
--- a/src/routing/phaserouterfleet.cpp
+++ b/src/routing/phaserouterfleet.cpp
@@ -16,6 +16,9 @@
     impl.endpointOfHash.clear();
     for (const auto &[id, record] : endpoints) {
         Impl::Endpoint &endpoint = impl.findOrAddEndpoint(record);
+        if (endpoint.record.phase != record.phase) {
+            endpoint.consecutiveRejections = 0;
+        }
         endpoint.record = record;
         endpoint.refusal.observeHeartbeat(record.heartbeat);
         endpoint.listed = true;
--- a/src/routing/phaserouterimpl.h
+++ b/src/routing/phaserouterimpl.h
@@ -109,6 +109,9 @@
     /// \brief End of the back-off after a rejected call; the back-off grows with each consecutive rejection.
     Time avoidedUntil = Time::min();
     Duration rejectionBackoff = Duration(0);
+    /// \brief Rejections since the last answer, and the time of the last one.
+    int consecutiveRejections = 0;
+    Time rejectedAt = Time::min();
     /// \brief End of the pause that the endpoint has asked this process for.
     Time pausedUntil = Time::min();
     /// \brief An answer of this incarnation has announced that it is leaving.
@@ -261,6 +264,12 @@
     [[nodiscard]] double timeFactor(const Endpoint &endpoint, Time now) const;
     /// \brief Like timeFactor(), with the mean ratio of measured to predicted times for a service whose speeds are not used.
     [[nodiscard]] double prefillFactor(const Endpoint &endpoint, Time now) const;
+    /// \brief Cost of a call that \a endpoint probably rejects; zero for a service whose speeds are not used.
+    [[nodiscard]] double rejectionPenaltyMs(const Endpoint &endpoint, Time now) const;
+    /// \brief Learns from the first byte of an attempt at \a endpoint.
+    void learnFirstByte(Attempt &attempt, Endpoint &endpoint, Time now);
+    /// \brief Ends the wait of an attempt for its first byte. \param rejected the endpoint has not run it.
+    void recordFirstByte(Attempt &attempt, bool rejected, Time now);
     /// \brief Returns the first byte of \a attempt for the times of its service: what it would have been at an endpoint of mean speed.
     [[nodiscard]] static internal::EngineModel::Sample modelSampleOf(const Attempt &attempt, const Endpoint &endpoint, Time now);
     /// \brief Returns the service time of an attempt whose first byte arrives now; empty if its queue was not known.
--- a/src/routing/phaserouterspeeds.cpp
+++ b/src/routing/phaserouterspeeds.cpp
@@ -51,7 +51,9 @@
     if (!usesSpeeds(endpoint.record.service, now)) {
         return 1;
     }
-    const double momentary = endpoint.speed.momentaryFactor(now);
+    // An endpoint that rejects calls is not believed to be quicker than usual.
+    const double leastFactor = endpoint.consecutiveRejections > 0 ? 1 : EngineSpeed::MIN_FACTOR;
+    const double momentary = std::max(leastFactor, endpoint.speed.momentaryFactor(now));
     const auto speeds = phaseSpeeds.find({endpoint.record.service, endpoint.record.phase});
     const bool isMeasured = speeds != phaseSpeeds.end() && endpoint.speed.isMeasured();
     return isMeasured ? speeds->second.mean / endpoint.speed.speed(now) * momentary : momentary;
--- a/src/routing/placementestimates.cpp
+++ b/src/routing/placementestimates.cpp
@@ -2,6 +2,7 @@
 #include "phasetimes.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mimosatally
 {
@@ -24,18 +25,38 @@
 constexpr double DELAYED_GENERATION_WEIGHT = 0.35;
 /// \brief Time that a failed call costs its caller.
 constexpr double FAILURE_PENALTY_MS = 300;
+/// \brief Time that a rejected call costs its caller, whose attempts are few; with 300 ms an endpoint that rejected everything still got a call each 0.9 s.
+constexpr double REJECTION_PENALTY_MS = 1000;
+/// \brief Consecutive rejections after which the next call is expected to be rejected as well.
+constexpr int CERTAIN_REJECTIONS = 4;
+/// \brief Time in which this expectation halves, so that the endpoint is tried again after some seconds. A change of phase takes three.
+constexpr double REJECTION_HALF_LIFE_MS = 2000;
 
 double distancePenaltyMs(Distance distance)
 {
     return distance == Distance::OtherRegion ? OTHER_REGION_PENALTY_MS : 0;
 }
 
+double failurePenaltyMs(const internal::DirectEndpoint &endpoint)
+{
+    return endpoint.failureShare * FAILURE_PENALTY_MS;
+}
+
 double batchPenaltyMs(const internal::DirectEndpoint &endpoint, double requests)
 {
     return requests / endpoint.record.slots * FULL_BATCH_PENALTY_MS;
 }
 } // namespace
 
+double PhaseRouter::Impl::rejectionPenaltyMs(const Endpoint &endpoint, Time now) const
+{
+    if (endpoint.consecutiveRejections == 0 || !usesSpeeds(endpoint.record.service, now)) {
+        return 0;
+    }
+    const double probability = std::min(1.0, static_cast<double>(endpoint.consecutiveRejections) / CERTAIN_REJECTIONS);
+    return REJECTION_PENALTY_MS * probability * std::exp2(-internal::toMs(now - endpoint.rejectedAt) / REJECTION_HALF_LIFE_MS);
+}
+
 PhaseRouter::Impl::AttemptEstimate PhaseRouter::Impl::prefillEstimate(const Endpoint &endpoint, AttemptWork work, const PromptContext &prompt, Time now) const
 {
     AttemptEstimate estimate;
@@ -47,8 +68,8 @@
     const double factor = timeFactor(endpoint, now);
     estimate.queueMs = queueMs(endpoint, now) + delayMs(endpoint.record.service, work, now);
     estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + prefillMs + endpoint.model->firstByteMs(work) * factor;
-    estimate.costMs =
-        estimate.timeMs + (ENGINE_TIME_WEIGHT - 1) * prefillMs + distancePenaltyMs(endpoint.distance) + endpoint.failureShare * FAILURE_PENALTY_MS;
+    estimate.costMs = estimate.timeMs + (ENGINE_TIME_WEIGHT - 1) * prefillMs + distancePenaltyMs(endpoint.distance) + failurePenaltyMs(endpoint)
+                      + rejectionPenaltyMs(endpoint, now);
     if (work == AttemptWork::PrefillAndRun) {
         const double requests = endpoint.ownAttempts + foreignLoad(endpoint, now).requests;
         const double wait = slotWaitMs(endpoint, now);
@@ -67,7 +88,7 @@
     estimate.queueMs = slotWaitMs(endpoint, now) + endpoint.transferBacklogMs + delayMs(endpoint.record.service, AttemptWork::Run, now);
     estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + endpoint.model->firstByteMs(AttemptWork::Run) * prefillFactor(endpoint, now);
     estimate.costMs = estimate.timeMs + batchPenaltyMs(endpoint, endpoint.ownAttempts + foreignLoad(endpoint, now).requests) * timeFactor(endpoint, now)
-                      + endpoint.failureShare * FAILURE_PENALTY_MS + distancePenaltyMs(endpoint.distance);
+                      + failurePenaltyMs(endpoint) + rejectionPenaltyMs(endpoint, now) + distancePenaltyMs(endpoint.distance);
     return estimate;
 }
 
@@ -129,7 +150,7 @@
     const double slots = endpoint.record.slots;
     estimate.queueMs = std::max(0.0, requests - slots + 1) * workMs / slots;
     estimate.timeMs = roundTripMs(endpoint.distance) + estimate.queueMs + workMs;
-    estimate.costMs = estimate.timeMs + requests / slots * workMs / 2 + endpoint.failureShare * FAILURE_PENALTY_MS;
+    estimate.costMs = estimate.timeMs + requests / slots * workMs / 2 + failurePenaltyMs(endpoint) + rejectionPenaltyMs(endpoint, now);
     return estimate;
 }
 
--- a/tests/unit/enginespeedtest.cpp
+++ b/tests/unit/enginespeedtest.cpp
@@ -166,3 +166,43 @@
     CHECK(count.value(at(0)) == 1);
     CHECK(count.value(at(2000)) < 0.01);
 }
+
+// Guards against an endpoint that claims to be idle and quick, rejects everything at once, and so gets a call of each gateway after each back-off.
+TEST_CASE("An endpoint that claims to be idle and rejects everything attracts few calls", "[enginespeed]")
+{
+    Fleet fleet;
+    fleet.add("d1", MODEL, HERE, EnginePhase::Decode);
+    fleet.add("d2", MODEL, HERE, EnginePhase::Decode);
+    int rejected = 0;
+    for (int i = 0; i < 600; ++i) {
+        fleet.router.reportLoad(EndpointId("d1"), {.running = 0, .slots = 128, .relativeTime = 0.05}, at(i * 100));
+        fleet.router.reportLoad(EndpointId("d2"), {.running = 8, .slots = 128, .relativeTime = 1}, at(i * 100));
+        const PlacementRequest request = longPrompt(static_cast<std::uint64_t>(i) * 10);
+        const EndpointId run = fleet.router.place(request, at(i * 100)).run.value_or(EndpointId("-"));
+        const bool isRejected = run == EndpointId("d1");
+        rejected += isRejected ? 1 : 0;
+        const auto ticket = fleet.router.begin({run, AttemptWork::PrefillAndRun}, request, at(i * 100));
+        fleet.router.end(ticket, isRejected ? AttemptOutcome::Rejected : AttemptOutcome::Answered, at(i * 100 + (isRejected ? 2 : 90)));
+    }
+    CHECK(rejected < 30);
+    CHECK(fleet.router.engineTimes().at(MODEL).decodePrefillMsPerThousandTokens > 4);
+}
+
+// Guards against calls that leave the region, at 12 ms each way and the price of the bytes, because a remote engine is nearly as good.
+TEST_CASE("Calls leave the region only for a gain that exceeds the way", "[enginespeed]")
+{
+    Fleet fleet;
+    fleet.add("d1", MODEL, HERE, EnginePhase::Decode);
+    fleet.add("d2", MODEL, THERE, EnginePhase::Decode);
+    const auto remoteCalls = [&fleet](double nearTime, int start) {
+        int remote = 0;
+        for (int i = 0; i < 50; ++i) {
+            fleet.router.reportLoad(EndpointId("d1"), {.slots = 128, .relativeTime = nearTime}, at(start + i * 50));
+            fleet.router.reportLoad(EndpointId("d2"), {.slots = 128, .relativeTime = 1}, at(start + i * 50));
+            remote += fleet.router.place(longPrompt(static_cast<std::uint64_t>(start + i) * 10), at(start + i * 50)).run == EndpointId("d2") ? 1 : 0;
+        }
+        return remote;
+    };
+    CHECK(remoteCalls(1.05, 0) == 0);
+    CHECK(remoteCalls(4, 10'000) > 40);
+}
