--- a/src/gateway/callextra.cpp
+++ b/src/gateway/callextra.cpp
@@ -88,25 +88,26 @@
 void CallFlow::considerExtraAttempt(const EndpointId &first, Duration timeout)
 {
     const Time now = MilliClock::now();
-    if (extra_ || guard_->stopReason() != StopReason::None || gateway_.stopping || exchange_.isPeerClosed() || gateway_.suspects.isBlocked(suspects_.known())) {
+    if (!measurement_ || extra_ || guard_->stopReason() != StopReason::None || gateway_.stopping || exchange_.isPeerClosed()
+        || gateway_.suspects.isBlocked(suspects_.known())) {
         return;
     }
     const Placement placement = placeExtraAttempt(first, now);
     const bool freeSlot = placement.run && !placement.prefill && placement.queueMs < FREE_SLOT_QUEUE_MS;
     const ExtraAttemptInputs inputs = gateway_.extraAttempts.inputs(*measurement_, now);
     const std::optional<ExtraAttemptDenial> denial = gateway_.extraAttempts.tryStart(*measurement_, freeSlot, gateway_.retries, now);
-    const EndpointRecord *record = placement.run ? gateway_.router.record(*placement.run) : nullptr;
+    const EndpointId endpoint = placement.run.value_or(EndpointId());
+    const EndpointRecord *record = gateway_.router.record(endpoint);
     logExtraDecision(inputs, placement, denial);
     if (denial || record == nullptr) {
         return;
     }
     ++attempts_;
-    logPlaced(*placement.run, placement);
+    logPlaced(endpoint, placement);
     // No further attempt can follow the last run that the route allows.
     const bool isLast = route_.maxAttempts <= 2;
     const Time attemptDeadline = isLast ? guard_->deadline() : std::min(now + timeout, guard_->deadline());
-    ExtraAttempt::Plan plan {
-        *record, *placement.run, exchange_.request(), call_.id, attemptFor(*placement.run), placementRequest_, guard_->deadline(), attemptDeadline};
+    ExtraAttempt::Plan plan {*record, endpoint, exchange_.request(), call_.id, attemptFor(endpoint), placementRequest_, guard_->deadline(), attemptDeadline};
     extra_ = std::make_shared<ExtraAttempt>(gateway_, std::move(plan));
     extra_->start([this] {
         endExtraAttempt();
