--- a/src/gateway/usagecounter.cpp
+++ b/src/gateway/usagecounter.cpp
@@ -33,8 +33,12 @@
     clock_.recordOwn(unixMs, now);
     logClock();
     const std::optional<UsageWindow> last = ledger_.current();
-    ledger_.advance(*windowAt(now - CLOSE_DELAY));
-    if (last && *last != *ledger_.current()) {
+    const std::optional<UsageWindow> unclosed = windowAt(now - CLOSE_DELAY);
+    if (!unclosed) {
+        return;
+    }
+    ledger_.advance(*unclosed);
+    if (last && last != ledger_.current()) {
         logClosed(*last);
     }
 }
@@ -57,7 +61,7 @@
     metrics_.increment("mimosatally_usage_unclosed_total", {}, before.unclosed.size());
     logEvent(LogEvent::UsageWindowClosed,
              {{"window", window},
-              {"next", *ledger_.current()},
+              {"next", ledger_.current().value_or(window)},
               {"counted", counted_},
               {"late", late_},
               {"fleet_before", runs},
--- a/src/usage/fleetclock.cpp
+++ b/src/usage/fleetclock.cpp
@@ -65,7 +65,7 @@
 
 std::int64_t FleetClock::medianOffset() const
 {
-    std::vector<std::int64_t> offsets = {*ownOffset_};
+    std::vector<std::int64_t> offsets = {ownOffset_.value_or(0)};
     for (const auto &[peer, clock] : peers_) {
         offsets.push_back(clock.offset);
     }
--- a/src/usage/usageledger.cpp
+++ b/src/usage/usageledger.cpp
@@ -29,7 +29,7 @@
 
 bool UsageLedger::count(UsageWindow window, const OrganisationId &organisation)
 {
-    if (!isKept(window) || window < *current_ || left_) {
+    if (!current_ || !isKept(window) || window < *current_ || left_) {
         return false;
     }
     OwnCounts &own = own_[window];
