--- a/src/routing/placementestimates.cpp
+++ b/src/routing/placementestimates.cpp
@@ -157,6 +157,7 @@
 Placement PhaseRouter::Impl::placePlain(const std::vector<const Endpoint *> &candidates, Time now) const
 {
     std::vector<AttemptEstimate> estimates;
+    estimates.reserve(candidates.size());
     for (const Endpoint *candidate : candidates) {
         estimates.push_back(plainCallEstimate(*candidate, now));
     }
