--- a/src/gateway/callcontention.cpp
+++ b/src/gateway/callcontention.cpp
@@ -112,9 +112,13 @@
 
 awaitable<std::optional<bool>> CallFlow::admitContended(Placement placement, Time now)
 {
-    const ContentionDecision decision = contention_->decide(placement, guard_->deadline(), now);
+    if (!contention_) {
+        co_return std::nullopt;
+    }
+    CallContention &contention = *contention_;
+    const ContentionDecision decision = contention.decide(placement, guard_->deadline(), now);
     if (std::holds_alternative<SendNow>(decision)) {
-        contention_->start(placement, now);
+        contention.start(placement, now);
         co_return std::nullopt;
     }
     if (const auto *refusal = std::get_if<RefuseCall>(&decision)) {
@@ -125,10 +129,10 @@
     }
     const Time end = std::min(std::get<WaitForRoom>(decision).until, now + PLACE_AGAIN_INTERVAL);
     boost::asio::steady_timer timer(gateway_.io, std::max(end - now, Duration(1)));
-    const RoomWaiters::Entry entry(gateway_.roomWaiters, contention_->kind().service, contention_->waitingOrder(), timer);
+    const RoomWaiters::Entry entry(gateway_.roomWaiters, contention.kind().service, contention.waitingOrder(), timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    contention_->recordWait(now);
+    contention.recordWait(now);
     co_return true;
 }
 
