Read optional values where the linter can follow their check

The linter found unchecked accesses in the check of configurations, the table of keys and the log line of a configuration.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -87,11 +87,12 @@
         return false;
     }
     putInForce(std::move(next));
+    const std::optional<std::vector<Organisation>> &organisations = configuration->organisations;
     logEvent(LogEvent::ServingConfigurationInForce,
              {{"version", configuration->version},
               {"routes", configuration->routes.size()},
               {"services", configuration->services.size()},
-              {"organisations", configuration->organisations ? std::to_string(configuration->organisations->size()) : "-"},
+              {"organisations", organisations ? std::to_string(organisations->size()) : "-"},
               {"keys", keys.size()}});
     return true;
 }
--- a/src/serving/configurationdifference.cpp
+++ b/src/serving/configurationdifference.cpp
@@ -57,6 +57,7 @@
 std::vector<ServiceProfile> listOf(const std::map<ServiceId, ServiceProfile> &services)
 {
     std::vector<ServiceProfile> result;
+    result.reserve(services.size());
     for (const auto &[id, service] : services) {
         result.push_back(service);
     }
@@ -66,9 +67,9 @@
 template<class Entry>
 void applyTo(std::vector<Entry> &entries, const EntryChange<Entry> &change)
 {
-    const auto &id = idOf(change.before ? *change.before : *change.after);
-    std::erase_if(entries, [&id](const Entry &entry) {
-        return idOf(entry) == id;
+    const Entry known = change.before ? *change.before : change.after.value_or(Entry());
+    std::erase_if(entries, [&known](const Entry &entry) {
+        return idOf(entry) == idOf(known);
     });
     if (change.after) {
         entries.push_back(*change.after);
@@ -91,16 +92,19 @@
 
     void operator()(const ServiceChange &change) const
     {
-        const ServiceId id = change.before ? change.before->id : change.after->id;
-        configuration.services.erase(id);
+        if (change.before) {
+            configuration.services.erase(change.before->id);
+        }
         if (change.after) {
-            configuration.services.emplace(id, *change.after);
+            configuration.services.emplace(change.after->id, *change.after);
         }
     }
 
     void operator()(const OrganisationChange &change) const
     {
-        applyTo(*configuration.organisations, change);
+        std::vector<Organisation> organisations = configuration.organisations.value_or(std::vector<Organisation>());
+        applyTo(organisations, change);
+        configuration.organisations = std::move(organisations);
     }
 
     void operator()(const LimitsChange &change) const
@@ -168,36 +172,40 @@
 
     std::string operator()(const RouteChange &change) const
     {
+        const Route before = change.before.value_or(Route());
+        const Route after = change.after.value_or(Route());
         if (!change.after) {
-            return routeText(*change.before) + " is removed: its callers get 404 unless another prefix matches";
+            return routeText(before) + " is removed: its callers get 404 unless another prefix matches";
         }
         if (!change.before) {
-            return routeText(*change.after) + " is added, to " + servicesText(*change.after);
+            return routeText(after) + " is added, to " + servicesText(after);
         }
-        return routeText(*change.after) + " changes: " + routeDetails(*change.before, *change.after);
+        return routeText(after) + " changes: " + routeDetails(before, after);
     }
 
     std::string operator()(const ServiceChange &change) const
     {
         if (!change.after) {
-            return "service " + change.before->id.value() + " is removed: it gets no calls any more";
+            return "service " + change.before.value_or(ServiceProfile()).id.value() + " is removed: it gets no calls any more";
         }
         return "service " + change.after->id.value() + (change.before ? " changes its limits or engine profile" : " is added");
     }
 
     std::string operator()(const OrganisationChange &change) const
     {
+        const Organisation before = change.before.value_or(Organisation());
+        const Organisation after = change.after.value_or(Organisation());
         if (!change.after) {
-            return "organisation " + change.before->id.value() + " is removed: calls with its " + std::to_string(change.before->keys.size()) + " keys get 401";
+            return "organisation " + before.id.value() + " is removed: calls with its " + std::to_string(before.keys.size()) + " keys get 401";
         }
-        const std::string name = "organisation " + change.after->id.value();
+        const std::string name = "organisation " + after.id.value();
         if (!change.before) {
-            return name + " is added with " + std::to_string(change.after->keys.size()) + " keys";
+            return name + " is added with " + std::to_string(after.keys.size()) + " keys";
         }
-        const std::size_t removed = keysMissingIn(change.before->keys, change.after->keys);
+        const std::size_t removed = keysMissingIn(before.keys, after.keys);
         std::string text = name + " changes: " + std::to_string(removed) + " keys are removed and get 401, "
-                           + std::to_string(keysMissingIn(change.after->keys, change.before->keys)) + " are added";
-        if (change.before->priority != change.after->priority) {
+                           + std::to_string(keysMissingIn(after.keys, before.keys)) + " are added";
+        if (before.priority != after.priority) {
             text += ", another priority";
         }
         return text;
--- a/src/serving/keytable.cpp
+++ b/src/serving/keytable.cpp
@@ -51,7 +51,8 @@
         return;
     }
     const std::vector<Organisation> none;
-    const std::vector<Organisation> &organisations = configuration_->organisations ? *configuration_->organisations : none;
+    const std::optional<std::vector<Organisation>> &configured = configuration_->organisations;
+    const std::vector<Organisation> &organisations = configured ? *configured : none;
     std::size_t keys = 0;
     for (const Organisation &organisation : organisations) {
         keys += organisation.keys.size();
