--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -26,6 +26,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <strings.h>
@@ -34,6 +35,7 @@
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
+#include <tuple>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -351,49 +353,97 @@
     return host + ':' + std::to_string(port);
 }
 
-/// \brief HTTP server with a thread for each channel. The handler returns whether the channel stays open. The threads run until the process ends.
+/// \brief HTTP server with a thread for each channel. The handler returns whether the channel stays open. It can end and start again at its port, as its
+/// process would; the threads run until the process ends.
 class Server
 {
 public:
     using Handler = std::function<bool(Channel &, const Message &)>;
 
     explicit Server(Handler handler)
-        : handler_(std::make_shared<Handler>(std::move(handler)))
+        : state_(std::make_shared<State>())
     {
-        const auto [descriptor, port] = listenOnLoopback();
-        port_ = port;
-        std::thread([descriptor = descriptor, handler = handler_] {
-            accept(descriptor, handler);
-        }).detach();
+        state_->handler = std::move(handler);
+        start();
     }
 
     [[nodiscard]] int port() const
     {
-        return port_;
+        return state_->port;
+    }
+
+    /// \brief Closes the listener and all channels, as the end of the process does: the peers see a close, and new channels are refused.
+    void stop()
+    {
+        const std::lock_guard lock(state_->mutex);
+        ++state_->lifetime;
+        shutdown(state_->listener, SHUT_RDWR);
+        ::close(state_->listener);
+        for (const int descriptor : state_->channels) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+
+    /// \brief Listens again at the same port.
+    void start()
+    {
+        const std::lock_guard lock(state_->mutex);
+        std::tie(state_->listener, state_->port) = listenOnLoopback(state_->port);
+        std::thread([state = state_, listener = state_->listener, lifetime = state_->lifetime] {
+            accept(state, listener, lifetime);
+        }).detach();
     }
 
 private:
-    static void accept(int listener, const std::shared_ptr<Handler> &handler)
+    struct State {
+        std::mutex mutex;
+        Handler handler;
+        int listener = -1;
+        int port = 0;
+        int lifetime = 0;
+        std::set<int> channels;
+    };
+
+    static void accept(const std::shared_ptr<State> &state, int listener, int lifetime)
     {
         for (;;) {
             const int descriptor = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            {
+                const std::lock_guard lock(state->mutex);
+                if (state->lifetime != lifetime) {
+                    if (descriptor >= 0) {
+                        ::close(descriptor);
+                    }
+                    return;
+                }
+                if (descriptor >= 0) {
+                    state->channels.insert(descriptor);
+                }
+            }
             if (descriptor < 0) {
                 pauseFor(Milliseconds(10));
                 continue;
             }
-            std::thread([descriptor, handler] {
-                Channel channel(descriptor);
-                bool open = true;
-                while (open) {
-                    const std::optional<Message> request = channel.read(Milliseconds(60'000));
-                    open = request && (*handler)(channel, *request);
-                }
+            std::thread([descriptor, state] {
+                serve(descriptor, state);
             }).detach();
         }
     }
 
-    std::shared_ptr<Handler> handler_;
-    int port_ = 0;
+    static void serve(int descriptor, const std::shared_ptr<State> &state)
+    {
+        Channel channel(descriptor);
+        bool open = true;
+        while (open) {
+            const std::optional<Message> request = channel.read(Milliseconds(60'000));
+            open = request && state->handler(channel, *request);
+        }
+        const std::lock_guard lock(state->mutex);
+        state->channels.erase(descriptor);
+        channel.close();
+    }
+
+    std::shared_ptr<State> state_;
 };
 
 /// \brief The platform's store: keyed topics and the groups that members join.
