Log and count how callers' connections end and what a configuration takes

GatewayCallUndelivered ends such calls (metric: result="undelivered"), CallerConnectionEnded names the reason of a connection's end with its unread bytes and idle time (mimosatally_caller_connections_ended_total counts all), and the line of a configuration in force has the size of its text and the time of decoding and of putting it in force.

--- a/include/mimosatally/http/httpexchange.h
+++ b/include/mimosatally/http/httpexchange.h
@@ -56,6 +56,7 @@
     void closeAfterResponse();
 
     [[nodiscard]] bool hasResponded() const;
+    [[nodiscard]] bool isAborted() const;
     [[nodiscard]] bool shouldKeepAlive() const;
 
 private:
@@ -69,6 +70,7 @@
     const HttpLimits &limits_;
     std::shared_ptr<Watch> watch_;
     bool responded_ = false;
+    bool aborted_ = false;
     bool endsWithConnection_ = false;
     bool keepAlive_;
 };
--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionend.h"
 #include "httpexchange.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,7 @@
 {
 public:
     using Handler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
+    using EndHandler = std::function<void(const ConnectionEnd &)>;
 
     /// \throws boost::system::system_error if the address cannot be bound.
     HttpServer(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &address, HttpLimits limits, Handler handler);
@@ -32,6 +34,9 @@
     /// \brief Replaces the limits, with effect from the next request of each connection.
     void setLimits(const HttpLimits &limits);
 
+    /// \brief Calls \a handler for each connection that ends, and for each that is not accepted, until the server is destroyed.
+    void onConnectionEnd(EndHandler handler);
+
     /// \brief Answers the next request of each connection with `Connection: close` and then closes it; new connections are still accepted.
     void announceClosing();
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -64,6 +64,7 @@
 
 void CallFlow::countResult(const char *result)
 {
+    resultCounted_ = true;
     gateway_.metrics.increment("mimosatally_calls_total", std::string("result=\"") + result + '"');
     if (!caller_.organisation.id.empty()) {
         gateway_.metrics.increment("mimosatally_organisation_calls_total",
@@ -201,6 +202,24 @@
     countResult("failed");
 }
 
+void CallFlow::logUndelivered(const std::string &error)
+{
+    logEvent(LogEvent::GatewayCallUndelivered,
+             {{"request", call_.id},
+              {"route", route_.id},
+              {"organisation", organisationText()},
+              {"error", error},
+              {"begun", exchange_.hasResponded() ? "true" : "false"},
+              {"events", framer_.takenEvents()},
+              {"attempts", attempts_},
+              {"runs", runs_},
+              {"stopped", stopReasonName(guard_->stopReason())},
+              {"after_ms", MilliClock::now() - arrived_}});
+    if (!resultCounted_) {
+        countResult("undelivered");
+    }
+}
+
 void CallFlow::logRefused(const char *reason, std::optional<Duration> retryAfter)
 {
     logEvent(LogEvent::GatewayCallRefused,
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -101,21 +101,26 @@
             exchange_.abort();
         }
     });
-    bool retry = true;
-    if (call_.resumed) {
-        retry = co_await bindResumedStream();
-    }
-    gateway_.retries.recordRequest(placementRequest_.service, arrived_);
-    gateway_.suspects.recordCall(suspects_.parts(), arrived_);
     try {
+        bool retry = true;
+        if (call_.resumed) {
+            retry = co_await bindResumedStream();
+        }
+        gateway_.retries.recordRequest(placementRequest_.service, arrived_);
+        gateway_.suspects.recordCall(suspects_.parts(), arrived_);
         while (retry) {
             retry = co_await placeAndAttempt();
         }
-    } catch (const boost::system::system_error &) {
+    } catch (const boost::system::system_error &error) {
         if (guard_->stopReason() == StopReason::KeyRevoked) {
             cutStream(REVOKED_REASON);
+        } else {
+            logUndelivered(error.code().message());
         }
         throw;
+    } catch (const std::exception &error) {
+        logUndelivered(error.what());
+        throw;
     }
 }
 
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -145,6 +145,8 @@
     void logFailedAttempt(const EndpointId &endpoint, const char *phase, const EndpointCall &call, bool mayHaveRun);
     void logAnswered(const EndpointId &endpoint, const EndpointCall &call);
     void logFailed(unsigned status, const char *reason);
+    /// \brief Logs that \a error kept the answer, or the rest of it, from the caller.
+    void logUndelivered(const std::string &error);
     void logRefused(const char *reason, std::optional<Duration> retryAfter);
 
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
@@ -183,6 +185,8 @@
     Time sentAt_ = Time::min();
     /// \brief The request is counted for the caller's organisation.
     bool usageCounted_ = false;
+    /// \brief The final result of the call is counted.
+    bool resultCounted_ = false;
     /// \brief Attempts whose connection was refused. Each takes a millisecond and excludes its endpoint, so they are not limited.
     int refusedAttempts_ = 0;
     /// \brief An endpoint may have run the call, so no answer may state that it was not run.
--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -14,6 +14,25 @@
 }
 } // namespace
 
+std::string_view stopReasonName(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::None:
+        return "none";
+    case StopReason::CallerDisconnected:
+        return "caller-gone";
+    case StopReason::DeadlinePassed:
+        return "deadline";
+    case StopReason::AttemptTimedOut:
+        return "attempt-timeout";
+    case StopReason::KeyRevoked:
+        return "key-revoked";
+    case StopReason::Superseded:
+        return "superseded";
+    }
+    return "none";
+}
+
 CallGuard::CallGuard(boost::asio::io_context &io, Time deadline)
     : timer_(io)
     , deadline_(deadline)
--- a/src/gateway/callguard.h
+++ b/src/gateway/callguard.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace mimosatally::internal
 {
@@ -25,6 +26,9 @@
     Superseded,
 };
 
+/// \brief Name of \a reason in log lines.
+[[nodiscard]] std::string_view stopReasonName(StopReason reason);
+
 /// \brief Cancels the pending I/O of a call when its caller disconnects or a deadline passes, by closing the socket of the current attempt.
 class CallGuard : public std::enable_shared_from_this<CallGuard>
 {
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -119,6 +119,9 @@
                            })
         , settingsReload_(gateway_, io_)
     {
+        callerServer_.onConnectionEnd([this](const ConnectionEnd &end) {
+            recordConnectionEnd(end);
+        });
         if (!settings.platformApi.address.empty()) {
             dutyClient_.emplace(io_, parseAddress(settings.platformApi.address), settings.platformApi.callsPerSecond);
         }
@@ -294,6 +297,23 @@
         }
     }
 
+    void recordConnectionEnd(const ConnectionEnd &end)
+    {
+        gateway_.metrics.increment("mimosatally_caller_connections_ended_total", "reason=\"" + std::string(toString(end.reason)) + '"');
+        const bool byAnswer = end.reason == ConnectionEndReason::Completed || end.reason == ConnectionEndReason::Aborted;
+        const bool byCaller = end.reason == ConnectionEndReason::CallerClosed && end.unreadBytes == 0;
+        if (byAnswer || byCaller) {
+            return;
+        }
+        logEvent(LogEvent::CallerConnectionEnded,
+                 {{"reason", toString(end.reason)},
+                  {"answering", end.answering ? "true" : "false"},
+                  {"unread_bytes", end.unreadBytes},
+                  {"requests", end.requests},
+                  {"idle_ms", end.idle},
+                  {"error", end.error.empty() ? "-" : end.error}});
+    }
+
     awaitable<void> answerReadiness(HttpExchange &exchange)
     {
         const bool ready = gateway_.canServe() && !gateway_.stopping;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -81,11 +81,12 @@
 {
 }
 
-bool GatewayState::applyConfiguration(ServingConfiguration next)
+bool GatewayState::applyConfiguration(ServingConfiguration next, const ConfigurationSource &source)
 {
     if (configuration && next.version <= configuration->version) {
         return false;
     }
+    const Time begun = MilliClock::now();
     putInForce(std::move(next));
     const std::optional<std::vector<Organisation>> &organisations = configuration->organisations;
     logEvent(LogEvent::ServingConfigurationInForce,
@@ -93,16 +94,25 @@
               {"routes", configuration->routes.size()},
               {"services", configuration->services.size()},
               {"organisations", organisations ? std::to_string(organisations->size()) : "-"},
-              {"keys", keys.size()}});
+              {"keys", keys.size()},
+              {"bytes", source.bytes},
+              {"decode_ms", source.decodeTime},
+              {"apply_ms", MilliClock::now() - begun}});
     return true;
 }
 
-void GatewayState::replaceConfiguration(ServingConfiguration next)
+void GatewayState::replaceConfiguration(ServingConfiguration next, const ConfigurationSource &source)
 {
+    const Time begun = MilliClock::now();
     putInForce(std::move(next));
     metrics.increment("mimosatally_configuration_replaced_total", {});
     logEvent(LogEvent::ServingConfigurationReplaced,
-             {{"version", configuration->version}, {"routes", configuration->routes.size()}, {"era", storeEra.current()}});
+             {{"version", configuration->version},
+              {"routes", configuration->routes.size()},
+              {"era", storeEra.current()},
+              {"bytes", source.bytes},
+              {"decode_ms", source.decodeTime},
+              {"apply_ms", MilliClock::now() - begun}});
 }
 
 void GatewayState::putInForce(ServingConfiguration next)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -35,15 +35,21 @@
     CallerIdentity caller;
 };
 
+/// \brief Text of a configuration and what decoding it took.
+struct ConfigurationSource {
+    std::size_t bytes = 0;
+    Duration decodeTime = Duration(0);
+};
+
 /// \brief State shared by the components of one gateway process, which all run on one thread.
 struct GatewayState {
     GatewayState(boost::asio::io_context &context, const GatewaySettings &processSettings);
 
     /// \brief Puts a configuration in force unless its version, or a newer one, already is. \return true if it did.
-    bool applyConfiguration(ServingConfiguration next);
+    bool applyConfiguration(ServingConfiguration next, const ConfigurationSource &source = ConfigurationSource());
 
     /// \brief Replaces the configuration in force by another text of the same version.
-    void replaceConfiguration(ServingConfiguration next);
+    void replaceConfiguration(ServingConfiguration next, const ConfigurationSource &source = ConfigurationSource());
 
     /// \brief Passes changes of the endpoint registry on to the router.
     void applyEndpoints(Time now);
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -340,20 +340,22 @@
     }
     PositionedRecord positioned {era, record};
     try {
+        const Time begun = MilliClock::now();
         ServingConfiguration next = platform::decodeConfiguration(*record.value);
         if (next.organisations) {
             // The record is passed on to other gateways, which need no keys to authenticate callers.
             positioned.record.value = platform::withKeyDigests(*record.value);
         }
+        const ConfigurationSource source {record.value->size(), MilliClock::now() - begun};
         std::optional<PositionedRecord> &newest = newestRecords_.configuration;
         const bool sameVersion = gateway_.configuration && newest && next.version == gateway_.configuration->version;
         if (sameVersion && positioned.position() > newest->position()) {
             // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
             if (newest->record.value != positioned.record.value) {
-                gateway_.replaceConfiguration(std::move(next));
+                gateway_.replaceConfiguration(std::move(next), source);
             }
             newest = positioned;
-        } else if (gateway_.applyConfiguration(std::move(next))) {
+        } else if (gateway_.applyConfiguration(std::move(next), source)) {
             newest = positioned;
         }
     } catch (const MalformedInputError &error) {
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -113,6 +113,7 @@
 void HttpExchange::abort()
 {
     responded_ = true;
+    aborted_ = true;
     keepAlive_ = false;
     if (endsWithConnection_) {
         resetOnClose(true);
@@ -165,6 +166,11 @@
     return responded_;
 }
 
+bool HttpExchange::isAborted() const
+{
+    return aborted_;
+}
+
 bool HttpExchange::shouldKeepAlive() const
 {
     return keepAlive_;
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -106,11 +106,22 @@
             }
             if (!error && self->connections_.size() < self->limits_.maxConnections) {
                 self->serve(std::move(socket));
+            } else if (!error) {
+                ConnectionEnd end;
+                end.reason = ConnectionEndReason::TooManyConnections;
+                if (self->endHandler_) {
+                    self->endHandler_(end);
+                }
             }
             self->acceptNext();
         });
     }
 
+    void setEndHandler(EndHandler handler)
+    {
+        endHandler_ = std::move(handler);
+    }
+
     void stopAccepting()
     {
         closingAnnounced_ = true;
@@ -123,6 +134,10 @@
         stopping_ = true;
         stopAccepting();
         for (Connection *connection : connections_) {
+            // The process may exit before the coroutine of the connection resumes.
+            connection->end.reason = ConnectionEndReason::Shutdown;
+            connection->end.answering = connection->busy;
+            reportEnd(*connection);
             if (!connection->busy) {
                 connection->stream.close();
             }
@@ -185,6 +200,11 @@
         ByteReservation reservation;
         std::size_t bodyBytes = 0;
         bool busy = false;
+        /// \brief What is known of the end of the connection so far.
+        ConnectionEnd end;
+        bool endReported = false;
+        /// \brief Time at which the connection began to wait for its next request.
+        Time idleSince = MilliClock::now();
     };
 
     using Parser = http::request_parser<http::string_body>;
@@ -210,16 +230,35 @@
         while (keepOpen) {
             try {
                 keepOpen = co_await serveRequest(connection);
-            } catch (const boost::system::system_error &) {
+            } catch (const boost::system::system_error &error) {
                 // The peer has disconnected or is too slow; nothing more can be sent.
+                connection.end.reason = ConnectionEndReason::WriteFailed;
+                connection.end.error = error.code().message();
                 keepOpen = false;
             }
         }
         connections_.erase(position);
+        reportEnd(connection);
         boost::system::error_code ignored;
         connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
+    static std::size_t bytesWaiting(const tcp::socket &socket)
+    {
+        boost::system::error_code error;
+        const std::size_t bytes = socket.available(error);
+        return error ? 0 : bytes;
+    }
+
+    void reportEnd(Connection &connection) const
+    {
+        if (endHandler_ && !connection.endReported) {
+            connection.endReported = true;
+            connection.end.unreadBytes = connection.buffer.size() + bytesWaiting(connection.stream.socket());
+            endHandler_(connection.end);
+        }
+    }
+
     /// \return true if the connection stays open for another request.
     awaitable<bool> serveRequest(Connection &connection)
     {
@@ -231,6 +270,7 @@
         }
         if (!connection.stream.socket().is_open()) {
             // The connection was closed before this coroutine resumed, so the caller could not receive a response.
+            connection.end.reason = ConnectionEndReason::Shutdown;
             co_return false;
         }
         connection.busy = true;
@@ -253,6 +293,8 @@
             }
         }
         if (error) {
+            connection.end.reason = describeReadError(error) ? ConnectionEndReason::Rejected : ConnectionEndReason::ReadFailed;
+            connection.end.error = error.message();
             co_await rejectUnreadable(connection, error);
             co_return false;
         }
@@ -262,11 +304,13 @@
             exchange.closeAfterResponse();
         }
         ++active_;
+        ++connection.end.requests;
         connection.reservation.setRevocable(false);
-        co_await runHandler(exchange);
+        co_await runHandler(connection, exchange);
         connection.reservation.setRevocable(true);
         --active_;
         connection.busy = false;
+        connection.idleSince = MilliClock::now();
         connection.buffer.trim();
         connection.hold(0);
         co_return exchange.shouldKeepAlive() && !stopping_;
@@ -298,9 +342,23 @@
         connection.stream.expires_after(limits_.idleTimeout);
         const std::size_t count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
         connection.buffer.commit(count);
+        if (error) {
+            connection.end.reason = endReasonOf(error);
+            connection.end.idle = MilliClock::now() - connection.idleSince;
+            connection.end.error = error.message();
+        }
         co_return !error;
     }
 
+    /// \brief Reason why a connection ended that was waiting for a request.
+    ConnectionEndReason endReasonOf(const boost::system::error_code &error) const
+    {
+        if (error == boost::beast::error::timeout) {
+            return ConnectionEndReason::IdleTimeout;
+        }
+        return stopping_ ? ConnectionEndReason::Shutdown : ConnectionEndReason::CallerClosed;
+    }
+
     awaitable<void> rejectUnreadable(Connection &connection, const boost::system::error_code &error)
     {
         const auto failure = describeReadError(error);
@@ -337,15 +395,23 @@
         }
     }
 
-    awaitable<void> runHandler(HttpExchange &exchange)
+    awaitable<void> runHandler(Connection &connection, HttpExchange &exchange)
     {
         std::string failure;
+        connection.end.reason = ConnectionEndReason::Completed;
         try {
             co_await handler_(exchange);
-        } catch (const boost::system::system_error &) {
+            if (exchange.isAborted()) {
+                connection.end.reason = ConnectionEndReason::Aborted;
+            }
+        } catch (const boost::system::system_error &error) {
+            connection.end.reason = ConnectionEndReason::WriteFailed;
+            connection.end.error = error.code().message();
             exchange.abort();
         } catch (const std::exception &error) {
             failure = error.what();
+            connection.end.reason = ConnectionEndReason::HandlerFailed;
+            connection.end.error = failure;
         }
         if (!failure.empty() && exchange.hasResponded()) {
             exchange.abort();
@@ -360,6 +426,7 @@
     HttpLimits limits_;
     ByteBudget heldBytes_;
     Handler handler_;
+    EndHandler endHandler_;
     std::list<Connection *> connections_;
     std::size_t active_ = 0;
     bool stopping_ = false;
@@ -397,6 +464,11 @@
     impl_->setLimits(limits);
 }
 
+void HttpServer::onConnectionEnd(EndHandler handler)
+{
+    impl_->setEndHandler(std::move(handler));
+}
+
 void HttpServer::announceClosing()
 {
     impl_->announceClosing();
