--- a/tests/gateway/callerconnection.h
+++ b/tests/gateway/callerconnection.h
@@ -70,6 +70,12 @@
         return wasReset_;
     }
 
+    /// \brief Tells the gateway that no more bytes follow; its bytes are still read.
+    void shutDownSending()
+    {
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+
     void close()
     {
         socket_.close();
