Answer callers that have shut down their sending side

A caller that sends its whole request and shuts down its sending side still reads. The end of the bytes still ends the call, since a caller that has closed both directions looks the same and no endpoint may work for it; but the caller now gets 503 if the call has not run, and 502 otherwise. A caller that has really gone resets the connection, as before.

--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -17,6 +17,7 @@
 constexpr unsigned STATUS_BAD_GATEWAY = 502;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
+constexpr const char *CALLER_GONE_REASON = "caller-gone";
 
 /// \brief Returns \a duration in seconds with three decimals.
 std::string secondsText(Duration duration)
@@ -157,6 +158,27 @@
     co_await exchange_.respond(std::move(response));
 }
 
+awaitable<void> CallFlow::endCallerGone()
+{
+    const unsigned status = mayHaveRun_ ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE;
+    logEvent(LogEvent::GatewayCallerGone,
+             {{"request", call_.id}, {"after_ms", MilliClock::now() - arrived_}, {"runs", runs_}, {"status", streaming_ ? 0U : status}});
+    countResult("caller_gone");
+    registration_.end(StreamTracker::End::Broken);
+    if (streaming_) {
+        exchange_.abort();
+        co_return;
+    }
+    exchange_.closeAfterResponse();
+    const std::optional<Duration> retryAfter = mayHaveRun_ ? std::nullopt : std::optional(DEFAULT_RETRY_AFTER);
+    try {
+        co_await respondError(status, CALLER_GONE_REASON, retryAfter);
+    } catch (const boost::system::system_error &) {
+        // The caller has closed both directions, as the line above supposes.
+        exchange_.abort();
+    }
+}
+
 awaitable<void> CallFlow::giveUp()
 {
     if (guard_->stopReason() == StopReason::KeyRevoked) {
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -154,10 +154,7 @@
         guard_->callerDisconnected();
     }
     if (guard_->stopReason() == StopReason::CallerDisconnected) {
-        logEvent(LogEvent::GatewayCallerGone, {{"request", call_.id}, {"after_ms", MilliClock::now() - arrived_}, {"runs", runs_}});
-        gateway_.metrics.increment("mimosatally_calls_total", "result=\"caller_gone\"");
-        registration_.end(StreamTracker::End::Broken);
-        exchange_.abort();
+        co_await endCallerGone();
         co_return false;
     }
     const Time now = MilliClock::now();
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -152,6 +152,8 @@
     boost::asio::awaitable<void> refuse(Duration retryAfter, const char *reason);
     /// \brief Ends a call whose key is not valid any more.
     boost::asio::awaitable<void> endRevoked();
+    /// \brief Ends a call whose caller sends no more, with a status line unless a stream has begun: it may have shut down only its sending side.
+    boost::asio::awaitable<void> endCallerGone();
     /// \brief Ends the call with an error when attempts or time are used up.
     boost::asio::awaitable<void> giveUp();
     /// \brief Ends a stream visibly before its last event.
