Wait for the cancellation that a test counts at the endpoint

The cancellation reaches the endpoint on a connection of its own, so the test could count before it arrived: 0 instead of 1 in one run of all tests beside builds, on the code before any change. The count is checked as before.

--- a/tests/unit/requestservicetest.cpp
+++ b/tests/unit/requestservicetest.cpp
@@ -119,6 +119,10 @@
     CHECK(agent.runToEnd(agent.request("waiting")).kind == OutcomeKind::NotRun);
     CHECK(agent.service.cancel(RequestId("running"), agent.incarnation, now) == CancelWord::Finished);
     CHECK(agent.runs.size() == 1);
+    // The cancellation is sent to the endpoint on a connection of its own, and nothing above waits for its arrival.
+    agent.runUntil([&] {
+        return agent.cancels > 0;
+    });
     CHECK(agent.cancels == 1);
 }
 
