Leave a request alone that came in the turn of the loop in which the idle timer fell due

The handler of an idle timer that is due can't be cancelled any more once it is queued. The handler now does nothing unless its connection waits for a request.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -210,6 +210,7 @@
         Time idleSince = MilliClock::now();
         /// \brief End of the wait by the limits that were in force when it began; later limits only extend it.
         Time idleEnd;
+        bool awaitsRequest = false;
         bool idleExpired = false;
         /// \brief Expires with the connection, which the handler of a timer may outlive.
         std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
@@ -348,10 +349,12 @@
         constexpr std::size_t firstReadBytes = 4096;
         boost::system::error_code error;
         connection.stream.expires_never();
+        connection.awaitsRequest = true;
         connection.idleExpired = false;
         connection.idleEnd = connection.idleSince + limits_.idleTimeout;
         awaitIdleEnd(connection, connection.idleEnd);
         const std::size_t count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
+        connection.awaitsRequest = false;
         connection.idleTimer.cancel();
         connection.buffer.commit(count);
         if (error) {
@@ -377,6 +380,10 @@
 
     void checkIdleEnd(Connection &connection)
     {
+        if (!connection.awaitsRequest) {
+            // The request came in the same turn of the event loop, and the timer could not be cancelled any more.
+            return;
+        }
         const Time end = std::max(connection.idleEnd, connection.idleSince + limits_.idleTimeout);
         if (MilliClock::now() < end) {
             awaitIdleEnd(connection, end);
--- a/tests/unit/httpidletest.cpp
+++ b/tests/unit/httpidletest.cpp
@@ -130,3 +130,37 @@
         CHECK(answered == connections);
     });
 }
+
+// Guards against a request that is broken off while its head is read, because the idle timer fell due in the turn of the event loop that read its first part.
+TEST_CASE("A request whose first part came during a stall is read to its end although the idle timeout has passed", "[http]")
+{
+    boost::asio::io_context io;
+    HttpServer server(io, LOOPBACK, limitsWith(Duration(150)), answer);
+    runCoroutine(io, [&]() -> awaitable<void> {
+        constexpr int connections = 40;
+        std::vector<tcp::socket> callers;
+        for (int i = 0; i < connections; ++i) {
+            callers.emplace_back(io);
+            co_await callers.back().async_connect(server.address(), use_awaitable);
+            const bool answered = co_await call(callers.back());
+            CHECK(answered);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        const std::string first = "POST / HTTP/1.1\r\nHost: h\r\n";
+        const std::string rest = "Content-Length: 2\r\n\r\nab";
+        for (tcp::socket &caller : callers) {
+            boost::asio::write(caller, boost::asio::buffer(first));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        co_await pause(io, Duration(50));
+        int answered = 0;
+        for (tcp::socket &caller : callers) {
+            boost::system::error_code error;
+            boost::asio::write(caller, boost::asio::buffer(rest), error);
+            std::array<char, 4096> data {};
+            const std::size_t count = co_await caller.async_read_some(boost::asio::buffer(data), boost::asio::redirect_error(use_awaitable, error));
+            answered += !error && std::string_view(data.data(), count).starts_with("HTTP/1.1 200") ? 1 : 0;
+        }
+        CHECK(answered == connections);
+    });
+}
