Keep idle connections for five seconds beyond the limit that callers keep to

Callers may use a connection that has rested for up to four fifths of the limit, counted from when they got the last answer.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -53,6 +53,9 @@
 constexpr Duration FINAL_ANSWER_TIME = Duration(250);
 constexpr Duration SHUTDOWN_POLL_INTERVAL = Duration(50);
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
+/// \brief A connection is closed this much later than its caller may use it. The caller counts from when it got the last answer, and a slow link that is busy
+/// delays that answer and the next request by seconds.
+constexpr Duration IDLE_MARGIN = Duration(5000);
 /// \brief Fraction of the memory limit that requests may hold; answers, which are larger, hold more.
 constexpr std::size_t REQUESTS_PER_MEMORY = 8;
 
@@ -62,7 +65,7 @@
     result.maxHeaderBytes = limits.maxHeaderBytes;
     result.maxBodyBytes = limits.maxBodyBytes;
     result.maxConnections = settings.maxConnections;
-    result.idleTimeout = limits.idleTimeout;
+    result.idleTimeout = limits.idleTimeout + IDLE_MARGIN;
     result.maxHeldBytes = settings.memoryLimit / REQUESTS_PER_MEMORY;
     return result;
 }
