Let each timeout of an attempt wait for ready data

The wait for data that is ready when a timeout falls due was used up once for an attempt: if the head came in a first stall, the deadline that fell due in a second one cancelled the call at once.

--- a/src/gateway/callguard.cpp
+++ b/src/gateway/callguard.cpp
@@ -65,6 +65,8 @@
 void CallGuard::extendAttempt(Time attemptDeadline)
 {
     attemptDeadline_ = std::min(attemptDeadline, deadline_);
+    // Each timeout of an attempt may fall due in a stall of its own.
+    dataWaitEnd_.reset();
     if (socket_ != nullptr) {
         arm(attemptDeadline_ - MilliClock::now());
     }
