--- a/tests/unit/httpidletest.cpp
+++ b/tests/unit/httpidletest.cpp
@@ -36,6 +36,18 @@
     co_await exchange.respond(makeHttpResponse(200, "text/plain", "good"));
 }
 
+/// \brief Answers as the gateway does, which watches the connection for its end.
+awaitable<void> watchAndAnswer(HttpExchange &exchange)
+{
+    exchange.onPeerClosed([] {});
+    co_await exchange.respond(makeHttpResponse(200, "text/plain", "good"));
+}
+
+std::string postWith(std::size_t bodyBytes)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+}
+
 awaitable<void> pause(boost::asio::io_context &io, Duration duration)
 {
     boost::asio::steady_timer timer(io, duration);
@@ -43,10 +55,10 @@
 }
 
 /// \brief Sends a request and returns whether a whole answer came; false if the connection was closed.
-awaitable<bool> call(tcp::socket &socket)
+awaitable<bool> call(tcp::socket &socket, std::string request = REQUEST)
 {
     boost::system::error_code error;
-    co_await boost::asio::async_write(socket, boost::asio::buffer(REQUEST), boost::asio::redirect_error(use_awaitable, error));
+    co_await boost::asio::async_write(socket, boost::asio::buffer(request), boost::asio::redirect_error(use_awaitable, error));
     std::string text;
     std::array<char, 4096> data {};
     while (!error && text.find("good") == std::string::npos) {
@@ -164,3 +176,36 @@
         CHECK(answered == connections);
     });
 }
+
+// Guards against a request that is read and then dropped: the reactor completed the watch of the last exchange first, so the idle timer that was due was
+// handled between the read of the request and its completion.
+TEST_CASE("A request that came during a stall on a connection that was watched for its end is answered", "[http]")
+{
+    const std::size_t bodyBytes = GENERATE(std::size_t(10), std::size_t(6000));
+    boost::asio::io_context io;
+    HttpServer server(io, LOOPBACK, limitsWith(Duration(150)), watchAndAnswer);
+    runCoroutine(io, [&]() -> awaitable<void> {
+        constexpr int connections = 40;
+        const std::string request = postWith(bodyBytes);
+        std::vector<tcp::socket> callers;
+        for (int i = 0; i < connections; ++i) {
+            callers.emplace_back(io);
+            co_await callers.back().async_connect(server.address(), use_awaitable);
+            const bool answered = co_await call(callers.back(), request);
+            CHECK(answered);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        for (tcp::socket &caller : callers) {
+            boost::asio::write(caller, boost::asio::buffer(request));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        int answered = 0;
+        for (tcp::socket &caller : callers) {
+            std::array<char, 4096> data {};
+            boost::system::error_code error;
+            const std::size_t count = co_await caller.async_read_some(boost::asio::buffer(data), boost::asio::redirect_error(use_awaitable, error));
+            answered += !error && std::string_view(data.data(), count).starts_with("HTTP/1.1 200") ? 1 : 0;
+        }
+        CHECK(answered == connections);
+    });
+}
