Put the highest version of a read in force, whatever the order of its records

Reading the newest record first could leave an older version in force if it was written after a newer one and both came with one read, while gateways that read the two apart had the newer one. The records of a read are now sorted by their versions, which are found without decoding the texts; one without a version is reported as before.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -3,6 +3,8 @@
 #include <mimosatally/Http>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <platform/recordcodec.h>
 #include <set>
 #include <utility>
@@ -332,6 +334,9 @@
 
 awaitable<void> StoreFollower::applyConfigurationRecords(std::vector<platform::KeyedRecord> records, StoreEra era)
 {
+    if (records.size() > 1) {
+        co_await sortByVersion(records);
+    }
     bool inForce = false;
     for (auto record = records.rbegin(); record != records.rend() && !inForce; ++record) {
         PositionedRecord positioned {era, std::move(*record)};
@@ -339,6 +344,22 @@
     }
 }
 
+awaitable<void> StoreFollower::sortByVersion(std::vector<platform::KeyedRecord> &records)
+{
+    std::map<Offset, std::int64_t> versions;
+    const auto work = [&](const Checkpoint &checkpoint) {
+        for (const platform::KeyedRecord &record : records) {
+            // A text without a version goes last, so that it is reported as unreadable.
+            const std::optional<std::int64_t> version = platform::configurationVersion(record.value.value_or(std::string()), checkpoint);
+            versions[record.offset] = version.value_or(std::numeric_limits<std::int64_t>::max());
+        }
+    };
+    co_await runInPieces(gateway_.io, Pace::Shared, work);
+    std::ranges::sort(records, {}, [&versions](const platform::KeyedRecord &record) {
+        return std::pair(versions[record.offset], record.offset);
+    });
+}
+
 awaitable<bool> StoreFollower::applyConfigurationRecord(PositionedRecord positioned)
 {
     platform::KeyedRecord &record = positioned.record;
@@ -368,7 +389,7 @@
         co_return false;
     }
     cost.decodedRoutes = reading.decodedRoutes;
-    co_return prepared.configuration && putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
+    co_return prepared.configuration &&putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
 }
 
 bool StoreFollower::isNewer(std::int64_t version, const StorePosition &position) const
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -69,8 +69,10 @@
     /// \brief Forgets the positions of records if the store has gone back without stating a newer era.
     void checkSnapshotEnd(StorePosition end);
     void logReadAgain(TopicCursor &cursor, std::size_t records, std::size_t changed, std::size_t missing);
-    /// \brief Puts the newest readable configuration of \a records in force; the others are not decoded.
+    /// \brief Puts the readable configuration of \a records with the highest version in force; those before it are not decoded.
     boost::asio::awaitable<void> applyConfigurationRecords(std::vector<platform::KeyedRecord> records, StoreEra era);
+    /// \brief Sorts the records by their versions and, within one version, by their offsets.
+    boost::asio::awaitable<void> sortByVersion(std::vector<platform::KeyedRecord> &records);
     /// \brief Reads a record and puts it in force if it is newer. \return whether it is in force now.
     boost::asio::awaitable<bool> applyConfigurationRecord(PositionedRecord positioned);
     /// \return whether the configuration that was read is in force now.
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -92,20 +92,24 @@
                        + R"(","born":5)" + extraFields + "}");
     }
 
-    /// \brief Puts a configuration with one route of each kind for host `h` in force.
-    void configure(int version = 1, int timeoutMs = 3000)
+    /// \brief Text of a configuration with one route of each kind for host `h`.
+    static std::string configurationText(int version = 1, int timeoutMs = 3000)
     {
         const auto route = [timeoutMs](const std::string &name, const std::string &kind, const std::string &service, const std::string &extraFields) {
             return R"({"name":")" + name + R"(","host":"h","pathPrefix":"/)" + name + R"(/","kind":")" + kind + R"(","timeoutMs":)" + std::to_string(timeoutMs)
                    + R"(,"targetLatencyMs":1000,"priority":1,"service":")" + service + R"(","maxAttempts":2)" + extraFields + "}";
         };
-        const std::string document =
-            R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("safe", "safe", "plain", "") + "," + route("post", "unsafe", "plain", "")
-            + "," + route("stream", "streaming", "plain", R"(,"resumable":false)") + "," + route("resume", "streaming", "plain", R"(,"resumable":true)") + ","
-            + route("generate", "streaming", "model", R"(,"resumable":false)")
-            + R"(],"services":[{"name":"plain","maxConns":50},{"name":"model","maxConns":50,"engine":{"slots":8,"kvCacheTokens":100000,"tokenKvBytes":1000,"linkMbps":1000000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("safe", "safe", "plain", "") + "," + route("post", "unsafe", "plain", "")
+               + "," + route("stream", "streaming", "plain", R"(,"resumable":false)") + "," + route("resume", "streaming", "plain", R"(,"resumable":true)")
+               + "," + route("generate", "streaming", "model", R"(,"resumable":false)")
+               + R"(],"services":[{"name":"plain","maxConns":50},{"name":"model","maxConns":50,"engine":{"slots":8,"kvCacheTokens":100000,"tokenKvBytes":1000,"linkMbps":1000000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+    }
+
+    /// \brief Puts such a configuration in force.
+    void configure(int version = 1, int timeoutMs = 3000)
+    {
         onStandins([&] {
-            store_.put("keyed.op", "config", document);
+            store_.put("keyed.op", "config", configurationText(version, timeoutMs));
         });
     }
 
