Count an extra attempt that is under way as one that may have run

A caller that left while its extra attempt was being sent got 503, which promises that the request has not run. Found by reading; there is no test of this moment.

--- a/src/gateway/extraattempt.cpp
+++ b/src/gateway/extraattempt.cpp
@@ -53,6 +53,8 @@
     const AttemptPlan routerPlan {plan_.endpoint, AttemptWork::Run};
     const PhaseRouter::Ticket ticket = gateway_.router.begin(routerPlan, plan_.placement, MilliClock::now());
     platform::EndpointRequest request = platform::encodeAttempt(plan_.request, plan_.attempt);
+    // Until the attempt has ended, its request may be on its way.
+    mayHaveRun_ = true;
     const CallProgress progress = co_await call_.open(plan_.record.address, std::move(request), plan_.id, plan_.attemptDeadline);
     received_ = progress != CallProgress::NotConnected;
     mayHaveRun_ = received_;
