--- a/src/audit/lineverifier.cpp
+++ b/src/audit/lineverifier.cpp
@@ -58,6 +58,8 @@
     void addPlacement(ProcessState &process, const LogLine &line);
     void addFailedAttempt(ProcessState &process, const LogLine &line);
     void addOutcome(ProcessState &process, const LogLine &line);
+    /// \brief Ends a call whose answer could not be written.
+    void addUndelivered(ProcessState &process, const LogLine &line);
 
     std::string file;
     int lineNumber = 0;
@@ -149,7 +151,8 @@
     if (call.hasEnded) {
         addFinding(lineNumber, "call " + id + " already ended at line " + std::to_string(call.endLine));
     }
-    if (line.is(LogEvent::GatewayCallRefused) && call.mayHaveRun) {
+    const bool deniesRun = line.is(LogEvent::GatewayCallRefused) || (line.is(LogEvent::GatewayCallerGone) && line.field("status") == "503");
+    if (deniesRun && call.mayHaveRun) {
         addFinding(lineNumber, "call " + id + " was refused as not run after an attempt that may have run");
     }
     call.hasEnded = true;
@@ -160,6 +163,17 @@
     report.callersDisconnected += line.is(LogEvent::GatewayCallerGone) ? 1 : 0;
 }
 
+void LineVerifier::Impl::addUndelivered(ProcessState &process, const LogLine &line)
+{
+    // The line of the call's own result may stand before it.
+    CallState &call = process.calls[line.field("request")];
+    if (!call.hasEnded) {
+        call.hasEnded = true;
+        call.endLine = lineNumber;
+        ++report.failed;
+    }
+}
+
 void LineVerifier::add(std::string_view text)
 {
     Impl &impl = *impl_;
@@ -185,6 +199,8 @@
         impl.addPlacement(process, *line);
     } else if (line->is(LogEvent::GatewayAttemptFailed)) {
         impl.addFailedAttempt(process, *line);
+    } else if (line->is(LogEvent::GatewayCallUndelivered)) {
+        impl.addUndelivered(process, *line);
     } else if (line->is(LogEvent::GatewayCallAnswered) || line->is(LogEvent::GatewayCallRefused) || line->is(LogEvent::GatewayCallFailed)
                || line->is(LogEvent::GatewayCallerGone)) {
         impl.addOutcome(process, *line);
--- a/tests/unit/lineverifiertest.cpp
+++ b/tests/unit/lineverifiertest.cpp
@@ -108,6 +108,28 @@
     CHECK(report.findings[0].location.line == static_cast<int>(lines.size()));
 }
 
+// Guards against calls that count as open, or as ended twice, because their answer could not be written, and against a denied run of a caller that has gone.
+TEST_CASE("Calls whose answer could not be written have ended, and a caller that has gone is not told that a run did not happen", "[audit]")
+{
+    GatewayLines gateway("g1");
+    gateway.add("MT5001 GatewayCallPlaced", "request=a route=r repeat=once attempt=1 reason=x");
+    gateway.add("MT5008 GatewayCallUndelivered", "request=a route=r error=x");
+    gateway.addCall("b");
+    gateway.add("MT5008 GatewayCallUndelivered", "request=b route=r error=x");
+    gateway.add("MT5001 GatewayCallPlaced", "request=c route=r repeat=once attempt=1 reason=x");
+    gateway.add("MT5005 GatewayAttemptFailed", "request=c may_have_run=true");
+    gateway.add("MT5006 GatewayCallerGone", "request=c after_ms=3 runs=1 status=502");
+    gateway.addCheckpoint();
+    const LineReport sound = verify(gateway.lines);
+    CHECK(sound.findings.empty());
+    CHECK(sound.openEnds.empty());
+    gateway.add("MT5001 GatewayCallPlaced", "request=d route=r repeat=once attempt=1 reason=x");
+    gateway.add("MT5005 GatewayAttemptFailed", "request=d may_have_run=true");
+    gateway.add("MT5006 GatewayCallerGone", "request=d after_ms=3 runs=1 status=503");
+    gateway.addCheckpoint();
+    CHECK(verify(gateway.lines).findings.size() == 1);
+}
+
 // Guards against a call that is refused as not run although it may have run, and against a second run of a call that may run once only,
 // such as a payment.
 TEST_CASE("Decisions on a call that contradict each other are findings", "[audit]")
