Serve the connections that wait to be accepted when accepting stops

Closing the listener resets the connections that the system has established and the process has not taken, with the requests that it has received on them. They are now accepted first; a connection that is accepted in the turn of the loop in which the listener is closed is served too.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -102,19 +102,13 @@
     void acceptNext()
     {
         acceptor_.async_accept([self = shared_from_this()](const boost::system::error_code &error, tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
+            // A connection that was accepted in the turn of the loop in which accepting stopped may have brought a request.
+            if (!error && !self->destroyed_) {
+                self->admit(std::move(socket));
             }
-            if (!error && self->connections_.size() < self->limits_.maxConnections) {
-                self->serve(std::move(socket));
-            } else if (!error) {
-                ConnectionEnd end;
-                end.reason = ConnectionEndReason::TooManyConnections;
-                if (self->endHandler_) {
-                    self->endHandler_(end);
-                }
+            if (self->acceptor_.is_open()) {
+                self->acceptNext();
             }
-            self->acceptNext();
         });
     }
 
@@ -126,10 +120,18 @@
     void stopAccepting()
     {
         closingAnnounced_ = true;
+        acceptWaiting();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
     }
 
+    /// rief Ends the server, whose handler must not be called for further connections.
+    void destroy()
+    {
+        destroyed_ = true;
+        shutDownGracefully();
+    }
+
     void shutDownGracefully()
     {
         stopping_ = true;
@@ -217,10 +219,38 @@
 
     using Parser = http::request_parser<http::string_body>;
 
+    /// \brief Accepts the connections that the system has established. Closing the listener would reset them, with the requests that it has received on them.
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error && !destroyed_) {
+            tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (!error) {
+                admit(std::move(socket));
+            }
+        }
+    }
+
+    void admit(tcp::socket socket)
+    {
+        if (connections_.size() + starting_ < limits_.maxConnections) {
+            serve(std::move(socket));
+            return;
+        }
+        ConnectionEnd end;
+        end.reason = ConnectionEndReason::TooManyConnections;
+        if (endHandler_) {
+            endHandler_(end);
+        }
+    }
+
     void serve(tcp::socket socket)
     {
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        ++starting_;
         boost::asio::co_spawn(
             io_,
             [self = shared_from_this(), socket = std::move(socket)]() mutable {
@@ -232,6 +262,7 @@
     awaitable<void> runConnection(tcp::socket socket)
     {
         const auto self = shared_from_this();
+        --starting_;
         Connection connection(io_, std::move(socket), heldBytes_, limits_.maxHeaderBytes + FRAMING_MARGIN_BYTES);
         const auto position = connections_.insert(connections_.end(), &connection);
         bool keepOpen = true;
@@ -464,9 +495,12 @@
     Handler handler_;
     EndHandler endHandler_;
     std::list<Connection *> connections_;
+    /// \brief Accepted connections whose coroutines have not begun.
+    std::size_t starting_ = 0;
     std::size_t active_ = 0;
     bool stopping_ = false;
     bool closingAnnounced_ = false;
+    bool destroyed_ = false;
 };
 
 HttpServer::HttpServer(boost::asio::io_context &io, const tcp::endpoint &address, HttpLimits limits, Handler handler)
@@ -477,7 +511,7 @@
 
 HttpServer::~HttpServer()
 {
-    impl_->shutDownGracefully();
+    impl_->destroy();
 }
 
 tcp::endpoint HttpServer::address() const
--- /dev/null
+++ b/tests/unit/connectionendtest.cpp
@@ -0,0 +1,107 @@
+#include "coroutinerunner.h"
+
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Core>
+#include <mimosatally/Http>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+using namespace mimosatally;
+using boost::asio::awaitable;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+using mimosatally::test::runCoroutine;
+
+namespace
+{
+const tcp::endpoint LOOPBACK(boost::asio::ip::make_address("127.0.0.1"), 0);
+const std::string REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string LAST_REQUEST = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+constexpr Duration MAX_READ_TIME = Duration(2000);
+
+awaitable<void> answer(HttpExchange &exchange)
+{
+    co_await exchange.respond(makeHttpResponse(200, "text/plain", "good"));
+}
+
+/// \brief A server and the ends of its connections.
+struct Fixture {
+    explicit Fixture(HttpServer::Handler handler, const HttpLimits &limits = {})
+        : server(io, LOOPBACK, limits, std::move(handler))
+    {
+        server.onConnectionEnd([this](const ConnectionEnd &end) {
+            ends.push_back(end);
+        });
+    }
+
+    /// \brief Connects and sends \a bytes without a turn of the event loop.
+    tcp::socket caller(const std::string &bytes)
+    {
+        tcp::socket socket(io);
+        socket.connect(server.address());
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        return socket;
+    }
+
+    /// \brief Number of connections that ended for \a reason.
+    [[nodiscard]] std::size_t endsWith(ConnectionEndReason reason) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(ends, reason, &ConnectionEnd::reason));
+    }
+
+    boost::asio::io_context io;
+    std::vector<ConnectionEnd> ends;
+    HttpServer server;
+};
+
+struct Received {
+    std::string text;
+    /// \brief End of the connection; `operation_aborted` if it is still open after MAX_READ_TIME.
+    boost::system::error_code end;
+};
+
+/// \brief Reads until \a socket ends, or until \a length bytes have come if that is not 0.
+awaitable<Received> receive(tcp::socket &socket, std::size_t length = 0)
+{
+    Received received;
+    boost::asio::steady_timer timer(socket.get_executor(), MAX_READ_TIME);
+    timer.async_wait([&socket](const boost::system::error_code &error) {
+        if (!error) {
+            socket.cancel();
+        }
+    });
+    std::string data(4096, '\0');
+    while (!received.end && (length == 0 || received.text.size() < length)) {
+        const std::size_t count = co_await socket.async_read_some(boost::asio::buffer(data), redirect_error(use_awaitable, received.end));
+        received.text.append(data, 0, count);
+    }
+    co_return received;
+}
+} // namespace
+
+// Guards against connections that the system has accepted, and whose requests it has received, being reset when the listener is closed.
+TEST_CASE("Connections that wait to be accepted when accepting stops are answered", "[http][ends]")
+{
+    Fixture fixture(answer);
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 50; ++i) {
+        callers.push_back(fixture.caller(REQUEST));
+    }
+    fixture.server.stopAccepting();
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        std::size_t answered = 0;
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller);
+            answered += received.text.starts_with("HTTP/1.1 200") && received.end == boost::asio::error::eof ? 1 : 0;
+        }
+        CHECK(answered == callers.size());
+    });
+}
