Answer requests that have arrived when the connections are closed at a shutdown

A shutdown closed each connection that waited for its next request, although bytes of that request were waiting or had been read in the same turn of the event loop. Such connections now serve what has arrived and announce their close; only reads that have found nothing are cancelled. The gateway runs its loop for up to 100 ms, within its margin before the end of the grace time, until these connections have closed.

--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -44,10 +44,11 @@
     /// \brief Bound address, with the port that the system assigned if port 0 was requested.
     [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
-    /// \brief Stops accepting connections and closes the open ones as announceClosing() does.
+    /// \brief Stops accepting connections and closes the open ones as announceClosing() does. Connections that wait to be accepted are accepted first.
     void stopAccepting();
 
-    /// \brief Stops accepting, closes idle connections and lets running exchanges finish.
+    /// \brief Stops accepting, closes idle connections and lets running exchanges finish. Requests that have arrived are answered, which takes further turns of
+    /// the event loop.
     void shutDownGracefully();
 
     /// \brief Number of requests that have not been answered completely.
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -51,6 +51,8 @@
 constexpr Duration STOP_ACCEPTING_MARGIN = Duration(500);
 /// \brief Time, within GRACE_MARGIN, to tell the callers of calls that are still running that they have failed.
 constexpr Duration FINAL_ANSWER_TIME = Duration(250);
+/// \brief Time, within GRACE_MARGIN, to answer the requests that arrive while the connections are being closed.
+constexpr Duration CONNECTION_CLOSE_TIME = Duration(100);
 constexpr Duration SHUTDOWN_POLL_INTERVAL = Duration(50);
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
 /// \brief Fraction of the memory limit that requests may hold; answers, which are larger, hold more.
@@ -367,6 +369,14 @@
         }
     }
 
+    awaitable<void> awaitConnectionsClosed(Time end)
+    {
+        constexpr Duration pollInterval = Duration(10);
+        do {
+            co_await pause(pollInterval);
+        } while (callerServer_.connections() > 0 && MilliClock::now() < end);
+    }
+
     awaitable<void> shutDown()
     {
         logEvent(LogEvent::ProcessStopping, {{"reason", "signal"}, {"active", callerServer_.activeExchanges()}});
@@ -387,6 +397,7 @@
             noticeExchange_->sendLastUsage();
         }
         callerServer_.shutDownGracefully();
+        co_await awaitConnectionsClosed(MilliClock::now() + CONNECTION_CLOSE_TIME);
         stopped_ = true;
     }
 
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -134,16 +134,10 @@
 
     void shutDownGracefully()
     {
-        stopping_ = true;
         stopAccepting();
+        stopping_ = true;
         for (Connection *connection : connections_) {
-            // The process may exit before the coroutine of the connection resumes.
-            connection->end.reason = ConnectionEndReason::Shutdown;
-            connection->end.answering = connection->busy;
-            reportEnd(*connection);
-            if (!connection->busy) {
-                connection->stream.close();
-            }
+            closeAfterArrived(*connection);
         }
     }
 
@@ -282,6 +276,22 @@
         connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
+    /// \brief Ends \a connection after the requests that have arrived on it.
+    void closeAfterArrived(Connection &connection)
+    {
+        if (!destroyed_ && !connection.busy && bytesWaiting(connection.stream.socket()) > 0) {
+            return;
+        }
+        // The process may exit before the coroutine of the connection resumes.
+        connection.end.reason = ConnectionEndReason::Shutdown;
+        connection.end.answering = connection.busy;
+        reportEnd(connection);
+        if (!connection.busy) {
+            // A read that has completed is not cancelled: its request is served.
+            connection.stream.cancel();
+        }
+    }
+
     static std::size_t bytesWaiting(const tcp::socket &socket)
     {
         boost::system::error_code error;
@@ -307,11 +317,6 @@
         if (!co_await awaitFirstByte(connection)) {
             co_return false;
         }
-        if (!connection.stream.socket().is_open()) {
-            // The connection was closed before this coroutine resumed, so the caller could not receive a response.
-            connection.end.reason = ConnectionEndReason::Shutdown;
-            co_return false;
-        }
         connection.busy = true;
         boost::system::error_code error;
         {
@@ -352,7 +357,7 @@
         connection.idleSince = MilliClock::now();
         connection.buffer.trim();
         connection.hold(0);
-        co_return exchange.shouldKeepAlive() && !stopping_;
+        co_return exchange.shouldKeepAlive();
     }
 
     /// \return `no_buffer_space` if the connection has to free its bytes.
@@ -373,18 +378,29 @@
 
     awaitable<bool> awaitFirstByte(Connection &connection)
     {
-        if (connection.buffer.size() > 0) {
+        if (connection.buffer.size() > 0 && !destroyed_) {
             co_return true;
         }
+        if (destroyed_ || (stopping_ && bytesWaiting(connection.stream.socket()) == 0)) {
+            connection.end.reason = ConnectionEndReason::Shutdown;
+            co_return false;
+        }
         constexpr std::size_t firstReadBytes = 4096;
         boost::system::error_code error;
         connection.stream.expires_never();
         connection.idleExpired = false;
         connection.idleEnd = connection.idleSince + limits_.idleTimeout;
         awaitIdleEnd(connection, connection.idleEnd);
-        const std::size_t count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
+        std::size_t count = 0;
+        do {
+            count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
+            // A request may have come between the decision to end the connection and the cancellation of the read.
+        } while (error == boost::asio::error::operation_aborted && !destroyed_ && bytesWaiting(connection.stream.socket()) > 0);
         connection.idleTimer.cancel();
         connection.buffer.commit(count);
+        if (!error && destroyed_) {
+            error = boost::asio::error::operation_aborted;
+        }
         if (error) {
             connection.end.reason = endReasonOf(connection);
             connection.end.idle = MilliClock::now() - connection.idleSince;
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -32,6 +32,12 @@
     co_await exchange.respond(makeHttpResponse(200, "text/plain", "good"));
 }
 
+awaitable<void> pause(boost::asio::io_context &io, Duration duration)
+{
+    boost::asio::steady_timer timer(io, duration);
+    co_await timer.async_wait(use_awaitable);
+}
+
 /// \brief A server and the ends of its connections.
 struct Fixture {
     explicit Fixture(HttpServer::Handler handler, const HttpLimits &limits = {})
@@ -85,6 +91,11 @@
     }
     co_return received;
 }
+
+bool hasField(const std::string &text, const std::string &field)
+{
+    return text.find("\r\n" + field + "\r\n") != std::string::npos;
+}
 } // namespace
 
 // Guards against connections that the system has accepted, and whose requests it has received, being reset when the listener is closed.
@@ -105,3 +116,37 @@
         CHECK(answered == callers.size());
     });
 }
+
+// Guards against kept connections that a shutdown closes although the next request has arrived on them.
+TEST_CASE("Requests that have arrived when the server is shut down are answered", "[http][ends]")
+{
+    Fixture fixture(answer);
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 50; ++i) {
+        callers.push_back(fixture.caller(REQUEST));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller, 1);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+        }
+        tcp::socket idle = fixture.caller("");
+        co_await pause(fixture.io, Duration(20));
+        for (tcp::socket &caller : callers) {
+            boost::asio::write(caller, boost::asio::buffer(REQUEST));
+        }
+        fixture.server.shutDownGracefully();
+        std::size_t answered = 0;
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller);
+            answered += received.text.starts_with("HTTP/1.1 200") && received.end == boost::asio::error::eof ? 1 : 0;
+            CHECK(hasField(received.text, "Connection: close"));
+        }
+        CHECK(answered == callers.size());
+        const Received nothing = co_await receive(idle);
+        CHECK(nothing.text.empty());
+        CHECK(nothing.end == boost::asio::error::eof);
+        CHECK(fixture.endsWith(ConnectionEndReason::Shutdown) == 1);
+        CHECK(fixture.server.connections() == 0);
+    });
+}
