Announce the close in answers that begin after it was announced

An answer took the announcement from the moment at which its request had been read. A request that was running at a planned stop was therefore answered with a connection that the server then closed, and the caller's next request crossed that close. The announcement now holds for each answer that has not begun; an answer that has begun keeps its promise, and the next one on its connection announces the close.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -119,7 +119,7 @@
 
     void stopAccepting()
     {
-        closingAnnounced_ = true;
+        announceClosing();
         acceptWaiting();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
@@ -149,6 +149,12 @@
     void announceClosing()
     {
         closingAnnounced_ = true;
+        for (const Connection *connection : connections_) {
+            // An answer that has begun has promised to keep its connection; the next one announces the close.
+            if (connection->exchange != nullptr && !connection->exchange->hasResponded()) {
+                connection->exchange->closeAfterResponse();
+            }
+        }
     }
 
     [[nodiscard]] tcp::endpoint address() const
@@ -199,6 +205,8 @@
         ByteReservation reservation;
         std::size_t bodyBytes = 0;
         bool busy = false;
+        /// \brief Request that is being answered, or null.
+        HttpExchange *exchange = nullptr;
         /// \brief What is known of the end of the connection so far.
         ConnectionEnd end;
         bool endReported = false;
@@ -348,11 +356,13 @@
             exchange.closeAfterResponse();
         }
         ++active_;
+        connection.exchange = &exchange;
         ++connection.end.requests;
         connection.reservation.setRevocable(false);
         co_await runHandler(connection, exchange);
         connection.reservation.setRevocable(true);
         --active_;
+        connection.exchange = nullptr;
         connection.busy = false;
         connection.idleSince = MilliClock::now();
         connection.buffer.trim();
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -150,3 +150,58 @@
         CHECK(fixture.server.connections() == 0);
     });
 }
+
+// Guards against an answer that promises to keep a connection which the server will close: the caller's next request would be lost.
+TEST_CASE("An answer that begins after the close was announced announces it", "[http][ends]")
+{
+    const bool streamed = GENERATE(false, true);
+    const bool shutDown = GENERATE(false, true);
+    CAPTURE(streamed, shutDown);
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await pause(*context, Duration(50));
+        if (streamed) {
+            co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+            co_await exchange.endStream();
+            co_return;
+        }
+        co_await answer(exchange);
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.server.activeExchanges() == 1);
+        if (shutDown) {
+            fixture.server.shutDownGracefully();
+        } else {
+            fixture.server.announceClosing();
+        }
+        const Received received = co_await receive(caller);
+        CHECK(hasField(received.text, "Connection: close"));
+        CHECK(received.end == boost::asio::error::eof);
+    });
+}
+
+// Guards against a close after an answer that began before the close was announced and has promised to keep the connection.
+TEST_CASE("A connection whose answer has promised to keep it serves one more request", "[http][ends]")
+{
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+        co_await pause(*context, Duration(50));
+        co_await exchange.endStream();
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        fixture.server.announceClosing();
+        boost::asio::write(caller, boost::asio::buffer(REQUEST));
+        const Received received = co_await receive(caller);
+        const std::size_t second = received.text.find("HTTP/1.1 200", 1);
+        REQUIRE(second != std::string::npos);
+        CHECK_FALSE(hasField(received.text.substr(0, second), "Connection: close"));
+        CHECK(hasField(received.text.substr(second), "Connection: close"));
+    });
+}
