Answer each failure of a handler with a status line

A system_error of the handler was taken for an error of the caller's connection, which was then closed without a status line although nothing had been written; an exception that is no std::exception left the entry of its connection behind as a dangling pointer. Both are now answered with 500 before the answer has begun and cut it off afterwards. If that 500 could not be written, the exchange stayed active, which holds up a shutdown; the count is now kept by scope.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -219,6 +219,32 @@
         std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
     };
 
+    /// \brief Counts an exchange while its handler runs, also if its answer fails.
+    class ActiveExchange
+    {
+    public:
+        ActiveExchange(std::size_t &count, Connection &connection, HttpExchange &exchange)
+            : count_(count)
+            , connection_(connection)
+        {
+            ++count_;
+            connection_.exchange = &exchange;
+        }
+
+        ~ActiveExchange()
+        {
+            --count_;
+            connection_.exchange = nullptr;
+        }
+
+        ActiveExchange(const ActiveExchange &) = delete;
+        ActiveExchange &operator=(const ActiveExchange &) = delete;
+
+    private:
+        std::size_t &count_;
+        Connection &connection_;
+    };
+
     using Parser = http::request_parser<http::string_body>;
 
     /// \brief Accepts the connections that the system has established. Closing the listener would reset them, with the requests that it has received on them.
@@ -276,6 +302,10 @@
                 connection.end.reason = ConnectionEndReason::WriteFailed;
                 connection.end.error = error.code().message();
                 keepOpen = false;
+            } catch (const std::exception &error) {
+                connection.end.reason = ConnectionEndReason::HandlerFailed;
+                connection.end.error = error.what();
+                keepOpen = false;
             }
         }
         connections_.erase(position);
@@ -355,14 +385,13 @@
         if (stopping_ || closingAnnounced_) {
             exchange.closeAfterResponse();
         }
-        ++active_;
-        connection.exchange = &exchange;
         ++connection.end.requests;
         connection.reservation.setRevocable(false);
-        co_await runHandler(connection, exchange);
+        {
+            const ActiveExchange active(active_, connection, exchange);
+            co_await runHandler(connection, exchange);
+        }
         connection.reservation.setRevocable(true);
-        --active_;
-        connection.exchange = nullptr;
         connection.busy = false;
         connection.idleSince = MilliClock::now();
         connection.buffer.trim();
@@ -490,7 +519,7 @@
 
     awaitable<void> runHandler(Connection &connection, HttpExchange &exchange)
     {
-        std::string failure;
+        std::optional<std::string> failure;
         connection.end.reason = ConnectionEndReason::Completed;
         try {
             co_await handler_(exchange);
@@ -498,15 +527,24 @@
                 connection.end.reason = ConnectionEndReason::Aborted;
             }
         } catch (const boost::system::system_error &error) {
-            connection.end.reason = ConnectionEndReason::WriteFailed;
-            connection.end.error = error.code().message();
-            exchange.abort();
+            if (exchange.hasResponded()) {
+                connection.end.reason = ConnectionEndReason::WriteFailed;
+                connection.end.error = error.code().message();
+                exchange.abort();
+            } else {
+                // Nothing was written, so this is no error of the connection.
+                failure = error.what();
+            }
         } catch (const std::exception &error) {
             failure = error.what();
+        } catch (...) {
+            failure = "exception of unknown type";
+        }
+        if (failure) {
             connection.end.reason = ConnectionEndReason::HandlerFailed;
-            connection.end.error = failure;
+            connection.end.error = *failure;
         }
-        if (!failure.empty() && exchange.hasResponded()) {
+        if (failure && exchange.hasResponded()) {
             exchange.abort();
         } else if (!exchange.hasResponded()) {
             co_await exchange.respond(
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -205,3 +205,78 @@
         CHECK(hasField(received.text.substr(second), "Connection: close"));
     });
 }
+
+// Guards against a failure of the handler that closes the connection without a status line, and against one that leaves a dead entry among the connections:
+// system_error was taken for an error of the connection, and what is no std::exception was not caught.
+TEST_CASE("A failure of the handler before its answer is answered, whatever its type", "[http][ends]")
+{
+    const auto failure = GENERATE(as<std::string>(), "system", "standard", "other");
+    CAPTURE(failure);
+    Fixture fixture([&](HttpExchange &) -> awaitable<void> {
+        if (failure == "system") {
+            throw boost::system::system_error(boost::asio::error::no_descriptors);
+        }
+        if (failure == "standard") {
+            throw Error("handler failed");
+        }
+        throw 1;
+        co_return;
+    });
+    tcp::socket caller = fixture.caller(LAST_REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 500"));
+        CHECK(received.text.find(R"("outcome":"outcome_unknown")") != std::string::npos);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.server.activeExchanges() == 0);
+        REQUIRE(fixture.ends.size() == 1);
+        CHECK(fixture.ends.front().reason == ConnectionEndReason::HandlerFailed);
+        CHECK_FALSE(fixture.ends.front().error.empty());
+    });
+}
+
+// Guards against a stream that looks complete although its handler failed.
+TEST_CASE("A failure of the handler within its answer cuts the answer off", "[http][ends]")
+{
+    const bool isStandard = GENERATE(true, false);
+    CAPTURE(isStandard);
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+        co_await exchange.writeChunk("part");
+        if (isStandard) {
+            throw Error("handler failed");
+        }
+        throw 1;
+    });
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 200"));
+        CHECK(received.text.find("\r\n0\r\n") == std::string::npos);
+        CHECK(received.end != boost::asio::error::operation_aborted);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.endsWith(ConnectionEndReason::HandlerFailed) == 1);
+    });
+}
+
+// Guards against an exchange that counts as active without end, which would hold up a shutdown, because the caller had gone before the handler failed.
+TEST_CASE("An answer to a failed handler that cannot be written ends the exchange", "[http][ends]")
+{
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &) -> awaitable<void> {
+        co_await pause(*context, Duration(50));
+        throw Error("handler failed");
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.server.activeExchanges() == 1);
+        caller.set_option(boost::asio::socket_base::linger(true, 0));
+        caller.close();
+        co_await pause(fixture.io, Duration(100));
+        CHECK(fixture.server.activeExchanges() == 0);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.endsWith(ConnectionEndReason::WriteFailed) == 1);
+    });
+}
