--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -102,19 +102,13 @@
     void acceptNext()
     {
         acceptor_.async_accept([self = shared_from_this()](const boost::system::error_code &error, tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
+            // A connection that was accepted in the turn of the loop in which accepting stopped may have brought a request.
+            if (!error && !self->destroyed_) {
+                self->admit(std::move(socket));
             }
-            if (!error && self->connections_.size() < self->limits_.maxConnections) {
-                self->serve(std::move(socket));
-            } else if (!error) {
-                ConnectionEnd end;
-                end.reason = ConnectionEndReason::TooManyConnections;
-                if (self->endHandler_) {
-                    self->endHandler_(end);
-                }
+            if (self->acceptor_.is_open()) {
+                self->acceptNext();
             }
-            self->acceptNext();
         });
     }
 
@@ -125,23 +119,25 @@
 
     void stopAccepting()
     {
-        closingAnnounced_ = true;
+        announceClosing();
+        acceptWaiting();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
     }
 
+    /// rief Ends the server, whose handler must not be called for further connections.
+    void destroy()
+    {
+        destroyed_ = true;
+        shutDownGracefully();
+    }
+
     void shutDownGracefully()
     {
-        stopping_ = true;
         stopAccepting();
+        stopping_ = true;
         for (Connection *connection : connections_) {
-            // The process may exit before the coroutine of the connection resumes.
-            connection->end.reason = ConnectionEndReason::Shutdown;
-            connection->end.answering = connection->busy;
-            reportEnd(*connection);
-            if (!connection->busy) {
-                connection->stream.close();
-            }
+            closeAfterArrived(*connection);
         }
     }
 
@@ -153,6 +149,12 @@
     void announceClosing()
     {
         closingAnnounced_ = true;
+        for (const Connection *connection : connections_) {
+            // An answer that has begun has promised to keep its connection; the next one announces the close.
+            if (connection->exchange != nullptr && !connection->exchange->hasResponded()) {
+                connection->exchange->closeAfterResponse();
+            }
+        }
     }
 
     [[nodiscard]] tcp::endpoint address() const
@@ -203,6 +205,8 @@
         ByteReservation reservation;
         std::size_t bodyBytes = 0;
         bool busy = false;
+        /// \brief Request that is being answered, or null.
+        HttpExchange *exchange = nullptr;
         /// \brief What is known of the end of the connection so far.
         ConnectionEnd end;
         bool endReported = false;
@@ -216,12 +220,66 @@
         std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
     };
 
+    /// \brief Counts an exchange while its handler runs, also if its answer fails.
+    class ActiveExchange
+    {
+    public:
+        ActiveExchange(std::size_t &count, Connection &connection, HttpExchange &exchange)
+            : count_(count)
+            , connection_(connection)
+        {
+            ++count_;
+            connection_.exchange = &exchange;
+        }
+
+        ~ActiveExchange()
+        {
+            --count_;
+            connection_.exchange = nullptr;
+        }
+
+        ActiveExchange(const ActiveExchange &) = delete;
+        ActiveExchange &operator=(const ActiveExchange &) = delete;
+
+    private:
+        std::size_t &count_;
+        Connection &connection_;
+    };
+
     using Parser = http::request_parser<http::string_body>;
 
+    /// \brief Accepts the connections that the system has established. Closing the listener would reset them, with the requests that it has received on them.
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error && !destroyed_) {
+            tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (!error) {
+                admit(std::move(socket));
+            }
+        }
+    }
+
+    void admit(tcp::socket socket)
+    {
+        if (connections_.size() + starting_ < limits_.maxConnections) {
+            serve(std::move(socket));
+            return;
+        }
+        ConnectionEnd end;
+        end.reason = ConnectionEndReason::TooManyConnections;
+        if (endHandler_) {
+            endHandler_(end);
+        }
+    }
+
     void serve(tcp::socket socket)
     {
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        ++starting_;
         boost::asio::co_spawn(
             io_,
             [self = shared_from_this(), socket = std::move(socket)]() mutable {
@@ -233,6 +291,7 @@
     awaitable<void> runConnection(tcp::socket socket)
     {
         const auto self = shared_from_this();
+        --starting_;
         Connection connection(io_, std::move(socket), heldBytes_, limits_.maxHeaderBytes + FRAMING_MARGIN_BYTES);
         const auto position = connections_.insert(connections_.end(), &connection);
         bool keepOpen = true;
@@ -244,6 +303,10 @@
                 connection.end.reason = ConnectionEndReason::WriteFailed;
                 connection.end.error = error.code().message();
                 keepOpen = false;
+            } catch (const std::exception &error) {
+                connection.end.reason = ConnectionEndReason::HandlerFailed;
+                connection.end.error = error.what();
+                keepOpen = false;
             }
         }
         connections_.erase(position);
@@ -252,6 +315,22 @@
         connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
+    /// \brief Ends \a connection after the requests that have arrived on it.
+    void closeAfterArrived(Connection &connection)
+    {
+        if (!destroyed_ && !connection.busy && bytesWaiting(connection.stream.socket()) > 0) {
+            return;
+        }
+        // The process may exit before the coroutine of the connection resumes.
+        connection.end.reason = ConnectionEndReason::Shutdown;
+        connection.end.answering = connection.busy;
+        reportEnd(connection);
+        if (!connection.busy) {
+            // A read that has completed is not cancelled: its request is served.
+            connection.stream.cancel();
+        }
+    }
+
     static std::size_t bytesWaiting(const tcp::socket &socket)
     {
         boost::system::error_code error;
@@ -277,11 +356,6 @@
         if (!co_await awaitFirstByte(connection)) {
             co_return false;
         }
-        if (!connection.stream.socket().is_open()) {
-            // The connection was closed before this coroutine resumed, so the caller could not receive a response.
-            connection.end.reason = ConnectionEndReason::Shutdown;
-            co_return false;
-        }
         connection.busy = true;
         boost::system::error_code error;
         {
@@ -312,17 +386,18 @@
         if (stopping_ || closingAnnounced_) {
             exchange.closeAfterResponse();
         }
-        ++active_;
         ++connection.end.requests;
         connection.reservation.setRevocable(false);
-        co_await runHandler(connection, exchange);
+        {
+            const ActiveExchange active(active_, connection, exchange);
+            co_await runHandler(connection, exchange);
+        }
         connection.reservation.setRevocable(true);
-        --active_;
         connection.busy = false;
         connection.idleSince = MilliClock::now();
         connection.buffer.trim();
         connection.hold(0);
-        co_return exchange.shouldKeepAlive() && !stopping_;
+        co_return exchange.shouldKeepAlive();
     }
 
     /// \return `no_buffer_space` if the connection has to free its bytes.
@@ -343,9 +418,13 @@
 
     awaitable<bool> awaitFirstByte(Connection &connection)
     {
-        if (connection.buffer.size() > 0) {
+        if (connection.buffer.size() > 0 && !destroyed_) {
             co_return true;
         }
+        if (destroyed_ || (stopping_ && bytesWaiting(connection.stream.socket()) == 0)) {
+            connection.end.reason = ConnectionEndReason::Shutdown;
+            co_return false;
+        }
         constexpr std::size_t firstReadBytes = 4096;
         boost::system::error_code error;
         connection.stream.expires_never();
@@ -353,10 +432,17 @@
         connection.idleExpired = false;
         connection.idleEnd = connection.idleSince + limits_.idleTimeout;
         awaitIdleEnd(connection, connection.idleEnd);
-        const std::size_t count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
+        std::size_t count = 0;
+        do {
+            count = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), redirect_error(use_awaitable, error));
+            // A request may have come between the decision to end the connection and the cancellation of the read.
+        } while (error == boost::asio::error::operation_aborted && !destroyed_ && bytesWaiting(connection.stream.socket()) > 0);
         connection.awaitsRequest = false;
         connection.idleTimer.cancel();
         connection.buffer.commit(count);
+        if (!error && destroyed_) {
+            error = boost::asio::error::operation_aborted;
+        }
         if (error) {
             connection.end.reason = endReasonOf(connection);
             connection.end.idle = MilliClock::now() - connection.idleSince;
@@ -440,7 +526,7 @@
 
     awaitable<void> runHandler(Connection &connection, HttpExchange &exchange)
     {
-        std::string failure;
+        std::optional<std::string> failure;
         connection.end.reason = ConnectionEndReason::Completed;
         try {
             co_await handler_(exchange);
@@ -448,15 +534,24 @@
                 connection.end.reason = ConnectionEndReason::Aborted;
             }
         } catch (const boost::system::system_error &error) {
-            connection.end.reason = ConnectionEndReason::WriteFailed;
-            connection.end.error = error.code().message();
-            exchange.abort();
+            if (exchange.hasResponded()) {
+                connection.end.reason = ConnectionEndReason::WriteFailed;
+                connection.end.error = error.code().message();
+                exchange.abort();
+            } else {
+                // Nothing was written, so this is no error of the connection.
+                failure = error.what();
+            }
         } catch (const std::exception &error) {
             failure = error.what();
+        } catch (...) {
+            failure = "exception of unknown type";
+        }
+        if (failure) {
             connection.end.reason = ConnectionEndReason::HandlerFailed;
-            connection.end.error = failure;
+            connection.end.error = *failure;
         }
-        if (!failure.empty() && exchange.hasResponded()) {
+        if (failure && exchange.hasResponded()) {
             exchange.abort();
         } else if (!exchange.hasResponded()) {
             co_await exchange.respond(
@@ -471,9 +566,12 @@
     Handler handler_;
     EndHandler endHandler_;
     std::list<Connection *> connections_;
+    /// \brief Accepted connections whose coroutines have not begun.
+    std::size_t starting_ = 0;
     std::size_t active_ = 0;
     bool stopping_ = false;
     bool closingAnnounced_ = false;
+    bool destroyed_ = false;
 };
 
 HttpServer::HttpServer(boost::asio::io_context &io, const tcp::endpoint &address, HttpLimits limits, Handler handler)
@@ -484,7 +582,7 @@
 
 HttpServer::~HttpServer()
 {
-    impl_->shutDownGracefully();
+    impl_->destroy();
 }
 
 tcp::endpoint HttpServer::address() const
--- /dev/null
+++ b/tests/unit/connectionendtest.cpp
@@ -0,0 +1,282 @@
+#include "coroutinerunner.h"
+
+#include <catch2/catch.hpp>
+
+#include <mimosatally/Core>
+#include <mimosatally/Http>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+using namespace mimosatally;
+using boost::asio::awaitable;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+using mimosatally::test::runCoroutine;
+
+namespace
+{
+const tcp::endpoint LOOPBACK(boost::asio::ip::make_address("127.0.0.1"), 0);
+const std::string REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string LAST_REQUEST = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+constexpr Duration MAX_READ_TIME = Duration(2000);
+
+awaitable<void> answer(HttpExchange &exchange)
+{
+    co_await exchange.respond(makeHttpResponse(200, "text/plain", "good"));
+}
+
+awaitable<void> pause(boost::asio::io_context &io, Duration duration)
+{
+    boost::asio::steady_timer timer(io, duration);
+    co_await timer.async_wait(use_awaitable);
+}
+
+/// \brief A server and the ends of its connections.
+struct Fixture {
+    explicit Fixture(HttpServer::Handler handler, const HttpLimits &limits = {})
+        : server(io, LOOPBACK, limits, std::move(handler))
+    {
+        server.onConnectionEnd([this](const ConnectionEnd &end) {
+            ends.push_back(end);
+        });
+    }
+
+    /// \brief Connects and sends \a bytes without a turn of the event loop.
+    tcp::socket caller(const std::string &bytes)
+    {
+        tcp::socket socket(io);
+        socket.connect(server.address());
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        return socket;
+    }
+
+    /// \brief Number of connections that ended for \a reason.
+    [[nodiscard]] std::size_t endsWith(ConnectionEndReason reason) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(ends, reason, &ConnectionEnd::reason));
+    }
+
+    boost::asio::io_context io;
+    std::vector<ConnectionEnd> ends;
+    HttpServer server;
+};
+
+struct Received {
+    std::string text;
+    /// \brief End of the connection; `operation_aborted` if it is still open after MAX_READ_TIME.
+    boost::system::error_code end;
+};
+
+/// \brief Reads until \a socket ends, or until \a length bytes have come if that is not 0.
+awaitable<Received> receive(tcp::socket &socket, std::size_t length = 0)
+{
+    Received received;
+    boost::asio::steady_timer timer(socket.get_executor(), MAX_READ_TIME);
+    timer.async_wait([&socket](const boost::system::error_code &error) {
+        if (!error) {
+            socket.cancel();
+        }
+    });
+    std::string data(4096, '\0');
+    while (!received.end && (length == 0 || received.text.size() < length)) {
+        const std::size_t count = co_await socket.async_read_some(boost::asio::buffer(data), redirect_error(use_awaitable, received.end));
+        received.text.append(data, 0, count);
+    }
+    co_return received;
+}
+
+bool hasField(const std::string &text, const std::string &field)
+{
+    return text.find("\r\n" + field + "\r\n") != std::string::npos;
+}
+} // namespace
+
+// Guards against connections that the system has accepted, and whose requests it has received, being reset when the listener is closed.
+TEST_CASE("Connections that wait to be accepted when accepting stops are answered", "[http][ends]")
+{
+    Fixture fixture(answer);
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 50; ++i) {
+        callers.push_back(fixture.caller(REQUEST));
+    }
+    fixture.server.stopAccepting();
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        std::size_t answered = 0;
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller);
+            answered += received.text.starts_with("HTTP/1.1 200") && received.end == boost::asio::error::eof ? 1 : 0;
+        }
+        CHECK(answered == callers.size());
+    });
+}
+
+// Guards against kept connections that a shutdown closes although the next request has arrived on them.
+TEST_CASE("Requests that have arrived when the server is shut down are answered", "[http][ends]")
+{
+    Fixture fixture(answer);
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 50; ++i) {
+        callers.push_back(fixture.caller(REQUEST));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller, 1);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+        }
+        tcp::socket idle = fixture.caller("");
+        co_await pause(fixture.io, Duration(20));
+        for (tcp::socket &caller : callers) {
+            boost::asio::write(caller, boost::asio::buffer(REQUEST));
+        }
+        fixture.server.shutDownGracefully();
+        std::size_t answered = 0;
+        for (tcp::socket &caller : callers) {
+            const Received received = co_await receive(caller);
+            answered += received.text.starts_with("HTTP/1.1 200") && received.end == boost::asio::error::eof ? 1 : 0;
+            CHECK(hasField(received.text, "Connection: close"));
+        }
+        CHECK(answered == callers.size());
+        const Received nothing = co_await receive(idle);
+        CHECK(nothing.text.empty());
+        CHECK(nothing.end == boost::asio::error::eof);
+        CHECK(fixture.endsWith(ConnectionEndReason::Shutdown) == 1);
+        CHECK(fixture.server.connections() == 0);
+    });
+}
+
+// Guards against an answer that promises to keep a connection which the server will close: the caller's next request would be lost.
+TEST_CASE("An answer that begins after the close was announced announces it", "[http][ends]")
+{
+    const bool streamed = GENERATE(false, true);
+    const bool shutDown = GENERATE(false, true);
+    CAPTURE(streamed, shutDown);
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await pause(*context, Duration(50));
+        if (streamed) {
+            co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+            co_await exchange.endStream();
+            co_return;
+        }
+        co_await answer(exchange);
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.server.activeExchanges() == 1);
+        if (shutDown) {
+            fixture.server.shutDownGracefully();
+        } else {
+            fixture.server.announceClosing();
+        }
+        const Received received = co_await receive(caller);
+        CHECK(hasField(received.text, "Connection: close"));
+        CHECK(received.end == boost::asio::error::eof);
+    });
+}
+
+// Guards against a close after an answer that began before the close was announced and has promised to keep the connection.
+TEST_CASE("A connection whose answer has promised to keep it serves one more request", "[http][ends]")
+{
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+        co_await pause(*context, Duration(50));
+        co_await exchange.endStream();
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        fixture.server.announceClosing();
+        boost::asio::write(caller, boost::asio::buffer(REQUEST));
+        const Received received = co_await receive(caller);
+        const std::size_t second = received.text.find("HTTP/1.1 200", 1);
+        REQUIRE(second != std::string::npos);
+        CHECK_FALSE(hasField(received.text.substr(0, second), "Connection: close"));
+        CHECK(hasField(received.text.substr(second), "Connection: close"));
+    });
+}
+
+// Guards against a failure of the handler that closes the connection without a status line, and against one that leaves a dead entry among the connections:
+// system_error was taken for an error of the connection, and what is no std::exception was not caught.
+TEST_CASE("A failure of the handler before its answer is answered, whatever its type", "[http][ends]")
+{
+    const auto failure = GENERATE(as<std::string>(), "system", "standard", "other");
+    CAPTURE(failure);
+    Fixture fixture([&](HttpExchange &) -> awaitable<void> {
+        if (failure == "system") {
+            throw boost::system::system_error(boost::asio::error::no_descriptors);
+        }
+        if (failure == "standard") {
+            throw Error("handler failed");
+        }
+        throw 1;
+        co_return;
+    });
+    tcp::socket caller = fixture.caller(LAST_REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 500"));
+        CHECK(received.text.find(R"("outcome":"outcome_unknown")") != std::string::npos);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.server.activeExchanges() == 0);
+        REQUIRE(fixture.ends.size() == 1);
+        CHECK(fixture.ends.front().reason == ConnectionEndReason::HandlerFailed);
+        CHECK_FALSE(fixture.ends.front().error.empty());
+    });
+}
+
+// Guards against a stream that looks complete although its handler failed.
+TEST_CASE("A failure of the handler within its answer cuts the answer off", "[http][ends]")
+{
+    const bool isStandard = GENERATE(true, false);
+    CAPTURE(isStandard);
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+        co_await exchange.writeChunk("part");
+        if (isStandard) {
+            throw Error("handler failed");
+        }
+        throw 1;
+    });
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 200"));
+        CHECK(received.text.find("\r\n0\r\n") == std::string::npos);
+        CHECK(received.end != boost::asio::error::operation_aborted);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.endsWith(ConnectionEndReason::HandlerFailed) == 1);
+    });
+}
+
+// Guards against an exchange that counts as active without end, which would hold up a shutdown, because the caller had gone before the handler failed.
+TEST_CASE("An answer to a failed handler that cannot be written ends the exchange", "[http][ends]")
+{
+    boost::asio::io_context *context = nullptr;
+    Fixture fixture([&](HttpExchange &) -> awaitable<void> {
+        co_await pause(*context, Duration(50));
+        throw Error("handler failed");
+    });
+    context = &fixture.io;
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.server.activeExchanges() == 1);
+        caller.set_option(boost::asio::socket_base::linger(true, 0));
+        caller.close();
+        co_await pause(fixture.io, Duration(100));
+        CHECK(fixture.server.activeExchanges() == 0);
+        CHECK(fixture.server.connections() == 0);
+        CHECK(fixture.endsWith(ConnectionEndReason::WriteFailed) == 1);
+    });
+}
