Keep the sums of usage windows instead of adding up all counts when asked

Each gateway sums a window every 5 s, and the holder of the lease each 100 ms while it waits for the last counts of a window.

--- a/include/mimosatally/usage/usageledger.h
+++ b/include/mimosatally/usage/usageledger.h
@@ -39,7 +39,7 @@
     static constexpr std::int64_t MAX_WINDOWS = 8;
     /// \brief Limits, for each window, the memory that forged notices can take up.
     static constexpr std::size_t MAX_PROCESSES = 1024;
-    /// \brief Counts of other processes that are kept for all windows together, at 40 bytes each.
+    /// \brief Counts of other processes that are kept for all windows together, at 40 bytes each, besides their sums.
     static constexpr std::size_t MAX_COUNTS = 300'000;
     /// \brief Bounds what a forged count can add: 200,000 requests a second from one process.
     static constexpr std::int64_t MAX_COUNT = 1'000'000;
@@ -116,6 +116,8 @@
     std::optional<UsageWindow> lastWritten_;
     std::map<UsageWindow, OwnCounts> own_;
     std::map<UsageWindow, Processes> others_;
+    /// \brief Sums of own_ and others_, which are asked for several times a second.
+    std::map<UsageWindow, UsageCounts> sums_;
     std::size_t countsHeld_ = 0;
     std::uint64_t ignored_ = 0;
     bool left_ = false;
--- a/src/usage/usageledger.cpp
+++ b/src/usage/usageledger.cpp
@@ -35,6 +35,7 @@
     OwnCounts &own = own_[window];
     ++own.counts.counts[organisation];
     ++own.counts.sum;
+    ++sums_[window][organisation];
     own.notices = std::max(own.notices, 1);
     return true;
 }
@@ -49,6 +50,7 @@
         // The time was wrong before any peer was heard; nobody else has kept windows so far ahead.
         own_.clear();
         others_.clear();
+        sums_.clear();
         countsHeld_ = 0;
     }
     current_ = current;
@@ -81,6 +83,7 @@
         }
     }
     others_.erase(others_.begin(), end);
+    sums_.erase(sums_.begin(), sums_.lower_bound(oldest));
 }
 
 void UsageLedger::leave()
@@ -120,6 +123,7 @@
 bool UsageLedger::raiseCounts(ProcessCounts &known, const UsageNotice &notice)
 {
     bool whole = true;
+    UsageCounts &sums = sums_[notice.window];
     for (const auto &[organisation, count] : notice.counts) {
         const bool isKnown = known.counts.contains(organisation);
         if (count <= 0 || count > MAX_COUNT || (!isKnown && countsHeld_ >= MAX_COUNTS)) {
@@ -127,10 +131,12 @@
             continue;
         }
         countsHeld_ += isKnown ? 0 : 1;
-        std::int64_t &sum = known.counts[organisation];
+        std::int64_t &last = known.counts[organisation];
         // Counts only grow, so the higher one is the newer one. A forged sequence number cannot keep the notices of a process out.
-        known.sum += std::max<std::int64_t>(0, count - sum);
-        sum = std::max(sum, count);
+        const std::int64_t growth = std::max<std::int64_t>(0, count - last);
+        last += growth;
+        known.sum += growth;
+        sums[organisation] += growth;
     }
     return whole;
 }
@@ -157,19 +163,9 @@
 WindowTotals UsageLedger::totals(UsageWindow window) const
 {
     WindowTotals totals;
-    const auto own = own_.find(window);
-    if (own != own_.end()) {
-        for (const auto &[organisation, count] : own->second.counts.counts) {
-            totals.counts[organisation] += count;
-        }
-    }
-    const auto others = others_.find(window);
-    if (others != others_.end()) {
-        for (const auto &[process, known] : others->second) {
-            for (const auto &[organisation, count] : known.counts) {
-                totals.counts[organisation] += count;
-            }
-        }
+    const auto sums = sums_.find(window);
+    if (sums != sums_.end()) {
+        totals.counts = sums->second;
     }
     addUnclosed(window, window, totals.unclosed);
     addUnclosed(window - ONE_WINDOW, window, totals.unclosed);
--- a/tests/unit/usageledgertest.cpp
+++ b/tests/unit/usageledgertest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
+
 using namespace mimosatally;
 
 namespace
@@ -23,6 +25,26 @@
     ledger.advance(current);
     return ledger;
 }
+
+/// \brief Least processor time of several sums of a window in which each of \a processes has counted 200 organisations, in seconds.
+double timeOfTotals(int processes)
+{
+    UsageLedger ledger = ledgerAt(WINDOW);
+    UsageCounts counts;
+    for (int i = 0; i < 200; ++i) {
+        counts.emplace("organisation-" + std::to_string(i), 1);
+    }
+    for (int i = 0; i < processes; ++i) {
+        ledger.record(notice(std::to_string(i), WINDOW, counts, 200));
+    }
+    double least = 1;
+    for (int i = 0; i < 30; ++i) {
+        const std::clock_t begun = std::clock();
+        CHECK(ledger.totals(WINDOW).counts.size() == 200);
+        least = std::min(least, static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC);
+    }
+    return least;
+}
 } // namespace
 
 // Guards against a report without the counts of a process, with counts twice, or before a process that is known has told its last counts.
@@ -125,3 +147,32 @@
     ledger.recordWritten(WINDOW);
     CHECK(ledger.lastWritten() == NEXT);
 }
+
+// Guards against a sum over the counts of all processes each time that the holder of the lease asks for a window, which stops its event loop.
+TEST_CASE("The time for the sum of a window does not grow with the number of counts", "[usage]")
+{
+    CHECK(timeOfTotals(200) < 10 * timeOfTotals(2));
+}
+
+// Guards against sums that differ from the counts after notices that are repeated, rejected in part or for windows that are dropped.
+TEST_CASE("The sum of a window is that of the newest counts in any order of notices", "[usage]")
+{
+    UsageLedger ledger = ledgerAt(WINDOW);
+    for (int i = 0; i < 50; ++i) {
+        const UsageWindow window = WINDOW + UsageWindow(i % 3);
+        ledger.record(notice("p" + std::to_string(i % 7), window, {{HUKA, 1 + i % 5}, {PUHU, i % 2 == 0 ? -1 : 2}}));
+        CHECK(ledger.count(window, HUKA));
+    }
+    UsageLedger other = ledgerAt(WINDOW);
+    for (int i = 49; i >= 0; --i) {
+        const UsageWindow window = WINDOW + UsageWindow(i % 3);
+        other.record(notice("p" + std::to_string(i % 7), window, {{PUHU, i % 2 == 0 ? -1 : 2}, {HUKA, 1 + i % 5}}));
+        CHECK(other.count(window, HUKA));
+    }
+    for (const UsageWindow window : {WINDOW, NEXT, AFTER}) {
+        CHECK(ledger.totals(window).counts == other.totals(window).counts);
+    }
+    ledger.advance(NEXT + UsageWindow(UsageLedger::MAX_WINDOWS));
+    CHECK(ledger.totals(NEXT).counts.empty());
+    CHECK_FALSE(ledger.totals(AFTER).counts.empty());
+}
