Write and read usage records in pieces

A holder that has lost its lease meanwhile doesn't append, since the sequence number belongs to the lease.

The test of the steps does not compile with the earlier code, which had no checkpoints.

--- a/src/gateway/usagetask.cpp
+++ b/src/gateway/usagetask.cpp
@@ -1,5 +1,7 @@
 #include "usagetask.h"
 
+#include "core/piecework.h"
+
 #include <platform/usagecodec.h>
 
 #include <numeric>
@@ -27,6 +29,18 @@
     });
 }
 
+/// \brief Returns the record of a snapshot; empty if it has none. \throws MalformedInputError
+std::optional<UsageRecord> recordOf(const platform::KeyedSnapshot &snapshot, const Checkpoint &checkpoint)
+{
+    std::optional<UsageRecord> record;
+    for (const platform::KeyedRecord &keyed : snapshot.records) {
+        if (keyed.key == platform::USAGE_KEY && keyed.value) {
+            record = platform::decodeUsageRecord(*keyed.value, checkpoint);
+        }
+    }
+    return record;
+}
+
 std::string joined(const std::vector<ProcessId> &processes)
 {
     std::string text;
@@ -151,14 +165,13 @@
     std::optional<UsageRecord> record;
     try {
         const platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Usage, STORE_TIMEOUT);
+        const auto decode = [&record, &snapshot](const Checkpoint &checkpoint) {
+            record = recordOf(snapshot, checkpoint);
+        };
+        co_await runInPieces(gateway_.io, Pace::Shared, decode);
         if (gateway_.observeStoreEra(snapshot.era, PRODUCER, MilliClock::now()) != StoreEraTracker::Observation::Unchanged) {
             failure = "the answer is of another era of the store";
         }
-        for (const platform::KeyedRecord &keyed : snapshot.records) {
-            if (keyed.key == platform::USAGE_KEY && keyed.value) {
-                record = platform::decodeUsageRecord(*keyed.value);
-            }
-        }
     } catch (const Error &error) {
         failure = error.what();
     }
@@ -182,7 +195,15 @@
 {
     std::optional<platform::KeyedRecord> record(std::in_place);
     record->key = platform::USAGE_KEY;
-    record->value = platform::encodeUsageRecord(write.record);
+    const std::int64_t token = lease_.state().token();
+    const auto encode = [&record, &write](const Checkpoint &checkpoint) {
+        record->value = platform::encodeUsageRecord(write.record, checkpoint);
+    };
+    co_await runInPieces(gateway_.io, Pace::Shared, encode);
+    // The sequence number belongs to the lease under which the reporter has decided.
+    if (!lease_.coversDuties() || lease_.state().token() != token) {
+        co_return;
+    }
     const bool written = co_await append(write.sequence, record);
     if (!written) {
         co_return;
--- a/tests/unit/usagereportertest.cpp
+++ b/tests/unit/usagereportertest.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <mimosatally/Usage>
 #include <platform/usagecodec.h>
 
@@ -73,6 +74,22 @@
 {
     return {StoreEra(era), UsageWindow(next), settled, std::move(reports)};
 }
+
+/// \brief Reports of as many windows as a record holds, each with the same number of organisations.
+UsageRecord largeRecord(int organisations)
+{
+    UsageRecord result;
+    for (std::size_t window = 0; window < UsageRecord::MAX_REPORTS; ++window) {
+        UsageReport &next = result.reports.emplace_back();
+        next.window = UsageWindow(100 + static_cast<std::int64_t>(window));
+        for (int i = 0; i < organisations; ++i) {
+            next.counts.emplace("organisation-" + std::to_string(i), i);
+        }
+    }
+    result.next = result.reports.back().window + UsageWindow(1);
+    result.settled = result.reports.back().window;
+    return result;
+}
 } // namespace
 
 // Guards against windows that are left out at the first start, and against reports that no later holder could repeat.
@@ -218,3 +235,19 @@
         CHECK_THROWS_AS(platform::decodeUsageRecord(text), MalformedInputError);
     }
 }
+
+// Guards against a record of many organisations that is written or read at once, which stops the event loop.
+TEST_CASE("Usage records are written and read in small steps", "[usage][platform]")
+{
+    const UsageRecord written = largeRecord(1'200);
+    std::size_t checkpoints = 0;
+    const Checkpoint count = [&checkpoints] {
+        ++checkpoints;
+    };
+    const std::string text = platform::encodeUsageRecord(written, count);
+    CHECK(text == platform::encodeUsageRecord(written));
+    CHECK(checkpoints >= written.reports.size());
+    checkpoints = 0;
+    CHECK(platform::decodeUsageRecord(text, count) == written);
+    CHECK(checkpoints >= text.size() / 1'024);
+}
