--- a/tests/unit/usagereportertest.cpp
+++ b/tests/unit/usagereportertest.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <mimosatally/Usage>
 #include <platform/usagecodec.h>
 
@@ -73,6 +74,38 @@
 {
     return {StoreEra(era), UsageWindow(next), settled, std::move(reports)};
 }
+
+/// \brief Reports of as many windows as a record holds, each with the same number of organisations.
+UsageRecord largeRecord(int organisations)
+{
+    UsageRecord result;
+    for (std::size_t window = 0; window < UsageRecord::MAX_REPORTS; ++window) {
+        UsageReport &next = result.reports.emplace_back();
+        next.window = UsageWindow(100 + static_cast<std::int64_t>(window));
+        for (int i = 0; i < organisations; ++i) {
+            next.counts.emplace("organisation-" + std::to_string(i), i);
+        }
+    }
+    result.next = result.reports.back().window + UsageWindow(1);
+    result.settled = result.reports.back().window;
+    return result;
+}
+
+/// \brief Least processor time, in seconds, of 50 decisions of a holder that has nothing to do and knows reports of \a organisations.
+double timeOfWaiting(int organisations)
+{
+    Holder holder;
+    holder.begin(1, 108 * WINDOW_MS, largeRecord(organisations));
+    double least = 1;
+    for (int i = 0; i < 5; ++i) {
+        const std::clock_t begun = std::clock();
+        for (int decision = 0; decision < 50; ++decision) {
+            CHECK(holder.waits(108 * WINDOW_MS + 1));
+        }
+        least = std::min(least, static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC);
+    }
+    return least;
+}
 } // namespace
 
 // Guards against windows that are left out at the first start, and against reports that no later holder could repeat.
@@ -218,3 +251,25 @@
         CHECK_THROWS_AS(platform::decodeUsageRecord(text), MalformedInputError);
     }
 }
+
+// Guards against a record of many organisations that is written or read at once, which stops the event loop.
+TEST_CASE("Usage records are written and read in small steps", "[usage][platform]")
+{
+    const UsageRecord written = largeRecord(1'200);
+    std::size_t checkpoints = 0;
+    const Checkpoint count = [&checkpoints] {
+        ++checkpoints;
+    };
+    const std::string text = platform::encodeUsageRecord(written, count);
+    CHECK(text == platform::encodeUsageRecord(written));
+    CHECK(checkpoints >= written.reports.size());
+    checkpoints = 0;
+    CHECK(platform::decodeUsageRecord(text, count) == written);
+    CHECK(checkpoints >= text.size() / 1'024);
+}
+
+// Guards against a holder that copies all reports several times a second while nothing is to be written.
+TEST_CASE("The time for a decision does not grow with the organisations while nothing is to be done", "[usage]")
+{
+    CHECK(timeOfWaiting(2'000) < 20 * timeOfWaiting(2));
+}
