Bound the answers of the store stand-in to reads

The store of the platform answers a read with at most 1,024 KB (`maxKb`) and at least one record; the stand-in answered with all records. The stand-in now divides such answers as the platform does.

--- a/tests/gateway/storestandin.h
+++ b/tests/gateway/storestandin.h
@@ -116,6 +116,9 @@
     }
 
 private:
+    /// \brief Largest answer to a read of more than one record, as of the store of the platform (`maxKb`).
+    static constexpr std::size_t MAX_READ_BYTES = std::size_t(1024) * 1024;
+
     boost::asio::awaitable<void> handle(HttpExchange &exchange)
     {
         ++calls_;
@@ -216,7 +219,7 @@
         std::string body;
         appendNumber(body, records.size(), 8);
         appendNumber(body, firstKept, 8);
-        for (std::size_t i = from; i < records.size(); ++i) {
+        for (std::size_t i = from; i < records.size() && (i == from || body.size() + records[i].second.size() <= MAX_READ_BYTES); ++i) {
             appendNumber(body, 1 + records[i].first.size() + records[i].second.size(), 4);
             body += static_cast<char>(records[i].first.size());
             body += records[i].first;
