Answer the requests that have come before the process ends

A gateway ended as soon as no call was running at a look each 50 ms. Requests that had come meanwhile on kept connections, unread, read but not yet handled, or received in part, were closed without a status line; on a machine with little processor time each planned stop meets such requests. The end now waits, within the grace time as before, until no connection has a request that is unread, being received or unanswered.

--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -53,6 +53,9 @@
     /// \brief Number of requests that have not been answered completely.
     [[nodiscard]] std::size_t activeExchanges() const;
 
+    /// \brief Number of connections with a request that is unread, being received or not answered completely. Asks the system about each connection.
+    [[nodiscard]] std::size_t pendingRequests() const;
+
     /// \brief Number of open connections.
     [[nodiscard]] std::size_t connections() const;
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +28,7 @@
 {
 
 using boost::asio::awaitable;
+using boost::asio::use_awaitable;
 
 namespace
 {
@@ -342,7 +344,7 @@
     {
         boost::asio::steady_timer timer(io_, duration);
         boost::system::error_code ignored;
-        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await timer.async_wait(boost::asio::redirect_error(use_awaitable, ignored));
     }
 
     /// \brief Keeps accepting while calls that arrived before \a mark are running: if no other process is ready, callers still connect here.
@@ -358,12 +360,24 @@
         }
     }
 
+    awaitable<bool> hasPendingRequests()
+    {
+        if (callerServer_.pendingRequests() > 0) {
+            co_return true;
+        }
+        // After a stall, requests may have been read whose connections resume only behind the handlers that are ready.
+        co_await boost::asio::post(io_, use_awaitable);
+        co_return callerServer_.pendingRequests() > 0;
+    }
+
+    /// \brief Waits until \a end at the latest for the calls in progress and for requests that are unread or being received.
     awaitable<void> awaitLastCall(Time end)
     {
         bool waiting = true;
         while (waiting) {
             co_await pause(SHUTDOWN_POLL_INTERVAL);
-            waiting = callerServer_.activeExchanges() > 0 && MilliClock::now() < end;
+            const bool pending = co_await hasPendingRequests();
+            waiting = pending && MilliClock::now() < end;
         }
     }
 
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -165,6 +165,14 @@
         return active_;
     }
 
+    [[nodiscard]] std::size_t pendingRequests() const
+    {
+        const auto pending = std::ranges::count_if(connections_, [](Connection *connection) {
+            return connection->busy || connection->buffer.size() > 0 || bytesWaiting(connection->stream.socket()) > 0;
+        });
+        return static_cast<std::size_t>(pending);
+    }
+
     [[nodiscard]] std::size_t connections() const
     {
         return connections_.size();
@@ -515,6 +523,11 @@
     return impl_->activeExchanges();
 }
 
+std::size_t HttpServer::pendingRequests() const
+{
+    return impl_->pendingRequests();
+}
+
 std::size_t HttpServer::connections() const
 {
     return impl_->connections();
--- a/tests/gateway/callerconnection.h
+++ b/tests/gateway/callerconnection.h
@@ -3,6 +3,7 @@
 #include <mimosatally/Http>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -30,6 +31,12 @@
         boost::beast::http::write(socket_, request);
     }
 
+    /// \brief Sends \a text as it is, such as a part of a request.
+    void sendText(const std::string &text)
+    {
+        boost::asio::write(socket_, boost::asio::buffer(text));
+    }
+
     /// \throws boost::system::system_error if the answer is cut off.
     HttpResponse response()
     {
--- a/tests/gateway/plannedstoptest.cpp
+++ b/tests/gateway/plannedstoptest.cpp
@@ -101,3 +101,107 @@
         }
     }
 }
+
+namespace
+{
+/// \brief Freezes a gateway in a step of its planned stop, so that requests arrive while it does not run.
+class FrozenStop
+{
+public:
+    /// \param whileFrozen sends the requests.
+    template<class Function>
+    static void run(GatewayFixture &fixture, Function whileFrozen)
+    {
+        fixture.gateway().send(SIGSTOP);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        whileFrozen();
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        fixture.gateway().send(SIGCONT);
+    }
+};
+
+bool isListening(const std::string &address)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(parseAddress(address), error);
+    return !error;
+}
+
+/// \brief Sends a request on each of \a connections.
+void sendAll(const std::vector<std::unique_ptr<CallerConnection>> &connections, const std::string &id)
+{
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        connections[i]->send(GatewayFixture::request(http::verb::get, "/safe/x", id + std::to_string(i), 700));
+    }
+}
+
+/// \brief Number of \a connections that end without an answer.
+int countUnanswered(const std::vector<std::unique_ptr<CallerConnection>> &connections)
+{
+    int unanswered = 0;
+    for (const auto &connection : connections) {
+        unanswered += statusOf(*connection) == 0 ? 1 : 0;
+    }
+    return unanswered;
+}
+} // namespace
+
+// Guards against a process that ends as soon as no call is running, although requests have come on kept connections while it had no processor time.
+TEST_CASE("A stalled process that is about to end answers the requests that have come on kept connections", "[gateway][stop]")
+{
+    // The process may end before it is frozen; what happens then says nothing.
+    constexpr int maxTrials = 8;
+    bool frozenInTime = false;
+    for (int trial = 0; trial < maxTrials && !frozenInTime; ++trial) {
+        GatewayFixture fixture;
+        fixture.addEndpoint("i-1", "plain", answerSlowly);
+        fixture.configure(1, 20'000);
+        fixture.startGateway();
+        fixture.awaitReady();
+        constexpr int count = 20;
+        std::vector<std::unique_ptr<CallerConnection>> kept;
+        for (int i = 0; i < count; ++i) {
+            kept.push_back(fixture.start(GatewayFixture::request(http::verb::get, "/safe/x", "before" + std::to_string(i))));
+            CHECK(kept.back()->response().result_int() == 200);
+        }
+        fixture.gateway().send(SIGTERM);
+        while (isListening(fixture.callerAddress())) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        // The process ends 100 ms after it has closed its listener, at the second look for calls in progress.
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        FrozenStop::run(fixture, [&] {
+            frozenInTime = !fixture.gateway().hasOutput("ProcessStopped");
+            if (frozenInTime) {
+                sendAll(kept, "late");
+            }
+        });
+        if (frozenInTime) {
+            CHECK(countUnanswered(kept) == 0);
+        }
+        CHECK(fixture.gateway().wait() == 0);
+    }
+    CHECK(frozenInTime);
+}
+
+// Guards against a process that ends while a request is being received that its caller began to send before.
+TEST_CASE("A process that is about to end awaits the rest of a request that has begun", "[gateway][stop]")
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", answerSlowly);
+    fixture.configure(1, 20'000);
+    fixture.startGateway();
+    fixture.awaitReady();
+    fixture.gateway().send(SIGTERM);
+    std::this_thread::sleep_for(GRACE_TIME * 3 / 8 - std::chrono::milliseconds(200));
+    CallerConnection connection(fixture.callerAddress());
+    connection.sendText(
+        "POST /post/x HTTP/1.1\r\nHost: h\r\nX-Mimosatally-Request-Id: parts\r\nX-Mimosatally-Request-Deadline: 700\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK_FALSE(isListening(fixture.callerAddress()));
+    connection.sendText("dy");
+    CHECK(statusOf(connection) == 200);
+    CHECK(fixture.gateway().wait() == 0);
+}
