Serve the connections that are established when the listener is closed

Closing the listener reset the connections that the system had established but the process had not yet accepted, together with the requests on them, and dropped one that was accepted in the same turn of the event loop. stopAccepting() now accepts them first, within the limit of connections.

--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -44,7 +44,8 @@
     /// \brief Bound address, with the port that the system assigned if port 0 was requested.
     [[nodiscard]] boost::asio::ip::tcp::endpoint address() const;
 
-    /// \brief Stops accepting connections and closes the open ones as announceClosing() does.
+    /// \brief Stops accepting connections and closes the open ones as announceClosing() does. Connections that are established but not yet accepted are
+    /// still served.
     void stopAccepting();
 
     /// \brief Stops accepting, closes idle connections and lets running exchanges finish.
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -102,19 +102,13 @@
     void acceptNext()
     {
         acceptor_.async_accept([self = shared_from_this()](const boost::system::error_code &error, tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
+            // A connection that was accepted before the listener was closed may be reported after it.
+            if (!error && !self->stopping_) {
+                self->serveOrClose(std::move(socket), self->connections_.size());
             }
-            if (!error && self->connections_.size() < self->limits_.maxConnections) {
-                self->serve(std::move(socket));
-            } else if (!error) {
-                ConnectionEnd end;
-                end.reason = ConnectionEndReason::TooManyConnections;
-                if (self->endHandler_) {
-                    self->endHandler_(end);
-                }
+            if (self->acceptor_.is_open()) {
+                self->acceptNext();
             }
-            self->acceptNext();
         });
     }
 
@@ -126,6 +120,9 @@
     void stopAccepting()
     {
         closingAnnounced_ = true;
+        if (acceptor_.is_open()) {
+            acceptEstablished();
+        }
         boost::system::error_code ignored;
         acceptor_.close(ignored);
     }
@@ -133,7 +130,9 @@
     void shutDownGracefully()
     {
         stopping_ = true;
-        stopAccepting();
+        closingAnnounced_ = true;
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
         for (Connection *connection : connections_) {
             // The process may exit before the coroutine of the connection resumes.
             connection->end.reason = ConnectionEndReason::Shutdown;
@@ -225,6 +224,36 @@
 
     using Parser = http::request_parser<http::string_body>;
 
+    /// \brief Serves \a socket unless \a open connections are as many as there may be.
+    void serveOrClose(tcp::socket socket, std::size_t open)
+    {
+        if (open < limits_.maxConnections) {
+            serve(std::move(socket));
+        } else if (endHandler_) {
+            ConnectionEnd end;
+            end.reason = ConnectionEndReason::TooManyConnections;
+            endHandler_(end);
+        }
+    }
+
+    /// \brief Accepts the connections that the system has established for the listener; closing it would reset them together with their requests.
+    void acceptEstablished()
+    {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        // Otherwise accept() blocks after a connection that its peer has aborted.
+        acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true), error);
+        std::size_t open = connections_.size();
+        while (!error) {
+            tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (!error) {
+                serveOrClose(std::move(socket), open);
+                ++open;
+            }
+        }
+    }
+
     void serve(tcp::socket socket)
     {
         boost::system::error_code ignored;
--- a/tests/gateway/plannedstoptest.cpp
+++ b/tests/gateway/plannedstoptest.cpp
@@ -186,6 +186,29 @@
     CHECK(frozenInTime);
 }
 
+// Guards against connections that the system has accepted for the process and that are reset with their requests when the listener is closed.
+TEST_CASE("A stalled process that stops accepting answers the requests of connections that are already established", "[gateway][stop]")
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", answerSlowly);
+    fixture.configure(1, 20'000);
+    fixture.startGateway();
+    fixture.awaitReady();
+    fixture.gateway().send(SIGTERM);
+    // The listener is closed after three eighths of the grace time.
+    std::this_thread::sleep_for(GRACE_TIME * 3 / 8 - std::chrono::milliseconds(60));
+    constexpr int count = 20;
+    std::vector<std::unique_ptr<CallerConnection>> established;
+    FrozenStop::run(fixture, [&] {
+        for (int i = 0; i < count; ++i) {
+            established.push_back(std::make_unique<CallerConnection>(fixture.callerAddress()));
+        }
+        sendAll(established, "new");
+    });
+    CHECK(countUnanswered(established) == 0);
+    CHECK(fixture.gateway().wait() == 0);
+}
+
 // Guards against a process that ends while a request is being received that its caller began to send before.
 TEST_CASE("A process that is about to end awaits the rest of a request that has begun", "[gateway][stop]")
 {
