--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -167,6 +167,14 @@
         return active_;
     }
 
+    [[nodiscard]] std::size_t pendingRequests() const
+    {
+        const auto pending = std::ranges::count_if(connections_, [](const Connection *connection) {
+            return connection->busy || connection->buffer.size() > 0 || bytesWaiting(connection->stream.socket()) > 0;
+        });
+        return starting_ + static_cast<std::size_t>(pending);
+    }
+
     [[nodiscard]] std::size_t connections() const
     {
         return connections_.size();
@@ -253,6 +261,8 @@
     {
         boost::system::error_code error;
         acceptor_.non_blocking(true, error);
+        // Otherwise accept() blocks after a connection that its peer has aborted.
+        acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true), error);
         while (!error && !destroyed_) {
             tcp::socket socket(io_);
             acceptor_.accept(socket, error);
@@ -331,7 +341,7 @@
         }
     }
 
-    static std::size_t bytesWaiting(const tcp::socket &socket)
+    [[nodiscard]] static std::size_t bytesWaiting(const tcp::socket &socket)
     {
         boost::system::error_code error;
         const std::size_t bytes = socket.available(error);
@@ -620,6 +630,11 @@
     return impl_->activeExchanges();
 }
 
+std::size_t HttpServer::pendingRequests() const
+{
+    return impl_->pendingRequests();
+}
+
 std::size_t HttpServer::connections() const
 {
     return impl_->connections();
