Keep connections that wait for a request when requests hold too many bytes

A connection between two requests holds up to 4 KB and could be chosen as the largest reader that must free its bytes. It was then closed without a line of its own, and a request on its way over it was lost. Only connections whose request is being read are chosen now: they are answered with 503 and Retry-After. The answer itself can no longer be cancelled by the same mechanism.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -187,6 +187,8 @@
                 stream.cancel();
             })
         {
+            // While the connection waits for a request, a close could cross the request.
+            reservation.setRevocable(false);
             buffer.onGrown([this] {
                 hold(bodyBytes);
             });
@@ -356,6 +358,7 @@
             co_return false;
         }
         connection.busy = true;
+        connection.reservation.setRevocable(true);
         boost::system::error_code error;
         {
             // A timeout of tcp_stream would close the socket before a 408 could be sent; this timer only cancels the read.
@@ -391,7 +394,6 @@
             const ActiveExchange active(active_, connection, exchange);
             co_await runHandler(connection, exchange);
         }
-        connection.reservation.setRevocable(true);
         connection.busy = false;
         connection.idleSince = MilliClock::now();
         connection.buffer.trim();
@@ -402,6 +404,9 @@
     /// \return `no_buffer_space` if the connection has to free its bytes.
     awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser)
     {
+        if (connection.reservation.isRevoked()) {
+            co_return boost::asio::error::no_buffer_space;
+        }
         boost::system::error_code error;
         co_await http::async_read_header(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
         parser.eager(true);
@@ -436,6 +441,7 @@
             // A request may have come between the decision to end the connection and the cancellation of the read.
         } while (error == boost::asio::error::operation_aborted && !destroyed_ && bytesWaiting(connection.stream.socket()) > 0);
         connection.idleTimer.cancel();
+        connection.reservation.setRevocable(count > 0);
         connection.buffer.commit(count);
         if (!error && destroyed_) {
             error = boost::asio::error::operation_aborted;
@@ -487,6 +493,8 @@
         if (!failure) {
             co_return;
         }
+        // The cancellation of a read would also cancel the write of the answer.
+        connection.reservation.setRevocable(false);
         HttpRequest request;
         request.version(11);
         request.keep_alive(false);
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -280,3 +280,51 @@
         CHECK(fixture.endsWith(ConnectionEndReason::WriteFailed) == 1);
     });
 }
+
+// Guards against connections between two requests that are closed to make room for the bytes of others: a request on its way over them would be lost.
+TEST_CASE("A connection that waits for its next request is not closed for bytes", "[http][ends]")
+{
+    bool held = true;
+    boost::asio::io_context *context = nullptr;
+    HttpLimits limits;
+    limits.maxHeldBytes = std::size_t(64) * 1024;
+    Fixture fixture(
+        [&](HttpExchange &exchange) -> awaitable<void> {
+            while (held && exchange.request().target() == "/hold") {
+                co_await pause(*context, Duration(10));
+            }
+            co_await answer(exchange);
+        },
+        limits);
+    context = &fixture.io;
+    std::vector<tcp::socket> waiting;
+    for (int i = 0; i < 12; ++i) {
+        waiting.push_back(fixture.caller(REQUEST));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        for (tcp::socket &caller : waiting) {
+            co_await receive(caller, 1);
+        }
+        std::vector<tcp::socket> holding;
+        for (int i = 0; i < 12; ++i) {
+            holding.push_back(fixture.caller("GET /hold HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+            co_await pause(fixture.io, Duration(5));
+        }
+        held = false;
+        int refused = 0;
+        for (tcp::socket &caller : holding) {
+            const Received received = co_await receive(caller);
+            const bool isRefused = received.text.starts_with("HTTP/1.1 503");
+            const bool hasStatus = isRefused || received.text.starts_with("HTTP/1.1 200");
+            CHECK(hasStatus);
+            refused += isRefused ? 1 : 0;
+        }
+        CHECK(refused > 0);
+        for (tcp::socket &caller : waiting) {
+            boost::system::error_code ignored;
+            boost::asio::write(caller, boost::asio::buffer(LAST_REQUEST), ignored);
+            const Received received = co_await receive(caller);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+        }
+    });
+}
