Reject requests that end before they are complete

A request whose caller shut down its sending side before the end of the request was closed without a status line. It is answered with 400 now, since the caller may still read.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -48,9 +48,13 @@
 /// \brief Response for an error while reading, or empty if none can be sent, as when the peer has disconnected.
 std::optional<ParseFailure> describeReadError(const boost::system::error_code &error)
 {
-    if (error == http::error::end_of_stream || error == http::error::partial_message) {
+    if (error == http::error::end_of_stream) {
         return std::nullopt;
     }
+    if (error == http::error::partial_message) {
+        // The caller may have shut down only its sending side.
+        return ParseFailure {STATUS_BAD_REQUEST, "incomplete", "the request ended before it was complete"};
+    }
     if (error == boost::beast::error::timeout) {
         return ParseFailure {STATUS_REQUEST_TIMEOUT, "request-timeout", "the request was not received in time"};
     }
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -328,3 +328,24 @@
         }
     });
 }
+
+// Guards against an incomplete request that ends without a status line: its caller may have shut down only its sending side.
+TEST_CASE("A request that its caller does not complete is rejected", "[http][ends]")
+{
+    const auto bytes = GENERATE(as<std::string>(),
+                                "G",
+                                "GET / HTTP/1.1\r\nHo",
+                                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc",
+                                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CAPTURE(bytes);
+    Fixture fixture(answer);
+    tcp::socket caller = fixture.caller(bytes);
+    caller.shutdown(tcp::socket::shutdown_send);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 400"));
+        CHECK(received.text.find(R"("outcome":"not_run")") != std::string::npos);
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.endsWith(ConnectionEndReason::Rejected) == 1);
+    });
+}
