Answer Expect: 100-continue with the interim answer

A caller that waits for the interim answer before it sends its body got none: one without a timeout of its own waited for 408, 15 s later. The interim answer is sent if no byte of the body has come; a head that is refused gets its final status in its place.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <list>
@@ -32,6 +34,7 @@
 /// \brief Limits on the input that is read and discarded after a request was rejected.
 constexpr std::size_t MAX_DISCARDED_BYTES = std::size_t(64) * 1024 * 1024;
 constexpr Duration MAX_DISCARD_TIME = Duration(2000);
+constexpr std::string_view CONTINUE_ANSWER = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_REQUEST_TIMEOUT = 408;
 constexpr unsigned STATUS_PAYLOAD_TOO_LARGE = 413;
@@ -405,6 +408,14 @@
         co_return exchange.shouldKeepAlive();
     }
 
+    /// \brief Returns whether the caller sends its body only after an interim answer.
+    static bool awaitsContinue(const Parser &parser)
+    {
+        constexpr unsigned firstVersionWithContinue = 11;
+        const HttpRequest &request = parser.get();
+        return !parser.is_done() && request.version() >= firstVersionWithContinue && boost::beast::iequals(request[http::field::expect], "100-continue");
+    }
+
     /// \return `no_buffer_space` if the connection has to free its bytes.
     awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser)
     {
@@ -414,6 +425,10 @@
         boost::system::error_code error;
         co_await http::async_read_header(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
         parser.eager(true);
+        if (!error && connection.buffer.size() == 0 && awaitsContinue(parser)) {
+            co_await boost::asio::async_write(
+                connection.stream, boost::asio::buffer(CONTINUE_ANSWER.data(), CONTINUE_ANSWER.size()), redirect_error(use_awaitable, error));
+        }
         while (!error && !parser.is_done() && !connection.reservation.isRevoked()) {
             co_await http::async_read_some(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
             connection.hold(parser.get().body().size());
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -349,3 +349,25 @@
         CHECK(fixture.endsWith(ConnectionEndReason::Rejected) == 1);
     });
 }
+
+// Guards against callers that wait for the interim answer before they send their body, and get 408 in its place.
+TEST_CASE("A caller that expects an interim answer before its body gets one", "[http][ends]")
+{
+    Fixture fixture([](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.respond(makeHttpResponse(200, "text/plain", exchange.request().body()));
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+    tcp::socket waiting = fixture.caller(head);
+    tcp::socket impatient = fixture.caller(head + "body");
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const Received first = co_await receive(waiting, interim.size());
+        CHECK(first.text == interim);
+        boost::asio::write(waiting, boost::asio::buffer(std::string("body")));
+        for (tcp::socket *caller : {&waiting, &impatient}) {
+            const Received received = co_await receive(*caller);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+            CHECK(received.text.ends_with("body"));
+        }
+    });
+}
