Refuse requests on connections beyond the limit with a status line

Connections beyond max_connections were closed without a word, so that their callers could not tell whether the request had run. The request on such a connection is now answered with 503 and Retry-After as not run; the answer follows the first byte, since one that comes before it counts as an error of the connection.

--- a/include/mimosatally/http/connectionend.h
+++ b/include/mimosatally/http/connectionend.h
@@ -28,7 +28,7 @@
     HandlerFailed,
     /// \brief The server was shut down.
     Shutdown,
-    /// \brief The connection was not accepted, because as many as the limits allow are open.
+    /// \brief As many connections as the limits allow are open; a request on this one is refused.
     TooManyConnections,
 };
 
--- a/include/mimosatally/http/httpserver.h
+++ b/include/mimosatally/http/httpserver.h
@@ -16,9 +16,9 @@
 
 /// \brief Serves HTTP/1.1 requests of callers, one at a time on each connection.
 ///
-/// Malformed, oversized and slow requests are answered with 400, 413, 431 or 408 where a response can be sent, and their
-/// connection is closed. So is the largest request that is being read when all of them hold too many bytes, with 503. An exception of the handler before its
-/// response is answered with 500.
+/// Malformed, incomplete, oversized and slow requests are answered with 400, 413, 431 or 408, and their connection is closed. The largest request that is being
+/// read when all of them hold too many bytes, and requests on connections beyond the limit, are answered with 503. A failure of the handler before its response
+/// is answered with 500. docs/connection-ends.md lists all ends of a connection.
 class HttpServer
 {
 public:
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -34,6 +34,10 @@
 /// \brief Limits on the input that is read and discarded after a request was rejected.
 constexpr std::size_t MAX_DISCARDED_BYTES = std::size_t(64) * 1024 * 1024;
 constexpr Duration MAX_DISCARD_TIME = Duration(2000);
+/// \brief Connections beyond the limit that are open at a time to be refused; further ones wait until they are accepted.
+constexpr std::size_t MAX_REFUSED_CONNECTIONS = 64;
+/// \brief Maximum wait for the first bytes of a request that is refused.
+constexpr Duration MAX_REFUSAL_WAIT = Duration(500);
 constexpr std::string_view CONTINUE_ANSWER = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_REQUEST_TIMEOUT = 408;
@@ -113,7 +117,9 @@
             if (!error && !self->destroyed_) {
                 self->admit(std::move(socket));
             }
-            if (self->acceptor_.is_open()) {
+            if (self->isFull()) {
+                self->acceptPaused_ = true;
+            } else if (self->acceptor_.is_open()) {
                 self->acceptNext();
             }
         });
@@ -278,9 +284,46 @@
         }
         ConnectionEnd end;
         end.reason = ConnectionEndReason::TooManyConnections;
+        end.unreadBytes = bytesWaiting(socket);
         if (endHandler_) {
             endHandler_(end);
         }
+        if (refused_ < MAX_REFUSED_CONNECTIONS) {
+            ++refused_;
+            boost::asio::co_spawn(io_, refuse(shared_from_this(), std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    [[nodiscard]] bool isFull() const
+    {
+        return refused_ >= MAX_REFUSED_CONNECTIONS && connections_.size() + starting_ >= limits_.maxConnections;
+    }
+
+    void resumeAccepting()
+    {
+        if (acceptPaused_ && acceptor_.is_open() && !isFull()) {
+            acceptPaused_ = false;
+            acceptNext();
+        }
+    }
+
+    /// \brief Answers the request on a connection beyond the limit without reading it. \param self keeps the server.
+    static awaitable<void> refuse(std::shared_ptr<Impl> self, tcp::socket socket)
+    {
+        boost::beast::tcp_stream stream(std::move(socket));
+        try {
+            // An answer before the first byte would be taken for an error of the connection.
+            std::array<char, DISCARD_BUFFER_BYTES> data;
+            stream.expires_after(MAX_REFUSAL_WAIT);
+            co_await stream.async_read_some(boost::asio::buffer(data), use_awaitable);
+            const ParseFailure failure = {STATUS_UNAVAILABLE, "too-many-connections", "too many connections are open"};
+            co_await self->reject(stream, failure);
+            co_await discard(stream);
+        } catch (const boost::system::system_error &) {
+            // The caller sends nothing or has gone.
+        }
+        --self->refused_;
+        self->resumeAccepting();
     }
 
     void serve(tcp::socket socket)
@@ -319,6 +362,7 @@
         }
         connections_.erase(position);
         reportEnd(connection);
+        resumeAccepting();
         boost::system::error_code ignored;
         connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
@@ -514,33 +558,38 @@
         }
         // The cancellation of a read would also cancel the write of the answer.
         connection.reservation.setRevocable(false);
+        co_await reject(connection.stream, *failure);
+        connection.buffer.clear();
+        connection.buffer.trim();
+        connection.hold(0);
+        co_await discard(connection.stream);
+    }
+
+    awaitable<void> reject(boost::beast::tcp_stream &stream, ParseFailure failure)
+    {
         HttpRequest request;
         request.version(11);
         request.keep_alive(false);
-        HttpExchange exchange(connection.stream, std::move(request), limits_);
+        HttpExchange exchange(stream, std::move(request), limits_);
         HttpResponse response =
-            makeHttpResponse(failure->status, "application/json", errorBody(failure->message, failure->code, "invalid_request_error", "not_run"));
-        if (failure->status == STATUS_UNAVAILABLE) {
+            makeHttpResponse(failure.status, "application/json", errorBody(failure.message, failure.code, "invalid_request_error", "not_run"));
+        if (failure.status == STATUS_UNAVAILABLE) {
             response.set(http::field::retry_after, OVERLOADED_RETRY_AFTER_SECONDS);
         }
         co_await exchange.respond(std::move(response));
-        co_await discardInput(connection);
     }
 
     /// \brief Reads and discards remaining input. Closing at once would reset the connection, and a peer that is still
     /// writing would not read the response.
-    awaitable<void> discardInput(Connection &connection)
+    static awaitable<void> discard(boost::beast::tcp_stream &stream)
     {
         boost::system::error_code error;
-        connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
-        connection.buffer.clear();
-        connection.buffer.trim();
-        connection.hold(0);
-        connection.stream.expires_after(MAX_DISCARD_TIME);
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        stream.expires_after(MAX_DISCARD_TIME);
         std::array<char, DISCARD_BUFFER_BYTES> data;
         std::size_t discarded = 0;
         while (!error && discarded < MAX_DISCARDED_BYTES) {
-            discarded += co_await connection.stream.async_read_some(boost::asio::buffer(data), redirect_error(use_awaitable, error));
+            discarded += co_await stream.async_read_some(boost::asio::buffer(data), redirect_error(use_awaitable, error));
         }
     }
 
@@ -589,6 +638,9 @@
     /// \brief Accepted connections whose coroutines have not begun.
     std::size_t starting_ = 0;
     std::size_t active_ = 0;
+    /// \brief Connections beyond the limit that are being refused.
+    std::size_t refused_ = 0;
+    bool acceptPaused_ = false;
     bool stopping_ = false;
     bool closingAnnounced_ = false;
     bool destroyed_ = false;
--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -371,3 +371,74 @@
         }
     });
 }
+
+// Guards against connections beyond the limit that are closed without a word: their callers could not tell whether the request had run.
+TEST_CASE("Requests on connections beyond the limit are refused as not run", "[http][ends]")
+{
+    HttpLimits limits;
+    limits.maxConnections = 2;
+    int runs = 0;
+    Fixture fixture(
+        [&](HttpExchange &exchange) -> awaitable<void> {
+            ++runs;
+            co_await answer(exchange);
+        },
+        limits);
+    std::vector<tcp::socket> kept;
+    kept.push_back(fixture.caller(""));
+    kept.push_back(fixture.caller(""));
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        const std::string body(std::size_t(200) * 1024, 'x');
+        std::vector<tcp::socket> callers;
+        for (int i = 0; i < 20; ++i) {
+            callers.push_back(fixture.caller("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"));
+        }
+        tcp::socket silent = fixture.caller("");
+        co_await pause(fixture.io, Duration(20));
+        for (tcp::socket &caller : callers) {
+            boost::system::error_code error;
+            co_await boost::asio::async_write(caller, boost::asio::buffer(body), redirect_error(use_awaitable, error));
+            CHECK_FALSE(error);
+            const Received received = co_await receive(caller);
+            CHECK(received.text.starts_with("HTTP/1.1 503"));
+            CHECK(received.text.find("\r\nRetry-After: ") != std::string::npos);
+            CHECK(hasField(received.text, "Connection: close"));
+            CHECK(received.text.find(R"("outcome":"not_run")") != std::string::npos);
+            CHECK(received.end == boost::asio::error::eof);
+            caller.close();
+        }
+        CHECK(runs == 0);
+        CHECK(fixture.server.connections() == 2);
+        CHECK(fixture.endsWith(ConnectionEndReason::TooManyConnections) == 21);
+        kept.pop_back();
+        co_await pause(fixture.io, Duration(20));
+        tcp::socket next = fixture.caller(LAST_REQUEST);
+        const Received received = co_await receive(next);
+        CHECK(received.text.starts_with("HTTP/1.1 200"));
+        const Received nothing = co_await receive(silent);
+        CHECK(nothing.end == boost::asio::error::eof);
+    });
+}
+
+// Guards against connections beyond the limit that use up memory and descriptors without a limit of their own.
+TEST_CASE("Few connections beyond the limit are open at a time, and the others wait", "[http][ends]")
+{
+    HttpLimits limits;
+    limits.maxConnections = 1;
+    Fixture fixture(answer, limits);
+    tcp::socket kept = fixture.caller("");
+    std::vector<tcp::socket> silent;
+    for (int i = 0; i < 300; ++i) {
+        silent.push_back(fixture.caller(""));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(100));
+        CHECK(fixture.server.connections() == 1);
+        CHECK(fixture.endsWith(ConnectionEndReason::TooManyConnections) <= 64);
+        silent.clear();
+        tcp::socket last = fixture.caller(LAST_REQUEST);
+        const Received received = co_await receive(last);
+        CHECK(received.text.starts_with("HTTP/1.1 503"));
+    });
+}
