--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -280,3 +280,165 @@
         CHECK(fixture.endsWith(ConnectionEndReason::WriteFailed) == 1);
     });
 }
+
+// Guards against connections between two requests that are closed to make room for the bytes of others: a request on its way over them would be lost.
+TEST_CASE("A connection that waits for its next request is not closed for bytes", "[http][ends]")
+{
+    bool held = true;
+    boost::asio::io_context *context = nullptr;
+    HttpLimits limits;
+    limits.maxHeldBytes = std::size_t(64) * 1024;
+    Fixture fixture(
+        [&](HttpExchange &exchange) -> awaitable<void> {
+            while (held && exchange.request().target() == "/hold") {
+                co_await pause(*context, Duration(10));
+            }
+            co_await answer(exchange);
+        },
+        limits);
+    context = &fixture.io;
+    std::vector<tcp::socket> waiting;
+    for (int i = 0; i < 12; ++i) {
+        waiting.push_back(fixture.caller(REQUEST));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        for (tcp::socket &caller : waiting) {
+            co_await receive(caller, 1);
+        }
+        std::vector<tcp::socket> holding;
+        for (int i = 0; i < 12; ++i) {
+            holding.push_back(fixture.caller("GET /hold HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+            co_await pause(fixture.io, Duration(5));
+        }
+        held = false;
+        int refused = 0;
+        for (tcp::socket &caller : holding) {
+            const Received received = co_await receive(caller);
+            const bool isRefused = received.text.starts_with("HTTP/1.1 503");
+            const bool hasStatus = isRefused || received.text.starts_with("HTTP/1.1 200");
+            CHECK(hasStatus);
+            refused += isRefused ? 1 : 0;
+        }
+        CHECK(refused > 0);
+        for (tcp::socket &caller : waiting) {
+            boost::system::error_code ignored;
+            boost::asio::write(caller, boost::asio::buffer(LAST_REQUEST), ignored);
+            const Received received = co_await receive(caller);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+        }
+    });
+}
+
+// Guards against an incomplete request that ends without a status line: its caller may have shut down only its sending side.
+TEST_CASE("A request that its caller does not complete is rejected", "[http][ends]")
+{
+    const auto bytes = GENERATE(as<std::string>(),
+                                "G",
+                                "GET / HTTP/1.1\r\nHo",
+                                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc",
+                                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CAPTURE(bytes);
+    Fixture fixture(answer);
+    tcp::socket caller = fixture.caller(bytes);
+    caller.shutdown(tcp::socket::shutdown_send);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 400"));
+        CHECK(received.text.find(R"("outcome":"not_run")") != std::string::npos);
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.endsWith(ConnectionEndReason::Rejected) == 1);
+    });
+}
+
+// Guards against callers that wait for the interim answer before they send their body, and get 408 in its place.
+TEST_CASE("A caller that expects an interim answer before its body gets one", "[http][ends]")
+{
+    Fixture fixture([](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.respond(makeHttpResponse(200, "text/plain", exchange.request().body()));
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+    tcp::socket waiting = fixture.caller(head);
+    tcp::socket impatient = fixture.caller(head + "body");
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const Received first = co_await receive(waiting, interim.size());
+        CHECK(first.text == interim);
+        boost::asio::write(waiting, boost::asio::buffer(std::string("body")));
+        for (tcp::socket *caller : {&waiting, &impatient}) {
+            const Received received = co_await receive(*caller);
+            CHECK(received.text.starts_with("HTTP/1.1 200"));
+            CHECK(received.text.ends_with("body"));
+        }
+    });
+}
+
+// Guards against connections beyond the limit that are closed without a word: their callers could not tell whether the request had run.
+TEST_CASE("Requests on connections beyond the limit are refused as not run", "[http][ends]")
+{
+    HttpLimits limits;
+    limits.maxConnections = 2;
+    int runs = 0;
+    Fixture fixture(
+        [&](HttpExchange &exchange) -> awaitable<void> {
+            ++runs;
+            co_await answer(exchange);
+        },
+        limits);
+    std::vector<tcp::socket> kept;
+    kept.push_back(fixture.caller(""));
+    kept.push_back(fixture.caller(""));
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        const std::string body(std::size_t(200) * 1024, 'x');
+        std::vector<tcp::socket> callers;
+        for (int i = 0; i < 20; ++i) {
+            callers.push_back(fixture.caller("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"));
+        }
+        tcp::socket silent = fixture.caller("");
+        co_await pause(fixture.io, Duration(20));
+        for (tcp::socket &caller : callers) {
+            boost::system::error_code error;
+            co_await boost::asio::async_write(caller, boost::asio::buffer(body), redirect_error(use_awaitable, error));
+            CHECK_FALSE(error);
+            const Received received = co_await receive(caller);
+            CHECK(received.text.starts_with("HTTP/1.1 503"));
+            CHECK(received.text.find("\r\nRetry-After: ") != std::string::npos);
+            CHECK(hasField(received.text, "Connection: close"));
+            CHECK(received.text.find(R"("outcome":"not_run")") != std::string::npos);
+            CHECK(received.end == boost::asio::error::eof);
+            caller.close();
+        }
+        CHECK(runs == 0);
+        CHECK(fixture.server.connections() == 2);
+        CHECK(fixture.endsWith(ConnectionEndReason::TooManyConnections) == 21);
+        kept.pop_back();
+        co_await pause(fixture.io, Duration(20));
+        tcp::socket next = fixture.caller(LAST_REQUEST);
+        const Received received = co_await receive(next);
+        CHECK(received.text.starts_with("HTTP/1.1 200"));
+        const Received nothing = co_await receive(silent);
+        CHECK(nothing.end == boost::asio::error::eof);
+    });
+}
+
+// Guards against connections beyond the limit that use up memory and descriptors without a limit of their own.
+TEST_CASE("Few connections beyond the limit are open at a time, and the others wait", "[http][ends]")
+{
+    HttpLimits limits;
+    limits.maxConnections = 1;
+    Fixture fixture(answer, limits);
+    tcp::socket kept = fixture.caller("");
+    std::vector<tcp::socket> silent;
+    for (int i = 0; i < 300; ++i) {
+        silent.push_back(fixture.caller(""));
+    }
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(100));
+        CHECK(fixture.server.connections() == 1);
+        CHECK(fixture.endsWith(ConnectionEndReason::TooManyConnections) <= 64);
+        silent.clear();
+        tcp::socket last = fixture.caller(LAST_REQUEST);
+        const Received received = co_await receive(last);
+        CHECK(received.text.starts_with("HTTP/1.1 503"));
+    });
+}
