--- a/tests/configuration/servingconfigurationsample.h
+++ b/tests/configuration/servingconfigurationsample.h
@@ -38,7 +38,10 @@
 }
 
 /// \brief Returns the text of a serving configuration. \param firstRoutes text of routes that go before the others, each followed by a comma.
-inline std::string servingConfigurationText(const ServingConfigurationSize &size, std::int64_t version, const std::string &firstRoutes = {})
+inline std::string servingConfigurationText(const ServingConfigurationSize &size,
+                                            std::int64_t version,
+                                            const std::string &firstRoutes = {},
+                                            int idleTimeoutMs = 15'000)
 {
     std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + firstRoutes;
     for (std::size_t i = 0; i < size.routes; ++i) {
@@ -46,7 +49,8 @@
     }
     text += R"(],"services":[{"name":"plain","healthPath":"/health","maxConns":50,"protocol":"h1","tls":false},)"
             R"({"name":"other","healthPath":"/health","maxConns":50,"protocol":"h1","tls":false}],)"
-            R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000})";
+            R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":)"
+            + std::to_string(idleTimeoutMs) + "}";
     if (size.organisations > 0) {
         text += R"(,"tenants":[)";
         for (std::size_t i = 0; i < size.organisations; ++i) {
