Measure reading a configuration after an earlier one, and state its cost

The benchmark of serving configurations still called withKeyDigests(), which reading a configuration has replaced, and did not compile. It now measures a first reading and the reading of a change of one route.

--- a/bench/configuration/servingconfigurationbench.cpp
+++ b/bench/configuration/servingconfigurationbench.cpp
@@ -6,6 +6,7 @@
 
 #include <mimosatally/Serving>
 
+#include <platform/configurationreader.h>
 #include <platform/recordcodec.h>
 
 #include <benchmark/benchmark.h>
@@ -22,6 +23,16 @@
     return servingConfigurationText({static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1))}, 7);
 }
 
+/// \brief Returns the text of the next version, with another timeout of the route in the middle.
+std::string changedTextFor(const benchmark::State &state)
+{
+    const ServingConfigurationSize size = {static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1))};
+    std::string text = servingConfigurationText(size, 8);
+    const std::string route = routeText(size.routes / 2);
+    constexpr int changedTimeoutMs = 2500;
+    return text.replace(text.find(route), route.size(), routeText(size.routes / 2, changedTimeoutMs));
+}
+
 std::shared_ptr<const ServingConfiguration> configurationFor(const benchmark::State &state)
 {
     return std::make_shared<const ServingConfiguration>(platform::decodeConfiguration(textFor(state)));
@@ -45,11 +56,31 @@
     }
 }
 
-void hideKeys(benchmark::State &state)
+/// \brief Reading of a configuration as a gateway does at its start. The counter `kept_bytes` includes the text that other gateways may get.
+void readFirst(benchmark::State &state)
 {
     const std::string text = textFor(state);
+    const double before = allocatedBytes();
+    const platform::ConfigurationReading kept = platform::readConfigurationText(text, platform::EarlierReading(), noCheckpoint);
+    state.counters["kept_bytes"] = allocatedBytes() - before;
+    state.counters["text_bytes"] = static_cast<double>(text.size());
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(platform::readConfigurationText(text, platform::EarlierReading(), noCheckpoint));
+    }
+}
+
+/// \brief Reading of the next version, in which one route has changed; its `kept_bytes` come on top of those of the version in force.
+void readChange(benchmark::State &state)
+{
+    const platform::ConfigurationReading inForce = platform::readConfigurationText(textFor(state), platform::EarlierReading(), noCheckpoint);
+    const platform::EarlierReading earlier = {inForce.configuration.get(), inForce.text, inForce.routes};
+    const std::string text = changedTextFor(state);
+    const double before = allocatedBytes();
+    const platform::ConfigurationReading kept = platform::readConfigurationText(text, earlier, noCheckpoint);
+    state.counters["kept_bytes"] = allocatedBytes() - before;
+    state.counters["decoded_routes"] = static_cast<double>(kept.decodedRoutes);
     for (auto _ : state) {
-        benchmark::DoNotOptimize(platform::withKeyDigests(text));
+        benchmark::DoNotOptimize(platform::readConfigurationText(text, earlier, noCheckpoint));
     }
 }
 
@@ -101,7 +132,8 @@
 }
 
 BENCHMARK(decodeText)->Apply(sizes);
-BENCHMARK(hideKeys)->Apply(sizes);
+BENCHMARK(readFirst)->Apply(sizes);
+BENCHMARK(readChange)->Apply(sizes);
 BENCHMARK(buildRoutes)->Apply(sizes);
 BENCHMARK(buildKeys)->Apply(sizes);
 BENCHMARK(buildUrgencies)->Apply(sizes);
