--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -14,6 +14,7 @@
 #include <list>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 namespace mimosatally
 {
@@ -33,6 +34,8 @@
 constexpr const char *OVERLOADED_RETRY_AFTER_SECONDS = "1";
 /// \brief Limits on the input that is read and discarded after a request was rejected.
 constexpr std::size_t MAX_DISCARDED_BYTES = std::size_t(64) * 1024 * 1024;
+/// \brief Time for reading what had been received of a request when its time ended.
+constexpr Duration RECEIVED_BYTES_TIME = Duration(100);
 constexpr Duration MAX_DISCARD_TIME = Duration(2000);
 /// \brief Connections beyond the limit that are open at a time to be refused; further ones wait until they are accepted.
 constexpr std::size_t MAX_REFUSED_CONNECTIONS = 64;
@@ -271,6 +274,13 @@
 
     using Parser = http::request_parser<http::string_body>;
 
+    /// \brief State of the time limit of a request that is being read.
+    struct TransferLimit {
+        bool expired = false;
+        /// \brief The limit has waited once for bytes that had been received when it fell due.
+        bool waitedForBytes = false;
+    };
+
     /// \brief Accepts the connections that the system has established. Closing the listener would reset them, with the requests that it has received on them.
     void acceptWaiting()
     {
@@ -426,16 +436,10 @@
             // A timeout of tcp_stream would close the socket before a 408 could be sent; this timer only cancels the read.
             connection.stream.expires_never();
             boost::asio::steady_timer timer(io_, limits_.transferTimeout);
-            const auto expired = std::make_shared<bool>(false);
-            timer.async_wait([weak = std::weak_ptr<bool>(expired), &connection](const boost::system::error_code &timerError) {
-                const auto timedOut = weak.lock();
-                if (!timerError && timedOut) {
-                    *timedOut = true;
-                    connection.stream.cancel();
-                }
-            });
-            error = co_await readRequest(connection, parser);
-            if (*expired && error) {
+            const auto limit = std::make_shared<TransferLimit>();
+            awaitTransferEnd(connection, timer, limit);
+            error = co_await readRequest(connection, parser, *limit);
+            if (limit->expired && error) {
                 error = boost::beast::error::timeout;
             }
         }
@@ -471,8 +475,26 @@
         return !parser.is_done() && request.version() >= firstVersionWithContinue && boost::beast::iequals(request[http::field::expect], "100-continue");
     }
 
+    /// \brief Cancels the read of a request when \a timer expires. After a stall, bytes that have been received by then are read before.
+    static void awaitTransferEnd(Connection &connection, boost::asio::steady_timer &timer, const std::shared_ptr<TransferLimit> &limit)
+    {
+        timer.async_wait([weak = std::weak_ptr<TransferLimit>(limit), &connection, &timer](const boost::system::error_code &timerError) {
+            const auto waiting = weak.lock();
+            if (timerError || !waiting) {
+                return;
+            }
+            if (!std::exchange(waiting->waitedForBytes, true) && bytesWaiting(connection.stream.socket()) > 0) {
+                timer.expires_after(RECEIVED_BYTES_TIME);
+                awaitTransferEnd(connection, timer, waiting);
+                return;
+            }
+            waiting->expired = true;
+            connection.stream.cancel();
+        });
+    }
+
     /// \return `no_buffer_space` if the connection has to free its bytes.
-    awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser)
+    awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser, const TransferLimit &limit)
     {
         if (connection.reservation.isRevoked()) {
             co_return boost::asio::error::no_buffer_space;
@@ -484,10 +506,14 @@
             co_await boost::asio::async_write(
                 connection.stream, boost::asio::buffer(CONTINUE_ANSWER.data(), CONTINUE_ANSWER.size()), redirect_error(use_awaitable, error));
         }
-        while (!error && !parser.is_done() && !connection.reservation.isRevoked()) {
+        while (!error && !parser.is_done() && !connection.reservation.isRevoked() && !limit.expired) {
             co_await http::async_read_some(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
             connection.hold(parser.get().body().size());
         }
+        if (!error && !parser.is_done() && limit.expired) {
+            // The time ended after a read had completed, so no read was cancelled.
+            error = boost::beast::error::timeout;
+        }
         if (connection.reservation.isRevoked()) {
             error = boost::asio::error::no_buffer_space;
         }
