Count a call's time from when its bytes came in

A call counted from when its request had been read. After a stall of the process (a freeze, a quota, a long turn of the event loop) endpoints were handed the whole time again, and a call that had waited was treated as new. The system tells how long ago the last data came in; the call now begins then. The value is a lower bound: it is zero under 20 ms, on errors and if it is implausible, and for a further request on a connection it is at most the time since the answer before, which a request sent early has waited for.

--- a/include/mimosatally/http/httpexchange.h
+++ b/include/mimosatally/http/httpexchange.h
@@ -19,7 +19,8 @@
 class HttpExchange
 {
 public:
-    HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits);
+    /// \param waited time for which the whole request had been received before it was read.
+    HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, Duration waited = Duration(0));
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -27,6 +28,9 @@
     [[nodiscard]] const HttpRequest &request() const;
     [[nodiscard]] HttpRequest &request();
 
+    /// \brief Returns the least time for which the whole request waited on the connection until it was read; zero unless the process stood still.
+    [[nodiscard]] Duration waited() const;
+
     /// \brief Sends a complete response. \throws boost::system::system_error if the peer has disconnected or is too slow.
     boost::asio::awaitable<void> respond(HttpResponse response);
 
@@ -68,6 +72,7 @@
     boost::beast::tcp_stream &stream_;
     HttpRequest request_;
     const HttpLimits &limits_;
+    Duration waited_;
     std::shared_ptr<Watch> watch_;
     bool responded_ = false;
     bool aborted_ = false;
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -46,7 +46,7 @@
     , route_(route)
     , stream_(call_.id, chooseService())
     , registration_(gateway.streams, gateway.streamLookup)
-    , arrived_(MilliClock::now())
+    , arrived_(MilliClock::now() - exchange.waited())
     , guard_(std::make_shared<CallGuard>(gateway.io, arrived_ + timeLimit(call_, route)))
     , activeEntry_(gateway.activeCalls.emplace(arrived_, ActiveCall {guard_, route.isPublic ? CallerIdentity() : caller_}))
     , suspects_(gateway.suspects, exchange.request(), call_.promptParts)
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -169,6 +169,7 @@
     PlacementRequest placementRequest_;
     StreamIdentity stream_;
     StreamRegistration registration_;
+    /// \brief Time at which the request had come in, which is before it was read if the process stood still.
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
     std::multimap<Time, ActiveCall>::iterator activeEntry_;
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -32,10 +32,11 @@
     boost::beast::tcp_stream *stream = nullptr;
 };
 
-HttpExchange::HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits)
+HttpExchange::HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, Duration waited)
     : stream_(stream)
     , request_(std::move(request))
     , limits_(limits)
+    , waited_(waited)
     , keepAlive_(request_.keep_alive())
 {
 }
@@ -53,6 +54,11 @@
     return request_;
 }
 
+Duration HttpExchange::waited() const
+{
+    return waited_;
+}
+
 HttpRequest &HttpExchange::request()
 {
     return request_;
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -1,3 +1,5 @@
+#include "receivedelay.h"
+
 #include <mimosatally/Http>
 
 #include <algorithm>
@@ -307,7 +309,8 @@
             co_return false;
         }
         connection.stream.expires_never();
-        HttpExchange exchange(connection.stream, parser.release(), limits_);
+        const Duration waited = waitOfRequest(connection);
+        HttpExchange exchange(connection.stream, parser.release(), limits_, waited);
         if (stopping_ || closingAnnounced_) {
             exchange.closeAfterResponse();
         }
@@ -324,6 +327,14 @@
         co_return exchange.shouldKeepAlive() && !stopping_;
     }
 
+    /// \brief Returns how long the request that has just been read was there. A request that followed another one without waiting for its answer waited for
+    /// that answer, not for this process.
+    static Duration waitOfRequest(Connection &connection)
+    {
+        const Duration delay = internal::receiveDelay(connection.stream.socket());
+        return connection.end.requests == 0 ? delay : std::min(delay, MilliClock::now() - connection.idleSince);
+    }
+
     /// \return `no_buffer_space` if the connection has to free its bytes.
     awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser)
     {
