Make usage datagrams in pieces

The work now may pause before each datagram, in the same pieces in which the datagrams are sent. The copy of the notices stays one step.

The test of the steps does not compile with the earlier code, which had no checkpoints.

--- a/src/gateway/noticeexchange.cpp
+++ b/src/gateway/noticeexchange.cpp
@@ -170,15 +170,15 @@
 {
     bool running = true;
     while (running) {
-        const std::vector<PeerDatagram> datagrams = usage_.takeDatagrams(region_, MilliClock::now());
+        const std::vector<UsageNotice> notices = usage_.takeNotices(MilliClock::now());
         const std::vector<udp::endpoint> targets = activePeers();
-        const auto sendAll = [this, &datagrams, &targets](const Checkpoint &checkpoint) {
-            for (const PeerDatagram &datagram : datagrams) {
+        const auto sendAll = [this, &notices, &targets](const Checkpoint &checkpoint) {
+            for (const PeerDatagram &datagram : batchUsageNotices(region_, notices, checkpoint)) {
                 checkpoint();
                 sendTo(targets, datagram);
             }
         };
-        if (!datagrams.empty()) {
+        if (!notices.empty()) {
             co_await runInPieces(gateway_.io, Pace::Shared, sendAll);
         }
         running = co_await context.sleep(interval());
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -5,6 +5,7 @@
 
 #include <mimosatally/Membership>
 #include <mimosatally/Routing>
+#include <mimosatally/core/checkpoint.h>
 
 #include <string>
 #include <string_view>
@@ -59,8 +60,9 @@
 /// \brief Distributes queries over datagrams that are not longer than MAX_DATAGRAM_BYTES.
 std::vector<PeerDatagram> batchStreamQueries(const RegionId &region, const std::vector<RequestId> &roots);
 
-/// \brief Distributes notices, and the counts of long ones, over datagrams that are not longer than MAX_DATAGRAM_BYTES.
-std::vector<PeerDatagram> batchUsageNotices(const RegionId &region, const std::vector<UsageNotice> &notices);
+/// \brief Distributes notices, and the counts of long ones, over datagrams that are not longer than MAX_DATAGRAM_BYTES. \param checkpoint is called after each
+/// full datagram.
+std::vector<PeerDatagram> batchUsageNotices(const RegionId &region, const std::vector<UsageNotice> &notices, const Checkpoint &checkpoint = noCheckpoint);
 
 std::string encodeDatagram(const PeerDatagram &datagram);
 
--- a/src/gateway/usagedatagram.cpp
+++ b/src/gateway/usagedatagram.cpp
@@ -26,8 +26,9 @@
 class UsageBatches
 {
 public:
-    explicit UsageBatches(RegionId region)
+    UsageBatches(RegionId region, const Checkpoint &checkpoint)
         : region_(std::move(region))
+        , checkpoint_(checkpoint)
     {
     }
 
@@ -53,6 +54,7 @@
     {
         const std::size_t bytes = emptyNoticeBytes(notice.process);
         if (datagrams_.empty() || bytes_ + bytes + COUNT_BYTES > MAX_USAGE_BYTES || datagrams_.back().usageNotices.size() == MAX_USAGE_NOTICES_PER_DATAGRAM) {
+            checkpoint_();
             datagrams_.emplace_back().region = region_;
             bytes_ = 0;
         }
@@ -61,6 +63,7 @@
     }
 
     RegionId region_;
+    const Checkpoint &checkpoint_;
     std::vector<PeerDatagram> datagrams_;
     std::size_t bytes_ = 0;
 };
@@ -74,9 +77,9 @@
     return std::stoull(sha256Hex(organisation.value()).substr(0, digits), nullptr, hexadecimal);
 }
 
-std::vector<PeerDatagram> batchUsageNotices(const RegionId &region, const std::vector<UsageNotice> &notices)
+std::vector<PeerDatagram> batchUsageNotices(const RegionId &region, const std::vector<UsageNotice> &notices, const Checkpoint &checkpoint)
 {
-    UsageBatches batches(region);
+    UsageBatches batches(region, checkpoint);
     for (const UsageNotice &notice : notices) {
         if (notice.process.value().size() <= MAX_USAGE_PROCESS_BYTES) {
             batches.add(notice);
--- a/src/gateway/usageexchange.cpp
+++ b/src/gateway/usageexchange.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-std::vector<PeerDatagram> UsageExchange::takeDatagrams(const RegionId &region, Time now)
+std::vector<UsageNotice> UsageExchange::takeNotices(Time now)
 {
     const std::optional<UsageWindow> current = gateway_.usageLedger.current();
     if (!gateway_.settings.platformApi.reportsUsage || !current || (now < nextSend_ && sentCurrent_ == current)) {
@@ -27,7 +27,7 @@
     nextSend_ = now + SEND_INTERVAL;
     nextFullSend_ = all ? now + FULL_SEND_INTERVAL : nextFullSend_;
     sentCurrent_ = current;
-    return batchUsageNotices(region, gateway_.usageLedger.takeNotices(all));
+    return gateway_.usageLedger.takeNotices(all);
 }
 
 std::vector<PeerDatagram> UsageExchange::takeLastDatagrams(const RegionId &region)
--- a/src/gateway/usageexchange.h
+++ b/src/gateway/usageexchange.h
@@ -14,8 +14,8 @@
 public:
     explicit UsageExchange(GatewayState &gateway);
 
-    /// \brief Returns the datagrams that are due: each second, and when a window is closed. Empty if usage is not reported.
-    std::vector<PeerDatagram> takeDatagrams(const RegionId &region, Time now);
+    /// \brief Returns the notices that are due: each second, and when a window is closed. Empty if usage is not reported.
+    std::vector<UsageNotice> takeNotices(Time now);
 
     /// \brief Closes all windows and returns the last datagrams of this process.
     std::vector<PeerDatagram> takeLastDatagrams(const RegionId &region);
--- a/tests/unit/usagedatagramtest.cpp
+++ b/tests/unit/usagedatagramtest.cpp
@@ -70,6 +70,19 @@
     }
 }
 
+// Guards against the counts of many organisations that are hashed at once, which stops the event loop.
+TEST_CASE("Usage datagrams are made in small steps", "[usage]")
+{
+    std::size_t steps = 0;
+    const Checkpoint count = [&steps] {
+        ++steps;
+    };
+    const std::vector<UsageNotice> notices = {noticeOf(1200, 1), noticeOf(1200, 2), noticeOf(1, 3)};
+    const std::vector<PeerDatagram> datagrams = batchUsageNotices(REGION, notices, count);
+    CHECK(datagrams.size() > 24);
+    CHECK(steps == datagrams.size());
+}
+
 // Guards against heartbeats that are fragmented because of the fields on usage, and against values that a peer made up.
 TEST_CASE("The fields on usage leave heartbeats their size, and hostile values are rejected", "[usage]")
 {
