--- a/bench/loop/loopbench.cpp
+++ b/bench/loop/loopbench.cpp
@@ -302,15 +302,22 @@
     }
 }
 
-void makeUsageDatagrams(benchmark::State &state)
+/// \brief Ledger of a process that has counted \a organisations in each window that is kept.
+UsageLedger filledLedger(std::int64_t organisations)
 {
     UsageLedger ledger(ProcessId("bench"));
     for (std::int64_t window = 0; window < UsageLedger::MAX_WINDOWS; ++window) {
         ledger.advance(WINDOW + UsageWindow(window));
-        for (std::int64_t i = 0; i < state.range(0); ++i) {
+        for (std::int64_t i = 0; i < organisations; ++i) {
             ledger.count(WINDOW + UsageWindow(window), OrganisationId("organisation-" + std::to_string(i)));
         }
     }
+    return ledger;
+}
+
+void makeUsageDatagrams(benchmark::State &state)
+{
+    UsageLedger ledger = filledLedger(state.range(0));
     for (auto _ : state) {
         for (const PeerDatagram &datagram : batchUsageNotices(RegionId("region-0"), ledger.takeNotices(true))) {
             benchmark::DoNotOptimize(encodeDatagram(datagram));
@@ -375,6 +382,14 @@
     }
 }
 
+void copyUsageNotices(benchmark::State &state)
+{
+    UsageLedger ledger = filledLedger(state.range(0));
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(ledger.takeNotices(true));
+    }
+}
+
 /// \brief Arguments: gateways to which one full datagram is sent.
 void sendDatagram(benchmark::State &state)
 {
@@ -528,6 +543,7 @@
 BENCHMARK(answerPeer)->Args({60, 8'400})->Args({3'800, 8'400})->Unit(benchmark::kMillisecond);
 BENCHMARK(sumUsage)->Args({68, 72})->Args({68, 250})->Args({68, 1'200})->Args({370, 80})->Args({370, 800})->Args({30, 10'000})->Unit(benchmark::kMillisecond);
 BENCHMARK(makeUsageDatagrams)->Arg(80)->Arg(250)->Apply(organisationCounts);
+BENCHMARK(copyUsageNotices)->Arg(250)->Arg(1'200)->Unit(benchmark::kMillisecond);
 BENCHMARK(sendDatagram)->Arg(67)->Arg(369)->Unit(benchmark::kMillisecond);
 BENCHMARK(decideUsageAction)->Apply(organisationCounts);
 BENCHMARK(encodeUsageRecord)->Apply(organisationCounts);
