--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -321,6 +321,7 @@
             co_await discard(stream);
         } catch (const boost::system::system_error &) {
             // The caller sends nothing or has gone.
+            stream.close();
         }
         --self->refused_;
         self->resumeAccepting();
