--- a/tests/unit/connectionendtest.cpp
+++ b/tests/unit/connectionendtest.cpp
@@ -442,3 +442,94 @@
         CHECK(received.text.starts_with("HTTP/1.1 503"));
     });
 }
+
+// Guards against an answer that a reset destroys on its way: closing a connection with unread bytes resets it. A response of HTTP/1.0 without a length
+// would also look broken off.
+TEST_CASE("Bytes behind the last request of a connection do not reset it", "[http][ends]")
+{
+    const auto head = GENERATE(as<std::string>(), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "GET / HTTP/1.0\r\n\r\n");
+    CAPTURE(head);
+    int runs = 0;
+    Fixture fixture([&](HttpExchange &exchange) -> awaitable<void> {
+        ++runs;
+        co_await exchange.beginStream(makeHttpResponse(200, "text/plain", {}));
+        co_await exchange.writeChunk("good");
+        co_await exchange.endStream();
+    });
+    std::string further;
+    while (further.size() < std::size_t(200) * 1024) {
+        further += REQUEST;
+    }
+    tcp::socket caller = fixture.caller(head + further);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received received = co_await receive(caller);
+        CHECK(received.text.find("good") != std::string::npos);
+        CHECK(received.end == boost::asio::error::eof);
+        // A request behind the last one has not run.
+        CHECK(runs == 1);
+    });
+}
+
+// Guards against an answer without a status line for callers of HTTP/1.0, whose connection is kept only if they ask for it.
+TEST_CASE("Requests of HTTP/1.0 and requests in a row are answered in order", "[http][ends]")
+{
+    Fixture fixture([](HttpExchange &exchange) -> awaitable<void> {
+        co_await exchange.respond(makeHttpResponse(200, "text/plain", std::string(exchange.request().target())));
+    });
+    tcp::socket old = fixture.caller("GET /0 HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET /1 HTTP/1.0\r\n\r\n");
+    tcp::socket pipelined = fixture.caller("GET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        const Received ofOld = co_await receive(old);
+        CHECK(ofOld.text.starts_with("HTTP/1.0 200"));
+        CHECK(ofOld.text.find("/0HTTP/1.0 200") != std::string::npos);
+        CHECK(ofOld.text.ends_with("/1"));
+        const Received ofPipelined = co_await receive(pipelined);
+        CHECK(ofPipelined.text.find("/2HTTP/1.1 200") != std::string::npos);
+        CHECK(ofPipelined.text.ends_with("/3"));
+        CHECK(fixture.endsWith(ConnectionEndReason::Completed) == 2);
+    });
+}
+
+// Guards against an end that is reported as complete although the caller did not get the answer.
+TEST_CASE("A caller that does not read its answer ends its connection at the time limit", "[http][ends]")
+{
+    HttpLimits limits;
+    limits.transferTimeout = Duration(200);
+    Fixture fixture(
+        [](HttpExchange &exchange) -> awaitable<void> {
+            co_await exchange.respond(makeHttpResponse(200, "text/plain", std::string(std::size_t(64) * 1024 * 1024, 'x')));
+        },
+        limits);
+    tcp::socket caller = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(1000));
+        CHECK(fixture.endsWith(ConnectionEndReason::WriteFailed) == 1);
+        CHECK(fixture.server.connections() == 0);
+        const Received received = co_await receive(caller);
+        CHECK(received.text.starts_with("HTTP/1.1 200"));
+    });
+}
+
+// Guards against a caller's reset within a request, or a handler that ends its answer, without a report of the end.
+TEST_CASE("Ends by the caller and by the handler are reported", "[http][ends]")
+{
+    Fixture fixture([](HttpExchange &exchange) -> awaitable<void> {
+        exchange.abort();
+        co_return;
+    });
+    tcp::socket resetting = fixture.caller("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc");
+    tcp::socket closing = fixture.caller("");
+    tcp::socket aborted = fixture.caller(REQUEST);
+    runCoroutine(fixture.io, [&]() -> awaitable<void> {
+        co_await pause(fixture.io, Duration(20));
+        resetting.set_option(boost::asio::socket_base::linger(true, 0));
+        resetting.close();
+        closing.close();
+        const Received received = co_await receive(aborted);
+        CHECK(received.text.empty());
+        co_await pause(fixture.io, Duration(20));
+        CHECK(fixture.endsWith(ConnectionEndReason::ReadFailed) == 1);
+        CHECK(fixture.endsWith(ConnectionEndReason::CallerClosed) == 1);
+        CHECK(fixture.endsWith(ConnectionEndReason::Aborted) == 1);
+    });
+}
