Split the reading and the rejection of requests from HttpServer

Reading one request with its time limit is in requestreader.cpp, the errors that reject one in requestrejection.cpp, and the state of a connection in serverconnection.h; no logic changes.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -1,4 +1,7 @@
 #include "receivedelay.h"
+#include "requestreader.h"
+#include "requestrejection.h"
+#include "serverconnection.h"
 
 #include <mimosatally/Http>
 
@@ -14,7 +17,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <list>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -26,81 +28,22 @@
 using boost::asio::redirect_error;
 using boost::asio::use_awaitable;
 using boost::asio::ip::tcp;
+using namespace internal;
 
 namespace
 {
 constexpr std::size_t DISCARD_BUFFER_BYTES = std::size_t(4) * 1024;
 /// \brief Room of a connection's buffer beyond the largest head. Without a bound, the length of a chunk, its extension or a trailer could grow without end.
 constexpr std::size_t FRAMING_MARGIN_BYTES = std::size_t(16) * 1024;
-/// \brief Time after which a request that was refused for its bytes may be sent again.
-constexpr const char *OVERLOADED_RETRY_AFTER_SECONDS = "1";
 /// \brief Limits on the input that is read and discarded after a request was rejected.
 constexpr std::size_t MAX_DISCARDED_BYTES = std::size_t(64) * 1024 * 1024;
-/// \brief Time for reading what had been received of a request when its time ended.
-constexpr Duration RECEIVED_BYTES_TIME = Duration(100);
 constexpr Duration MAX_DISCARD_TIME = Duration(2000);
 /// \brief Connections beyond the limit that are open at a time to be refused; further ones wait until they are accepted.
 constexpr std::size_t MAX_REFUSED_CONNECTIONS = 64;
 /// \brief Maximum wait for the first bytes of a request that is refused.
 constexpr Duration MAX_REFUSAL_WAIT = Duration(500);
-constexpr std::string_view CONTINUE_ANSWER = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr unsigned STATUS_BAD_REQUEST = 400;
-constexpr unsigned STATUS_REQUEST_TIMEOUT = 408;
-constexpr unsigned STATUS_PAYLOAD_TOO_LARGE = 413;
-constexpr unsigned STATUS_HEADER_TOO_LARGE = 431;
-constexpr unsigned STATUS_INTERNAL_ERROR = 500;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 
-struct ParseFailure {
-    unsigned status;
-    const char *code;
-    const char *message;
-};
-
-/// \brief Response for an error while reading, or empty if none can be sent, as when the peer has disconnected.
-std::optional<ParseFailure> describeReadError(const boost::system::error_code &error)
-{
-    if (error == http::error::end_of_stream) {
-        return std::nullopt;
-    }
-    if (error == http::error::partial_message) {
-        // The caller may have shut down only its sending side.
-        return ParseFailure {STATUS_BAD_REQUEST, "incomplete", "the request ended before it was complete"};
-    }
-    if (error == boost::beast::error::timeout) {
-        return ParseFailure {STATUS_REQUEST_TIMEOUT, "request-timeout", "the request was not received in time"};
-    }
-    if (error == http::error::body_limit) {
-        return ParseFailure {STATUS_PAYLOAD_TOO_LARGE, "body-too-large", "the request body is too large"};
-    }
-    if (error == http::error::header_limit) {
-        return ParseFailure {STATUS_HEADER_TOO_LARGE, "header-too-large", "the request header is too large"};
-    }
-    if (error == http::error::buffer_overflow) {
-        return ParseFailure {STATUS_HEADER_TOO_LARGE, "framing-too-large", "a chunk's length or extension, or the trailer, is too large"};
-    }
-    if (error == boost::asio::error::no_buffer_space) {
-        return ParseFailure {STATUS_UNAVAILABLE, "overloaded", "the requests that are being received hold too many bytes"};
-    }
-    if (error.category() == make_error_code(http::error::bad_method).category()) {
-        return ParseFailure {STATUS_BAD_REQUEST, "malformed", "the request is not well-formed HTTP"};
-    }
-    return std::nullopt;
-}
-
-/// \brief Error body in the format of docs/api.md; a request that could not be read has no id, customer or decision record.
-std::string errorBody(const char *message, const char *code, const char *type, const char *outcome)
-{
-    const nlohmann::ordered_json body = {{"error", {{"message", message}, {"type", type}, {"code", code}, {"param", nullptr}}},
-                                         {"mimosatally",
-                                          {{"outcome", outcome},
-                                           {"reason", code},
-                                           {"request", nullptr},
-                                           {"contract", nullptr},
-                                           {"configuration_version", nullptr},
-                                           {"retry_after_ms", nullptr}}}};
-    return body.dump();
-}
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
@@ -154,7 +97,7 @@
     {
         stopAccepting();
         stopping_ = true;
-        for (Connection *connection : connections_) {
+        for (ServerConnection *connection : connections_) {
             closeAfterArrived(*connection);
         }
     }
@@ -167,7 +110,7 @@
     void announceClosing()
     {
         closingAnnounced_ = true;
-        for (const Connection *connection : connections_) {
+        for (const ServerConnection *connection : connections_) {
             // An answer that has begun has promised to keep its connection; the next one announces the close.
             if (connection->exchange != nullptr && !connection->exchange->hasResponded()) {
                 connection->exchange->closeAfterResponse();
@@ -187,7 +130,7 @@
 
     [[nodiscard]] std::size_t pendingRequests() const
     {
-        const auto pending = std::ranges::count_if(connections_, [](const Connection *connection) {
+        const auto pending = std::ranges::count_if(connections_, [](const ServerConnection *connection) {
             return connection->busy || connection->buffer.size() > 0 || bytesWaiting(connection->stream.socket()) > 0;
         });
         return starting_ + static_cast<std::size_t>(pending);
@@ -204,85 +147,6 @@
     }
 
 private:
-    struct Connection {
-        Connection(boost::asio::io_context &io, tcp::socket socket, ByteBudget &heldBytes, std::size_t maxBufferBytes)
-            : stream(std::move(socket))
-            , idleTimer(io)
-            , buffer(maxBufferBytes)
-            , reservation(heldBytes, [this] {
-                stream.cancel();
-            })
-        {
-            // While the connection waits for a request, a close could cross the request.
-            reservation.setRevocable(false);
-            buffer.onGrown([this] {
-                hold(bodyBytes);
-            });
-        }
-
-        /// \brief Counts the buffer and \a bytes of a request's body.
-        void hold(std::size_t bytes)
-        {
-            bodyBytes = bytes;
-            reservation.hold(buffer.capacity() + bytes);
-        }
-
-        boost::beast::tcp_stream stream;
-        boost::asio::steady_timer idleTimer;
-        ReceiveBuffer buffer;
-        ByteReservation reservation;
-        std::size_t bodyBytes = 0;
-        bool busy = false;
-        /// \brief Request that is being answered, or null.
-        HttpExchange *exchange = nullptr;
-        /// \brief What is known of the end of the connection so far.
-        ConnectionEnd end;
-        bool endReported = false;
-        /// \brief Time at which the connection began to wait for its next request.
-        Time idleSince = MilliClock::now();
-        /// \brief End of the wait by the limits that were in force when it began; later limits only extend it.
-        Time idleEnd;
-        bool awaitsRequest = false;
-        bool idleExpired = false;
-        /// \brief Expires with the connection, which the handler of a timer may outlive.
-        std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
-    };
-
-    /// \brief Counts an exchange while its handler runs, also if its answer fails.
-    class ActiveExchange
-    {
-    public:
-        ActiveExchange(std::size_t &count, Connection &connection, HttpExchange &exchange)
-            : count_(count)
-            , connection_(connection)
-        {
-            ++count_;
-            connection_.exchange = &exchange;
-        }
-
-        ~ActiveExchange()
-        {
-            --count_;
-            connection_.exchange = nullptr;
-        }
-
-        ActiveExchange(const ActiveExchange &) = delete;
-        ActiveExchange &operator=(const ActiveExchange &) = delete;
-
-    private:
-        std::size_t &count_;
-        Connection &connection_;
-    };
-
-    using Parser = http::request_parser<http::string_body>;
-
-    /// \brief State of the time limit of a request that is being read.
-    struct TransferLimit {
-        bool expired = false;
-        /// \brief The limit has waited once for bytes that had been received when it fell due.
-        bool waitedForBytes = false;
-    };
-
     /// \brief Accepts the connections that the system has established. Closing the listener would reset them, with the requests that it has received on them.
     void acceptWaiting()
     {
@@ -339,7 +203,7 @@
             std::array<char, DISCARD_BUFFER_BYTES> data;
             stream.expires_after(MAX_REFUSAL_WAIT);
             co_await stream.async_read_some(boost::asio::buffer(data), use_awaitable);
-            const ParseFailure failure = {STATUS_UNAVAILABLE, "too-many-connections", "too many connections are open"};
+            const RequestRejection failure = {STATUS_UNAVAILABLE, "too-many-connections", "too many connections are open"};
             co_await self->reject(stream, failure);
             co_await discard(stream);
         } catch (const boost::system::system_error &) {
@@ -367,7 +231,7 @@
     {
         const auto self = shared_from_this();
         --starting_;
-        Connection connection(io_, std::move(socket), heldBytes_, limits_.maxHeaderBytes + FRAMING_MARGIN_BYTES);
+        ServerConnection connection(io_, std::move(socket), heldBytes_, limits_.maxHeaderBytes + FRAMING_MARGIN_BYTES);
         const auto position = connections_.insert(connections_.end(), &connection);
         bool keepOpen = true;
         while (keepOpen) {
@@ -392,7 +256,7 @@
     }
 
     /// \brief Ends \a connection after the requests that have arrived on it.
-    void closeAfterArrived(Connection &connection)
+    void closeAfterArrived(ServerConnection &connection)
     {
         if (!destroyed_ && !connection.busy && bytesWaiting(connection.stream.socket()) > 0) {
             return;
@@ -407,14 +271,7 @@
         }
     }
 
-    [[nodiscard]] static std::size_t bytesWaiting(const tcp::socket &socket)
-    {
-        boost::system::error_code error;
-        const std::size_t bytes = socket.available(error);
-        return error ? 0 : bytes;
-    }
-
-    void reportEnd(Connection &connection) const
+    void reportEnd(ServerConnection &connection) const
     {
         if (endHandler_ && !connection.endReported) {
             connection.endReported = true;
@@ -424,9 +281,9 @@
     }
 
     /// \return true if the connection stays open for another request.
-    awaitable<bool> serveRequest(Connection &connection)
+    awaitable<bool> serveRequest(ServerConnection &connection)
     {
-        Parser parser;
+        RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
         parser.body_limit(limits_.maxBodyBytes);
         if (!co_await awaitFirstByte(connection)) {
@@ -434,20 +291,9 @@
         }
         connection.busy = true;
         connection.reservation.setRevocable(true);
-        boost::system::error_code error;
-        {
-            // A timeout of tcp_stream would close the socket before a 408 could be sent; this timer only cancels the read.
-            connection.stream.expires_never();
-            boost::asio::steady_timer timer(io_, limits_.transferTimeout);
-            const auto limit = std::make_shared<TransferLimit>();
-            awaitTransferEnd(connection, timer, limit);
-            error = co_await readRequest(connection, parser, *limit);
-            if (limit->expired && error) {
-                error = boost::beast::error::timeout;
-            }
-        }
+        const boost::system::error_code error = co_await readRequest(connection, parser, limits_.transferTimeout);
         if (error) {
-            connection.end.reason = describeReadError(error) ? ConnectionEndReason::Rejected : ConnectionEndReason::ReadFailed;
+            connection.end.reason = rejectionFor(error) ? ConnectionEndReason::Rejected : ConnectionEndReason::ReadFailed;
             connection.end.error = error.message();
             co_await rejectUnreadable(connection, error);
             co_return false;
@@ -471,68 +317,15 @@
         co_return exchange.shouldKeepAlive();
     }
 
-    /// \brief Returns whether the caller sends its body only after an interim answer.
-    static bool awaitsContinue(const Parser &parser)
-    {
-        constexpr unsigned firstVersionWithContinue = 11;
-        const HttpRequest &request = parser.get();
-        return !parser.is_done() && request.version() >= firstVersionWithContinue && boost::beast::iequals(request[http::field::expect], "100-continue");
-    }
-
-    /// \brief Cancels the read of a request when \a timer expires. After a stall, bytes that have been received by then are read before.
-    static void awaitTransferEnd(Connection &connection, boost::asio::steady_timer &timer, const std::shared_ptr<TransferLimit> &limit)
-    {
-        timer.async_wait([weak = std::weak_ptr<TransferLimit>(limit), &connection, &timer](const boost::system::error_code &timerError) {
-            const auto waiting = weak.lock();
-            if (timerError || !waiting) {
-                return;
-            }
-            if (!std::exchange(waiting->waitedForBytes, true) && bytesWaiting(connection.stream.socket()) > 0) {
-                timer.expires_after(RECEIVED_BYTES_TIME);
-                awaitTransferEnd(connection, timer, waiting);
-                return;
-            }
-            waiting->expired = true;
-            connection.stream.cancel();
-        });
-    }
-
     /// \brief Returns how long the request that has just been read was there. A request that followed another one without waiting for its answer waited for
     /// that answer, not for this process.
-    static Duration waitOfRequest(Connection &connection)
+    static Duration waitOfRequest(ServerConnection &connection)
     {
-        const Duration delay = internal::receiveDelay(connection.stream.socket());
+        const Duration delay = receiveDelay(connection.stream.socket());
         return connection.end.requests == 0 ? delay : std::min(delay, MilliClock::now() - connection.idleSince);
     }
 
-    /// \return `no_buffer_space` if the connection has to free its bytes.
-    awaitable<boost::system::error_code> readRequest(Connection &connection, Parser &parser, const TransferLimit &limit)
-    {
-        if (connection.reservation.isRevoked()) {
-            co_return boost::asio::error::no_buffer_space;
-        }
-        boost::system::error_code error;
-        co_await http::async_read_header(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
-        parser.eager(true);
-        if (!error && connection.buffer.size() == 0 && awaitsContinue(parser)) {
-            co_await boost::asio::async_write(
-                connection.stream, boost::asio::buffer(CONTINUE_ANSWER.data(), CONTINUE_ANSWER.size()), redirect_error(use_awaitable, error));
-        }
-        while (!error && !parser.is_done() && !connection.reservation.isRevoked() && !limit.expired) {
-            co_await http::async_read_some(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, error));
-            connection.hold(parser.get().body().size());
-        }
-        if (!error && !parser.is_done() && limit.expired) {
-            // The time ended after a read had completed, so no read was cancelled.
-            error = boost::beast::error::timeout;
-        }
-        if (connection.reservation.isRevoked()) {
-            error = boost::asio::error::no_buffer_space;
-        }
-        co_return error;
-    }
-
-    awaitable<bool> awaitFirstByte(Connection &connection)
+    awaitable<bool> awaitFirstByte(ServerConnection &connection)
     {
         if (connection.buffer.size() > 0 && !destroyed_) {
             co_return true;
@@ -570,7 +363,7 @@
 
     /// \brief Closes \a connection at \a end unless a request has come or the limits have been raised. A timer of the stream would keep the idle timeout of
     /// the beginning, and could close the connection although a request is there.
-    void awaitIdleEnd(Connection &connection, Time end)
+    void awaitIdleEnd(ServerConnection &connection, Time end)
     {
         connection.idleTimer.expires_after(end - MilliClock::now());
         connection.idleTimer.async_wait(
@@ -581,7 +374,7 @@
             });
     }
 
-    void checkIdleEnd(Connection &connection)
+    void checkIdleEnd(ServerConnection &connection)
     {
         if (!connection.awaitsRequest) {
             // The request came in the same turn of the event loop, and the timer could not be cancelled any more.
@@ -597,7 +390,7 @@
     }
 
     /// \brief Reason why a connection ended that was waiting for a request.
-    [[nodiscard]] ConnectionEndReason endReasonOf(const Connection &connection) const
+    [[nodiscard]] ConnectionEndReason endReasonOf(const ServerConnection &connection) const
     {
         if (connection.idleExpired) {
             return ConnectionEndReason::IdleTimeout;
@@ -605,9 +398,9 @@
         return stopping_ ? ConnectionEndReason::Shutdown : ConnectionEndReason::CallerClosed;
     }
 
-    awaitable<void> rejectUnreadable(Connection &connection, const boost::system::error_code &error)
+    awaitable<void> rejectUnreadable(ServerConnection &connection, const boost::system::error_code &error)
     {
-        const auto failure = describeReadError(error);
+        const auto failure = rejectionFor(error);
         if (!failure) {
             co_return;
         }
@@ -620,17 +413,13 @@
         co_await discard(connection.stream);
     }
 
-    awaitable<void> reject(boost::beast::tcp_stream &stream, ParseFailure failure)
+    awaitable<void> reject(boost::beast::tcp_stream &stream, RequestRejection failure)
     {
         HttpRequest request;
         request.version(11);
         request.keep_alive(false);
         HttpExchange exchange(stream, std::move(request), limits_);
-        HttpResponse response =
-            makeHttpResponse(failure.status, "application/json", errorBody(failure.message, failure.code, "invalid_request_error", "not_run"));
-        if (failure.status == STATUS_UNAVAILABLE) {
-            response.set(http::field::retry_after, OVERLOADED_RETRY_AFTER_SECONDS);
-        }
+        HttpResponse response = makeRejection(failure);
         co_await exchange.respond(std::move(response));
     }
 
@@ -648,7 +437,7 @@
         }
     }
 
-    awaitable<void> runHandler(Connection &connection, HttpExchange &exchange)
+    awaitable<void> runHandler(ServerConnection &connection, HttpExchange &exchange)
     {
         std::optional<std::string> failure;
         connection.end.reason = ConnectionEndReason::Completed;
@@ -678,8 +467,8 @@
         if (failure && exchange.hasResponded()) {
             exchange.abort();
         } else if (!exchange.hasResponded()) {
-            co_await exchange.respond(
-                makeHttpResponse(STATUS_INTERNAL_ERROR, "application/json", errorBody("internal error", "internal-error", "server_error", "outcome_unknown")));
+            HttpResponse response = makeHandlerFailure();
+            co_await exchange.respond(std::move(response));
         }
     }
 
@@ -689,7 +478,7 @@
     ByteBudget heldBytes_;
     Handler handler_;
     EndHandler endHandler_;
-    std::list<Connection *> connections_;
+    std::list<ServerConnection *> connections_;
     /// \brief Accepted connections whose coroutines have not begun.
     std::size_t starting_ = 0;
     std::size_t active_ = 0;
