Read a request with the limits in force when it comes

The limits of header and body were taken when a connection began to wait for its next request, so the first request on each kept connection after a change was refused with 413 although every configuration in force allowed it. They are now taken when its first byte has come.

The buffer of a connection keeps the size by the limit of headers with which the connection was accepted.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -307,12 +307,13 @@
     /// \return true if the connection stays open for another request.
     awaitable<bool> serveRequest(Connection &connection)
     {
-        Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
-        parser.body_limit(limits_.maxBodyBytes);
         if (!co_await awaitFirstByte(connection)) {
             co_return false;
         }
+        // The limits may have changed while the connection was waiting.
+        Parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
+        parser.body_limit(limits_.maxBodyBytes);
         if (!connection.stream.socket().is_open()) {
             // The connection was closed before this coroutine resumed, so the caller could not receive a response.
             connection.end.reason = ConnectionEndReason::Shutdown;
--- a/tests/gateway/configurationchangetest.cpp
+++ b/tests/gateway/configurationchangetest.cpp
@@ -331,3 +331,29 @@
     // If no call waited, the stage was not reached.
     CHECK(gateway.waitedAtChange() > 0);
 }
+
+// Guards against a kept connection whose next request is refused with 413 by the limit of a version that was in force when the connection began to wait.
+TEST_CASE("A request on a kept connection has the limits in force when it comes", "[gateway][configuration]")
+{
+    const auto documentOf = [](int version, int maxBodyBytes) {
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routeText("safe", "safe", "plain", {})
+               + R"(],"services":[{"name":"plain","maxConns":50}],"limits":{"maxBodyBytes":)" + std::to_string(maxBodyBytes) + "}}";
+    };
+    GatewayFixture fixture;
+    fixture.addEndpoint("p-1", "plain", answerPlain);
+    fixture.onStandins([&] {
+        fixture.store().put("keyed.op", "config", documentOf(1, 1000));
+    });
+    fixture.startGateway();
+    fixture.awaitReady();
+    const std::unique_ptr<CallerConnection> connection = fixture.start(GatewayFixture::request(http::verb::post, "/safe/x", "small"));
+    CHECK(connection->response().result_int() == 200);
+    fixture.onStandins([&] {
+        fixture.store().put("keyed.op", "config", documentOf(2, 10'000));
+    });
+    fixture.gateway().waitForOutput("ServingConfigurationInForce process=g1 version=2 ");
+    HttpRequest large = GatewayFixture::request(http::verb::post, "/safe/x", "large");
+    large.body() = std::string(5000, 'x');
+    connection->send(std::move(large));
+    CHECK(connection->response().result_int() == 200);
+}
