--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -283,12 +283,13 @@
     /// \return true if the connection stays open for another request.
     awaitable<bool> serveRequest(ServerConnection &connection)
     {
-        RequestParser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
-        parser.body_limit(limits_.maxBodyBytes);
         if (!co_await awaitFirstByte(connection)) {
             co_return false;
         }
+        // The limits may have changed while the connection was waiting.
+        RequestParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
+        parser.body_limit(limits_.maxBodyBytes);
         connection.busy = true;
         connection.reservation.setRevocable(true);
         const boost::system::error_code error = co_await readRequest(connection, parser, limits_.transferTimeout);
