--- a/tests/gateway/configurationgrowthtest.cpp
+++ b/tests/gateway/configurationgrowthtest.cpp
@@ -32,14 +32,14 @@
 }
 
 /// \brief Text of a version with \a added routes besides those that callers use. \param suffix tells routes of versions with the same number apart.
-std::string versionText(std::int64_t version, std::size_t added, const std::string &suffix = {})
+std::string versionText(std::int64_t version, std::size_t added, const std::string &suffix = {}, const ServingConfigurationSize &size = SIZE)
 {
     std::string first = routeFor("safe", "safe") + routeFor("post", "unsafe") + routeFor("stream", "streaming", R"(,"resumable":false)")
                         + routeFor("resume", "streaming", R"(,"resumable":true)");
     for (std::size_t i = 0; i < added; ++i) {
         first += routeFor("added-" + std::to_string(i) + suffix, "safe");
     }
-    return servingConfigurationText(SIZE, version, first, static_cast<int>(KeptCallers::IDLE_TIMEOUT.count()));
+    return servingConfigurationText(size, version, first, static_cast<int>(KeptCallers::IDLE_TIMEOUT.count()));
 }
 
 /// \brief Answers within some tens of milliseconds, streams in three events.
@@ -475,3 +475,23 @@
     deployment.checkStalls({0, 1});
     deployment.finish();
 }
+
+// Guards against a gateway that never reads a configuration again once its record has grown beyond what one answer of the store may have.
+TEST_CASE("A configuration of some megabytes comes into force from a snapshot and as a change", "[gateway][growth]")
+{
+    constexpr ServingConfigurationSize size = {16'000, 1'200, 2};
+    GatewayFixture fixture;
+    fixture.addEndpoint("i-1", "plain", answerSoon);
+    const auto write = [&](std::int64_t version) {
+        const std::string text = versionText(version, 1, {}, size);
+        fixture.onStandins([&] {
+            fixture.store().put(OPERATORS, "config", text);
+        });
+    };
+    write(1);
+    fixture.startGateway();
+    fixture.awaitReady();
+    write(2);
+    fixture.gateway().waitForOutput("version=2 routes=");
+    CHECK_FALSE(fixture.gateway().hasOutput("StoreLost"));
+}
