Let a call of HttpClient state the time to the head, without data, and in all

A total timeout ends a large answer over a slow link although its bytes go on arriving. The calls with one timeout keep it for the whole response.

--- a/include/mimosatally/http/httpclient.h
+++ b/include/mimosatally/http/httpclient.h
@@ -30,7 +30,17 @@
     BodyEnd end = BodyEnd::NotReached;
 };
 
-/// rief HTTP/1.1 client of one server; keeps idle connections for reuse.
+/// \brief Time limits of one call, from when its connection stands.
+struct CallTimeouts {
+    /// \brief Time to the end of the response's head.
+    Duration head;
+    /// \brief Longest time without data of the body.
+    Duration progress;
+    /// \brief Time to the end of the response.
+    Duration total;
+};
+
+/// \brief HTTP/1.1 client of one server; keeps idle connections for reuse.
 ///
 /// A request is never resent: a failure after the first byte was written is reported to the caller.
 class HttpClient
@@ -55,6 +65,9 @@
     /// the error is a ConnectError.
     boost::asio::awaitable<HttpResponse> send(HttpRequest request, Duration timeout);
 
+    /// \brief Sends a request whose response may be large, and reads the whole response. \throws UnreachableError as send(), for each of \a timeouts.
+    boost::asio::awaitable<HttpResponse> send(HttpRequest request, CallTimeouts timeouts);
+
     /// \brief Sends a request if \a allowed still returns true when the connection stands, immediately before the first byte is written.
     /// \throws ConnectError if it does not, as nothing was sent. \throws UnreachableError as send().
     boost::asio::awaitable<HttpResponse> sendIf(HttpRequest request, Duration timeout, std::function<bool()> allowed);
@@ -68,6 +81,7 @@
 private:
     using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
+    boost::asio::awaitable<HttpResponse> exchange(HttpRequest request, CallTimeouts timeouts, std::function<bool()> allowed);
     boost::asio::awaitable<Stream> acquire();
     boost::asio::awaitable<Stream> connect();
     void release(Stream stream);
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "answerstatus.h"
 #include "receivedchunks.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -69,6 +70,21 @@
     }
     co_return http::make_error_code(http::error::unexpected_body);
 }
+
+/// \brief Reads the rest of a response. \param progressTimeout longest time without data. \param end time at which the response must be complete.
+awaitable<boost::system::error_code> readBody(
+    boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, http::response_parser<http::string_body> &parser, Duration progressTimeout, Time end)
+{
+    boost::system::error_code error;
+    while (!parser.is_done() && !error) {
+        stream.expires_after(std::clamp(end - MilliClock::now(), Duration(0), progressTimeout));
+        co_await http::async_read_some(stream, buffer, parser, redirect_error(use_awaitable, error));
+        if (!error) {
+            internal::parseReceivedChunks(parser, buffer);
+        }
+    }
+    co_return error;
+}
 } // namespace
 
 HttpClient::HttpClient(boost::asio::io_context &io, tcp::endpoint server, Options options)
@@ -127,12 +143,22 @@
 
 awaitable<HttpResponse> HttpClient::send(HttpRequest request, Duration timeout)
 {
-    return sendIf(std::move(request), timeout, [] {
+    return send(std::move(request), CallTimeouts {timeout, timeout, timeout});
+}
+
+awaitable<HttpResponse> HttpClient::send(HttpRequest request, CallTimeouts timeouts)
+{
+    return exchange(std::move(request), timeouts, [] {
         return true;
     });
 }
 
 awaitable<HttpResponse> HttpClient::sendIf(HttpRequest request, Duration timeout, std::function<bool()> allowed)
+{
+    return exchange(std::move(request), {timeout, timeout, timeout}, std::move(allowed));
+}
+
+awaitable<HttpResponse> HttpClient::exchange(HttpRequest request, CallTimeouts timeouts, std::function<bool()> allowed)
 {
     prepare(request);
     Stream stream = co_await acquire();
@@ -140,7 +166,8 @@
         throw ConnectError(toString(server_) + ": the request is not allowed any more");
     }
     boost::system::error_code error;
-    stream->expires_after(timeout);
+    const Time end = MilliClock::now() + timeouts.total;
+    stream->expires_after(std::min(timeouts.head, timeouts.total));
     co_await http::async_write(*stream, request, redirect_error(use_awaitable, error));
     if (error) {
         throwUnreachable(server_, error);
@@ -149,7 +176,7 @@
     std::unique_ptr<http::response_parser<http::string_body>> parser;
     error = co_await readFinalHead(*stream, buffer, parser, options_.maxResponseBytes);
     if (!error) {
-        co_await http::async_read(*stream, buffer, *parser, redirect_error(use_awaitable, error));
+        error = co_await readBody(*stream, buffer, *parser, timeouts.progress, end);
     }
     if (error) {
         throwUnreachable(server_, error);
