Read large configurations of the store over slow links

Cause: a read of the configuration had 800 ms in all, or 2,300 ms with the long poll. Change: these reads have 800 ms to the head (2,300 ms with the long poll), 800 ms without data, and 20 s in all. Reads of endpoints keep their times.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -21,6 +21,8 @@
 constexpr Duration ENDPOINT_POLL_INTERVAL = Duration(900);
 /// \brief A slow store answers within some hundred milliseconds.
 constexpr Duration ANSWER_TIMEOUT = Duration(800);
+/// \brief A large configuration takes some seconds over a slow link, and counts as lost if no more of it comes.
+constexpr Duration CONFIGURATION_TIMEOUT = Duration(20'000);
 constexpr Duration MIN_BACKOFF = Duration(250);
 constexpr Duration MAX_BACKOFF = Duration(1000);
 constexpr int MAX_BACKOFF_DOUBLINGS = 2;
@@ -211,7 +213,8 @@
 
 awaitable<void> StoreFollower::readConfigurationSnapshot(TopicCursor &cursor)
 {
-    platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Operators, ANSWER_TIMEOUT);
+    const CallTimeouts timeouts {ANSWER_TIMEOUT, ANSWER_TIMEOUT, CONFIGURATION_TIMEOUT};
+    platform::KeyedSnapshot snapshot = co_await store_.newest(platform::KeyedTopic::Operators, timeouts);
     if (gateway_.observeStoreEra(snapshot.era, cursor.topic, MilliClock::now()) == StoreEraTracker::Observation::Outdated) {
         co_return;
     }
@@ -233,8 +236,8 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
-    const Duration timeout = CONFIGURATION_POLL_WAIT + ANSWER_TIMEOUT;
-    auto answer = co_await store_.read(platform::KeyedTopic::Operators, from.offset, CONFIGURATION_POLL_WAIT, timeout);
+    const CallTimeouts timeouts {CONFIGURATION_POLL_WAIT + ANSWER_TIMEOUT, ANSWER_TIMEOUT, CONFIGURATION_TIMEOUT};
+    auto answer = co_await store_.read(platform::KeyedTopic::Operators, from.offset, CONFIGURATION_POLL_WAIT, timeouts);
     auto *records = std::get_if<platform::KeyedRecords>(&answer);
     const std::optional<StoreEra> era = records == nullptr ? std::get<platform::OffsetUnavailable>(answer).era : records->era;
     const bool accepted = acceptAnswer(cursor, era, MilliClock::now());
