--- a/tests/gateway/largeconfigurationreadtest.cpp
+++ b/tests/gateway/largeconfigurationreadtest.cpp
@@ -123,3 +123,14 @@
     awaitVersion(fixture, 3);
     CHECK_FALSE(fixture.gateway().hasOutput(CONFIGURATION_LOST));
 }
+
+// Guards against a configuration that running gateways have in force and a gateway that starts cannot read, because its base64 exceeds a bound.
+TEST_CASE("A gateway that starts reads a configuration of more than 3 MB", "[gateway][largeconfiguration]")
+{
+    GatewayFixture fixture;
+    constexpr samples::ServingConfigurationSize size = {16'800, 2'400, 2};
+    LargeConfiguration configuration(fixture, size);
+    fixture.startGateway({}, configuration.storeLink().address());
+    awaitVersion(fixture, 1);
+    CHECK_FALSE(fixture.gateway().hasOutput(CONFIGURATION_LOST));
+}
