Let gateways send configurations of more than 1 MB to each other

Cause: Cap'n Proto 0.9 applies the bound of messages that the server receives to those that it sends, too. A peer with a larger configuration answered each call with "Trying to send Cap'n Proto message larger than our single-message size limit". Change: the bound of the server is 16 MB, as that of the gateway that asks.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -52,7 +52,8 @@
 /// \brief Time, within GRACE_MARGIN, to tell the callers of calls that are still running that they have failed.
 constexpr Duration FINAL_ANSWER_TIME = Duration(250);
 constexpr Duration SHUTDOWN_POLL_INTERVAL = Duration(50);
-constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
+/// \brief Cap'n Proto applies the bound to calls and to answers, which carry whole configurations.
+constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
 /// \brief Fraction of the memory limit that requests may hold; answers, which are larger, hold more.
 constexpr std::size_t REQUESTS_PER_MEMORY = 8;
 
