Fetch a configuration of a peer only if it is newer, and after the endpoints

Cause: a gateway that could not read the store fetched the whole configuration of a peer with each failure, although it had it in force; the answer had 800 ms in all, too little for a large configuration over a slow link; and the endpoints were applied after the configuration. Change: two calls. The first one fetches the endpoints without the configuration within 800 ms, and they are applied at once; it also shows that the peer answers. The second one states version and position of the known configuration, and the peer leaves its own out unless that is newer; it has 6 s. Gateways of earlier versions ignore the new fields and always send the configuration, which is then taken from the first answer.

--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 constexpr Duration CONNECT_TIMEOUT = Duration(500);
-constexpr Duration ANSWER_TIMEOUT = Duration(800);
 constexpr std::size_t MAX_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
 
 void writeRecord(const PositionedRecord &positioned, schema::StoreRecord::Builder message)
@@ -36,8 +35,29 @@
     }
     return {StoreEra(message.getEra()), std::move(record)};
 }
+
+/// \brief Returns whether the caller wants a configuration of rank \a own.
+bool isWanted(schema::Gateway::NewestRecordsParams::Reader params, const ConfigurationRank &own)
+{
+    if (params.getWithoutConfiguration()) {
+        return false;
+    }
+    if (!params.hasKnown()) {
+        return true;
+    }
+    const auto known = params.getKnown();
+    return own > ConfigurationRank {known.getVersion(), {StoreEra(known.getEra()), Offset(known.getOffset())}};
+}
 } // namespace
 
+std::optional<ConfigurationRank> NewestRecords::configurationRank() const
+{
+    if (!configuration) {
+        return std::nullopt;
+    }
+    return ConfigurationRank {configurationVersion, configuration->position()};
+}
+
 PeerService::PeerService(const NewestRecords &records)
     : records_(records)
 {
@@ -48,7 +68,8 @@
     const auto params = context.getParams();
     const StorePosition from {StoreEra(params.getEndpointsFromEra()), Offset(params.getEndpointsFrom())};
     auto results = context.getResults();
-    if (records_.configuration) {
+    const std::optional<ConfigurationRank> rank = records_.configurationRank();
+    if (rank && isWanted(params, *rank)) {
         writeRecord(*records_.configuration, results.initConfiguration());
     }
     std::vector<const PositionedRecord *> newer;
@@ -64,16 +85,23 @@
     return kj::READY_NOW;
 }
 
-awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, StorePosition endpointsFrom)
+awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, PeerQuery query)
 {
     const auto connection = co_await RpcConnection::connect(rpc, parseAddress(address), CONNECT_TIMEOUT, MAX_MESSAGE_BYTES);
     schema::Gateway::Client peer = connection->bootstrap().castAs<schema::Gateway>();
     auto request = peer.newestRecordsRequest();
-    request.setEndpointsFrom(endpointsFrom.offset.count());
-    request.setEndpointsFromEra(endpointsFrom.era.count());
+    request.setEndpointsFrom(query.endpointsFrom.offset.count());
+    request.setEndpointsFromEra(query.endpointsFrom.era.count());
+    request.setWithoutConfiguration(!query.wantsConfiguration);
+    if (query.knownConfiguration) {
+        auto known = request.initKnown();
+        known.setVersion(query.knownConfiguration->version);
+        known.setEra(query.knownConfiguration->position.era.count());
+        known.setOffset(query.knownConfiguration->position.offset.count());
+    }
     using Answer = capnp::Response<schema::Gateway::NewestRecordsResults>;
     kj::Promise<Answer> sent(request.send());
-    const Answer answer = co_await awaitPromise(rpc.io(), kj::mv(sent), ANSWER_TIMEOUT);
+    const Answer answer = co_await awaitPromise(rpc.io(), kj::mv(sent), query.timeout);
     NewestRecords records;
     if (answer.hasConfiguration()) {
         records.configuration = readRecord(answer.getConfiguration());
@@ -82,7 +110,7 @@
         PositionedRecord next = readRecord(record);
         std::string key = next.record.key;
         // A gateway of an earlier version knows no eras and sends records of all of them.
-        if (next.position() >= endpointsFrom) {
+        if (next.position() >= query.endpointsFrom) {
             records.endpoints.insert_or_assign(std::move(key), std::move(next));
         }
     }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -22,10 +22,33 @@
     }
 };
 
+/// \brief Order of configurations: a higher version is newer, and of the same version the later record of the store.
+struct ConfigurationRank {
+    std::int64_t version = 0;
+    StorePosition position;
+
+    auto operator<=>(const ConfigurationRank &) const = default;
+};
+
 /// \brief Newest store records that one gateway has read. Other gateways fetch them while they cannot read the store, at their start, and after a restore.
 struct NewestRecords {
     std::optional<PositionedRecord> configuration;
+    std::int64_t configurationVersion = 0;
     std::map<std::string, PositionedRecord> endpoints;
+
+    /// \brief Returns the rank of the configuration, if there is one.
+    [[nodiscard]] std::optional<ConfigurationRank> configurationRank() const;
+};
+
+/// \brief Records that a gateway wants of another one. By default, those are all.
+struct PeerQuery {
+    /// \brief Position of the first endpoint record that is not known; older ones are left out.
+    StorePosition endpointsFrom;
+    bool wantsConfiguration = true;
+    /// \brief Configuration that is known; the peer leaves its own out if that is not newer, unless the peer has an earlier version of the program.
+    std::optional<ConfigurationRank> knownConfiguration;
+    /// \brief Longest time to the end of the answer.
+    Duration timeout = Duration(800);
 };
 
 /// \brief Serves this gateway's records to other gateways.
@@ -41,8 +64,7 @@
     const NewestRecords &records_;
 };
 
-/// \brief Fetches the records of another gateway. \param endpointsFrom position of the first endpoint record that is not known; older ones are left out.
-/// \throws UnreachableError \throws Error
-boost::asio::awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, StorePosition endpointsFrom);
+/// \brief Fetches records of another gateway; the version of the configuration is not filled in. \throws UnreachableError \throws Error
+boost::asio::awaitable<NewestRecords> fetchPeerRecords(RpcContext &rpc, std::string address, PeerQuery query);
 
 } // namespace mimosatally::internal
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -23,6 +23,8 @@
 constexpr Duration ANSWER_TIMEOUT = Duration(800);
 /// \brief A large configuration takes some seconds over a slow link, and counts as lost if no more of it comes.
 constexpr Duration CONFIGURATION_TIMEOUT = Duration(20'000);
+/// \brief Time for a large configuration of a peer. While it passes, the store is not asked for the configuration.
+constexpr Duration PEER_CONFIGURATION_TIMEOUT = Duration(6000);
 constexpr Duration MIN_BACKOFF = Duration(250);
 constexpr Duration MAX_BACKOFF = Duration(1000);
 constexpr int MAX_BACKOFF_DOUBLINGS = 2;
@@ -57,22 +59,46 @@
         co_return;
     }
     try {
-        NewestRecords records = co_await fetchPeerRecords(rpc_, peer, endpointsFrom);
-        if (records.configuration) {
-            co_await applyConfigurationRecord(std::move(*records.configuration));
+        std::optional<PositionedRecord> configuration = co_await fetchEndpoints(peer, endpointsFrom);
+        // The peer is known to answer, so it gets the time that a large configuration takes.
+        if (!configuration) {
+            configuration = co_await fetchConfiguration(peer);
         }
-        const Time now = MilliClock::now();
-        for (const auto &[key, positioned] : records.endpoints) {
-            applyEndpointRecord(positioned.record, positioned.era, now);
+        if (configuration) {
+            co_await applyConfigurationRecord(std::move(*configuration));
+            gateway_.applyEndpoints(MilliClock::now());
         }
-        // The process may be ready from here on, so the router must know the endpoints at once.
-        gateway_.applyEndpoints(now);
     } catch (const Error &error) {
         gateway_.metrics.increment("mimosatally_peer_failures_total", {});
         logEvent(LogEvent::PeerUnreachable, {{"peer", peer}, {"error", error.what()}});
     }
 }
 
+awaitable<std::optional<PositionedRecord>> StoreFollower::fetchEndpoints(std::string peer, StorePosition from)
+{
+    PeerQuery query;
+    query.endpointsFrom = from;
+    query.wantsConfiguration = false;
+    NewestRecords records = co_await fetchPeerRecords(rpc_, peer, query);
+    const Time now = MilliClock::now();
+    for (const auto &[key, positioned] : records.endpoints) {
+        applyEndpointRecord(positioned.record, positioned.era, now);
+    }
+    // The process may be ready from here on, so the router must know the endpoints at once.
+    gateway_.applyEndpoints(now);
+    co_return std::move(records.configuration);
+}
+
+awaitable<std::optional<PositionedRecord>> StoreFollower::fetchConfiguration(std::string peer)
+{
+    PeerQuery query;
+    query.endpointsFrom = NO_ENDPOINTS;
+    query.knownConfiguration = newestRecords_.configurationRank();
+    query.timeout = PEER_CONFIGURATION_TIMEOUT;
+    NewestRecords records = co_await fetchPeerRecords(rpc_, peer, query);
+    co_return std::move(records.configuration);
+}
+
 awaitable<void> StoreFollower::followConfiguration(TaskContext &context)
 {
     TopicCursor cursor {"configuration"};
@@ -371,16 +397,13 @@
         co_return false;
     }
     cost.decodedRoutes = reading.decodedRoutes;
-    co_return prepared.configuration && putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
+    co_return prepared.configuration &&putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
 }
 
 bool StoreFollower::isNewer(std::int64_t version, const StorePosition &position) const
 {
-    if (!gateway_.configuration || version > gateway_.configuration->version) {
-        return true;
-    }
-    const std::optional<PositionedRecord> &newest = newestRecords_.configuration;
-    return version == gateway_.configuration->version && newest && position > newest->position();
+    const std::optional<ConfigurationRank> known = newestRecords_.configurationRank();
+    return !known || ConfigurationRank {version, position} > *known;
 }
 
 platform::EarlierReading StoreFollower::earlierReading() const
@@ -408,6 +431,7 @@
         gateway_.replaceConfiguration(std::move(prepared), cost);
     }
     newest = std::move(positioned);
+    newestRecords_.configurationVersion = gateway_.configuration->version;
     routeTexts_ = std::move(reading.routes);
     return true;
 }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -89,6 +89,11 @@
 
     /// \brief Fetches the records from the next peer. \param endpointsFrom position of the first endpoint record that is wanted.
     boost::asio::awaitable<void> fetchFromNextPeer(StorePosition endpointsFrom);
+    /// \brief Fetches the endpoints of a peer, which are more urgent than a configuration, and applies them.
+    /// \return a configuration that came with them: a peer of an earlier version always sends it.
+    boost::asio::awaitable<std::optional<PositionedRecord>> fetchEndpoints(std::string peer, StorePosition from);
+    /// \brief Fetches a configuration of a peer that is newer than the known one, if the peer has one.
+    boost::asio::awaitable<std::optional<PositionedRecord>> fetchConfiguration(std::string peer);
 
     GatewayState &gateway_;
     RpcContext &rpc_;
--- a/src/rpc/mimosatally.capnp
+++ b/src/rpc/mimosatally.capnp
@@ -158,9 +158,18 @@
   # Era of the store in which the record has its offset.
 }
 
+struct KnownConfiguration {
+  # Configuration that the caller has. A higher version is newer, and of the same version the later record of the store.
+  version @0 :Int64;
+  era @1 :Int64;
+  offset @2 :Int64;
+}
+
 interface Gateway {
-  newestRecords @0 (endpointsFrom :Int64, endpointsFromEra :Int64) -> (configuration :StoreRecord, endpoints :List(StoreRecord));
-  # The configuration as this gateway has it, and the newest record of each endpoint at endpointsFrom of that era or later.
+  newestRecords @0 (endpointsFrom :Int64, endpointsFromEra :Int64, withoutConfiguration :Bool, known :KnownConfiguration)
+      -> (configuration :StoreRecord, endpoints :List(StoreRecord));
+  # The configuration as this gateway has it, and the newest record of each endpoint at endpointsFrom of that era or later. The configuration is left out
+  # if it is not wanted or not newer than the known one; a gateway of an earlier version always sends it.
 }
 
 struct PeerAddress {
--- a/tests/gateway/largeconfigurationreadtest.cpp
+++ b/tests/gateway/largeconfigurationreadtest.cpp
@@ -134,3 +134,56 @@
     awaitVersion(fixture, 1);
     CHECK_FALSE(fixture.gateway().hasOutput(CONFIGURATION_LOST));
 }
+
+// Guards against a gateway without the store that never becomes ready, because the configuration of a peer exceeds the bound of a message or takes longer
+// than the timeout of an answer.
+TEST_CASE("A gateway without the store gets a large configuration of a peer over a slow link", "[gateway][largeconfiguration]")
+{
+    GatewayFixture fixture;
+    LargeConfiguration configuration(fixture);
+    SlowRelay &peer = configuration.addRelay(fixture.startPeer());
+    configuration.setRate(peer, SLOW_BYTES_PER_SECOND);
+    fixture.startGateway("peers = [\"" + peer.address() + "\"]\n", "127.0.0.1:1");
+    awaitVersion(fixture, 1);
+    fixture.awaitReady();
+}
+
+// Guards against a whole configuration that is fetched again with each failure of the store although it is in force.
+TEST_CASE("A gateway without the store fetches the configuration of a peer once", "[gateway][largeconfiguration]")
+{
+    GatewayFixture fixture;
+    LargeConfiguration configuration(fixture);
+    SlowRelay &peer = configuration.addRelay(fixture.startPeer());
+    fixture.startGateway("peers = [\"" + peer.address() + "\"]\n", "127.0.0.1:1");
+    awaitVersion(fixture, 1);
+    const std::size_t before = configuration.delivered(peer);
+    constexpr auto severalFailures = std::chrono::seconds(4);
+    std::this_thread::sleep_for(severalFailures);
+    constexpr std::size_t severalAnswersWithoutConfiguration = 100'000;
+    CHECK(configuration.delivered(peer) - before < severalAnswersWithoutConfiguration);
+    configuration.put(2);
+    awaitVersion(fixture, 2);
+}
+
+// Guards against endpoints that get no calls, or go on getting them, for the seconds that a configuration of a peer takes.
+TEST_CASE("A gateway without the store applies the endpoints of a peer before its configuration", "[gateway][largeconfiguration]")
+{
+    GatewayFixture fixture;
+    LargeConfiguration configuration(fixture);
+    SlowRelay &peer = configuration.addRelay(fixture.startPeer());
+    fixture.startGateway("peers = [\"" + peer.address() + "\"]\n", "127.0.0.1:1");
+    awaitVersion(fixture, 1);
+    constexpr std::size_t almostCut = 1;
+    configuration.setRate(peer, almostCut);
+    fixture.gateway().waitForOutput("PeerUnreachable");
+    configuration.put(2);
+    fixture.addEndpoint("i-2", "plain", [](const HttpRequest &) -> AnswerSteps {
+        return {};
+    });
+    constexpr auto peerReadsBoth = std::chrono::seconds(3);
+    std::this_thread::sleep_for(peerReadsBoth);
+    configuration.setRate(peer, SLOW_BYTES_PER_SECOND);
+    awaitVersion(fixture, 2);
+    const std::string output = fixture.gateway().output();
+    CHECK(output.find("EndpointChanged process=g1 endpoint=i-2") < output.find("ServingConfigurationInForce process=g1 version=2"));
+}
