--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -68,9 +68,9 @@
     const auto params = context.getParams();
     const StorePosition from {StoreEra(params.getEndpointsFromEra()), Offset(params.getEndpointsFrom())};
     auto results = context.getResults();
-    const std::optional<ConfigurationRank> rank = records_.configurationRank();
-    if (rank && isWanted(params, *rank)) {
-        writeRecord(*records_.configuration, results.initConfiguration());
+    const std::optional<PositionedRecord> &configuration = records_.configuration;
+    if (configuration && isWanted(params, {records_.configurationVersion, configuration->position()})) {
+        writeRecord(*configuration, results.initConfiguration());
     }
     std::vector<const PositionedRecord *> newer;
     for (const auto &[key, record] : records_.endpoints) {
