--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -409,7 +409,7 @@
 platform::EarlierReading StoreFollower::earlierReading() const
 {
     const std::optional<PositionedRecord> &newest = newestRecords_.configuration;
-    if (!gateway_.configuration || !newest) {
+    if (!gateway_.configuration || !newest || !newest->record.value) {
         return {};
     }
     return {gateway_.configuration.get(), *newest->record.value, routeTexts_};
@@ -426,7 +426,7 @@
     positioned.record.value = std::move(reading.text);
     if (!sameVersion) {
         gateway_.applyConfiguration(std::move(prepared), cost);
-    } else if (newest->record.value != positioned.record.value) {
+    } else if (newest && newest->record.value != positioned.record.value) {
         // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
         gateway_.replaceConfiguration(std::move(prepared), cost);
     }
