--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -56,7 +56,8 @@
 /// \brief Time, within GRACE_MARGIN, to answer the requests that arrive while the connections are being closed.
 constexpr Duration CONNECTION_CLOSE_TIME = Duration(100);
 constexpr Duration SHUTDOWN_POLL_INTERVAL = Duration(50);
-constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(1024) * 1024;
+/// \brief Cap'n Proto applies the bound to calls and to answers, which carry whole configurations.
+constexpr std::size_t MAX_PEER_MESSAGE_BYTES = std::size_t(16) * 1024 * 1024;
 /// \brief A connection is closed this much later than its caller may use it. The caller counts from when it got the last answer, and a slow link that is busy
 /// delays that answer and the next request by seconds.
 constexpr Duration IDLE_MARGIN = Duration(5000);
