--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -418,7 +418,10 @@
         co_return false;
     }
     cost.decodedRoutes = reading.decodedRoutes;
-    co_return prepared.configuration &&putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
+    if (!prepared.configuration) {
+        co_return false;
+    }
+    co_return putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
 }
 
 bool StoreFollower::isNewer(std::int64_t version, const StorePosition &position) const
