--- a/review/harness-3/bed.h
+++ b/review/harness-3/bed.h
@@ -501,9 +501,26 @@
         silent_ = true;
     }
 
+    /// \brief Falls silent when the connection after the next \a count ones comes, and calls \a then.
+    void fallSilentAfter(int count, std::function<void()> then)
+    {
+        then_ = std::move(then);
+        left_ = count;
+    }
+
+    /// \brief Takes back fallSilentAfter().
+    void stayOpen()
+    {
+        left_ = -1;
+    }
+
 private:
     void pass(Channel &near)
     {
+        if (left_ >= 0 && left_-- == 0) {
+            silent_ = true;
+            then_();
+        }
         const auto far = connectTo(targetIp_, targetPort_);
         if (!far) {
             return;
@@ -537,6 +554,9 @@
     std::string targetIp_;
     int targetPort_;
     std::atomic<bool> silent_ = false;
+    /// \brief Connections that are still passed on; below zero if it does not matter.
+    std::atomic<int> left_ = -1;
+    std::function<void()> then_;
     Server server_;
 };
 
@@ -584,6 +604,19 @@
         doors_.at(door)->mode = mode;
     }
 
+    /// \brief Returns whether a read of one gateway waits for records.
+    [[nodiscard]] bool waits(std::size_t door) const
+    {
+        return doors_.at(door)->waits;
+    }
+
+    /// \brief Ends all channels of one gateway; new ones are accepted at once.
+    void endChannels(std::size_t door)
+    {
+        doors_.at(door)->server->stop();
+        doors_.at(door)->server->open();
+    }
+
     /// \brief Deals the partitions of all groups to other members at once, without any request of a member.
     void rebalance()
     {
@@ -625,6 +658,7 @@
     struct Door {
         std::unique_ptr<Server> server;
         std::atomic<Mode> mode = Mode::Serving;
+        std::atomic<bool> waits = false;
     };
 
     static std::string parameter(const std::string &target, const std::string &name)
@@ -642,7 +676,9 @@
         constexpr Ms idle(60'000);
         Message request;
         while (readMessage(channel, request, idle)) {
+            door.waits = request.second.find("waitMs=") != std::string::npos;
             const std::string answer = answerTo(request);
+            door.waits = false;
             if (door.mode == Mode::Silent) {
                 // A channel on which an answer is lost returns nothing further.
                 while (channel.fill(idle)) {
