A peer that falls silent no longer keeps a gateway from reading the store

Callers saw 404 for a route up to 7.4 s after its version was acknowledged (bound: 2.5 s), at gateways that nothing had happened to: one of their seeds had lost power between its answers to two questions.

Change: peers are asked by PeerReader beside the reads of the store, each with one open question at most (PeerQuestions); RecordIntake applies the records of both. Overlapping readings keep what they refer to and are compared again with the configuration in force at their end. The first read after a failure does not poll. An unreadable answer of a peer is an error of that peer and does not end the task.

--- a/bench/loop/loopbench.cpp
+++ b/bench/loop/loopbench.cpp
@@ -265,7 +265,7 @@
     platform::KeyedRecord configuration;
     configuration.key = platform::CONFIGURATION_KEY;
     configuration.value = servingConfigurationText({static_cast<std::size_t>(state.range(1)), 1200, 2}, 7);
-    records.configuration = PositionedRecord {StoreEra(0), std::move(configuration)};
+    records.configuration = std::make_shared<const PositionedRecord>(PositionedRecord {StoreEra(0), std::move(configuration)});
     kj::EventLoop loop;
     kj::WaitScope scope(loop);
     schema::Gateway::Client client = kj::heap<PeerService>(records);
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -102,7 +102,9 @@
         : signals_(io_, SIGTERM, SIGINT)
         , gateway_(io_, settings)
         , callHandler_(gateway_)
-        , storeFollower_(gateway_, rpc_)
+        , recordIntake_(gateway_)
+        , peerReader_(gateway_, rpc_, recordIntake_)
+        , storeFollower_(gateway_, recordIntake_, peerReader_)
         , endpointHistory_(gateway_)
         , dutyLease_(gateway_)
         , orderController_(gateway_, dutyLease_)
@@ -143,7 +145,7 @@
             return endpointHistory_.cover();
         });
         if (!settings.peerListen.empty()) {
-            peerServer_.emplace(rpc_, parseAddress(settings.peerListen), kj::heap<PeerService>(storeFollower_.newestRecords()), MAX_PEER_MESSAGE_BYTES);
+            peerServer_.emplace(rpc_, parseAddress(settings.peerListen), kj::heap<PeerService>(recordIntake_.newest()), MAX_PEER_MESSAGE_BYTES);
         }
         if (!settings.notices.empty()) {
             noticeExchange_.emplace(gateway_);
@@ -344,6 +346,11 @@
         metrics.set("mimosatally_answers_revoked", {}, static_cast<double>(gateway_.answerBytes.revocations()));
         metrics.set("mimosatally_endpoints", {}, static_cast<double>(gateway_.registry.endpoints().size()));
         internal::setSpeedMetrics(gateway_.router, metrics);
+        const std::optional<Time> read = storeFollower_.configurationReadAt();
+        if (read) {
+            metrics.set("mimosatally_configuration_read_age_ms", {}, static_cast<double>((MilliClock::now() - *read).count()));
+        }
+        metrics.set("mimosatally_configuration_read_pending", {}, storeFollower_.isReadingConfiguration() ? 1 : 0);
         metrics.set("mimosatally_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
         HttpResponse response = makeHttpResponse(STATUS_OK, "text/plain; version=0.0.4", metrics.exposition());
         co_await exchange.respond(std::move(response));
@@ -428,6 +435,8 @@
     boost::asio::signal_set signals_;
     GatewayState gateway_;
     CallHandler callHandler_;
+    RecordIntake recordIntake_;
+    PeerReader peerReader_;
     StoreFollower storeFollower_;
     EndpointHistory endpointHistory_;
     DutyLease dutyLease_;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -48,6 +48,25 @@
     const auto known = params.getKnown();
     return own > ConfigurationRank {known.getVersion(), {StoreEra(known.getEra()), Offset(known.getOffset())}};
 }
+/// \brief Copies the records out of an answer. \throws MalformedInputError if it cannot be read.
+NewestRecords readRecords(schema::Gateway::NewestRecordsResults::Reader answer, StorePosition endpointsFrom)
+try {
+    NewestRecords records;
+    if (answer.hasConfiguration()) {
+        records.configuration = std::make_shared<const PositionedRecord>(readRecord(answer.getConfiguration()));
+    }
+    for (const auto record : answer.getEndpoints()) {
+        PositionedRecord next = readRecord(record);
+        std::string key = next.record.key;
+        // A gateway of an earlier version knows no eras and sends records of all of them.
+        if (next.position() >= endpointsFrom) {
+            records.endpoints.insert_or_assign(std::move(key), std::move(next));
+        }
+    }
+    return records;
+} catch (const kj::Exception &exception) {
+    throw MalformedInputError(std::string("the answer cannot be read: ") + exception.getDescription().cStr());
+}
 } // namespace
 
 std::optional<ConfigurationRank> NewestRecords::configurationRank() const
@@ -68,7 +87,7 @@
     const auto params = context.getParams();
     const StorePosition from {StoreEra(params.getEndpointsFromEra()), Offset(params.getEndpointsFrom())};
     auto results = context.getResults();
-    const std::optional<PositionedRecord> &configuration = records_.configuration;
+    const std::shared_ptr<const PositionedRecord> &configuration = records_.configuration;
     if (configuration && isWanted(params, {records_.configurationVersion, configuration->position()})) {
         writeRecord(*configuration, results.initConfiguration());
     }
@@ -102,19 +121,7 @@
     using Answer = capnp::Response<schema::Gateway::NewestRecordsResults>;
     kj::Promise<Answer> sent(request.send());
     const Answer answer = co_await awaitPromise(rpc.io(), kj::mv(sent), query.timeout);
-    NewestRecords records;
-    if (answer.hasConfiguration()) {
-        records.configuration = readRecord(answer.getConfiguration());
-    }
-    for (const auto record : answer.getEndpoints()) {
-        PositionedRecord next = readRecord(record);
-        std::string key = next.record.key;
-        // A gateway of an earlier version knows no eras and sends records of all of them.
-        if (next.position() >= query.endpointsFrom) {
-            records.endpoints.insert_or_assign(std::move(key), std::move(next));
-        }
-    }
-    co_return records;
+    co_return readRecords(answer, query.endpointsFrom);
 }
 
 } // namespace mimosatally::internal
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -6,6 +6,7 @@
 
 #include <mimosatally/Rpc>
 
+#include <memory>
 #include <platform/storeclient.h>
 
 namespace mimosatally::internal
@@ -32,7 +33,8 @@
 
 /// \brief Newest store records that one gateway has read. Other gateways fetch them while they cannot read the store, at their start, and after a restore.
 struct NewestRecords {
-    std::optional<PositionedRecord> configuration;
+    /// \brief Null if none is known. It does not change, so that what reads it may go on while another one is put in force.
+    std::shared_ptr<const PositionedRecord> configuration;
     std::int64_t configurationVersion = 0;
     std::map<std::string, PositionedRecord> endpoints;
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -3,9 +3,6 @@
 #include <mimosatally/Http>
 
 #include <algorithm>
-#include <limits>
-#include <map>
-#include <platform/recordcodec.h>
 #include <set>
 #include <utility>
 
@@ -25,8 +22,6 @@
 constexpr Duration ANSWER_TIMEOUT = Duration(800);
 /// \brief A large configuration takes some seconds over a slow link, and counts as lost if no more of it comes.
 constexpr Duration CONFIGURATION_TIMEOUT = Duration(20'000);
-/// \brief Time for a large configuration of a peer. While it passes, the store is not asked for the configuration.
-constexpr Duration PEER_CONFIGURATION_TIMEOUT = Duration(6000);
 constexpr Duration MIN_BACKOFF = Duration(250);
 constexpr Duration MAX_BACKOFF = Duration(1000);
 constexpr int MAX_BACKOFF_DOUBLINGS = 2;
@@ -34,73 +29,16 @@
 constexpr Duration PAUSE_AFTER_VERSION = Duration(100);
 /// \brief Spreads the snapshots that all gateways read after a restore of the store.
 constexpr Duration MAX_PAUSE_BEFORE_SNAPSHOT = Duration(300);
-/// \brief Position from which a peer has no endpoint records to tell: only its configuration is wanted.
-constexpr StorePosition NO_ENDPOINTS = {platform::MAX_STORE_ERA + StoreEra(1), Offset(0)};
 } // namespace
 
-StoreFollower::StoreFollower(GatewayState &gateway, RpcContext &rpc)
+StoreFollower::StoreFollower(GatewayState &gateway, RecordIntake &intake, PeerReader &peers)
     : gateway_(gateway)
-    , rpc_(rpc)
+    , intake_(intake)
+    , peers_(peers)
     , store_(gateway.io, parseAddress(gateway.settings.store))
 {
 }
 
-const NewestRecords &StoreFollower::newestRecords() const
-{
-    return newestRecords_;
-}
-
-awaitable<void> StoreFollower::fetchFromNextPeer(StorePosition endpointsFrom)
-{
-    const std::vector<std::string> peers = gateway_.settings.peers;
-    if (peers.empty()) {
-        co_return;
-    }
-    const std::string &peer = peers[nextPeer_++ % peers.size()];
-    if (peer == gateway_.settings.peerListen) {
-        co_return;
-    }
-    try {
-        std::optional<PositionedRecord> configuration = co_await fetchEndpoints(peer, endpointsFrom);
-        // The peer is known to answer, so it gets the time that a large configuration takes.
-        if (!configuration) {
-            configuration = co_await fetchConfiguration(peer);
-        }
-        if (configuration) {
-            co_await applyConfigurationRecord(std::move(*configuration));
-            gateway_.applyEndpoints(MilliClock::now());
-        }
-    } catch (const Error &error) {
-        gateway_.metrics.increment("mimosatally_peer_failures_total", {});
-        logEvent(LogEvent::PeerUnreachable, {{"peer", peer}, {"error", error.what()}});
-    }
-}
-
-awaitable<std::optional<PositionedRecord>> StoreFollower::fetchEndpoints(std::string peer, StorePosition from)
-{
-    PeerQuery query;
-    query.endpointsFrom = from;
-    query.wantsConfiguration = false;
-    NewestRecords records = co_await fetchPeerRecords(rpc_, peer, query);
-    const Time now = MilliClock::now();
-    for (const auto &[key, positioned] : records.endpoints) {
-        applyEndpointRecord(positioned.record, positioned.era, now);
-    }
-    // The process may be ready from here on, so the router must know the endpoints at once.
-    gateway_.applyEndpoints(now);
-    co_return std::move(records.configuration);
-}
-
-awaitable<std::optional<PositionedRecord>> StoreFollower::fetchConfiguration(std::string peer)
-{
-    PeerQuery query;
-    query.endpointsFrom = NO_ENDPOINTS;
-    query.knownConfiguration = newestRecords_.configurationRank();
-    query.timeout = PEER_CONFIGURATION_TIMEOUT;
-    NewestRecords records = co_await fetchPeerRecords(rpc_, peer, query);
-    co_return std::move(records.configuration);
-}
-
 awaitable<void> StoreFollower::followConfiguration(TaskContext &context)
 {
     TopicCursor cursor {"configuration"};
@@ -108,26 +46,26 @@
     while (running) {
         std::string failure;
         Duration pause = PAUSE_AFTER_VERSION;
+        readingConfiguration_ = true;
         try {
             const ReadResult result = co_await readConfiguration(cursor);
             pause = result == ReadResult::SnapshotNeeded ? pauseBeforeSnapshot() : pause;
         } catch (const Error &error) {
             failure = error.what();
         }
+        readingConfiguration_ = false;
         if (failure.empty()) {
             if (cursor.lost) {
                 recordNetworkReturn();
             }
             recordSuccess(cursor);
-            if (peersToAsk_ > 0) {
-                --peersToAsk_;
-                co_await fetchFromNextPeer(NO_ENDPOINTS);
-            }
+            configurationReadAt_ = MilliClock::now();
+            peers_.askAfterSuccess();
         } else {
             recordFailure(cursor, failure);
             pause = backoffAfterFailure(cursor);
-            // The next failure of the store tries the next peer.
-            co_await fetchFromNextPeer(nextEndpoint_);
+            // The store is asked again after the pause, whether the peer has answered or not.
+            peers_.ask(nextEndpoint_);
         }
         running = co_await context.sleep(pause);
     }
@@ -169,6 +107,16 @@
     endpointReader_ = nullptr;
 }
 
+std::optional<Time> StoreFollower::configurationReadAt() const
+{
+    return configurationReadAt_;
+}
+
+bool StoreFollower::isReadingConfiguration() const
+{
+    return readingConfiguration_;
+}
+
 Duration StoreFollower::pauseAfterEndpoints(ReadResult result)
 {
     if (result == ReadResult::SnapshotNeeded) {
@@ -218,7 +166,7 @@
     if (end.era == known.era && end.offset <= known.offset) {
         logEvent(LogEvent::StoreWentBack, {{"topic", "endpoints"}, {"end", end.offset}, {"known", known.offset}});
         gateway_.registry.forgetPositions();
-        newestRecords_.endpoints.clear();
+        intake_.forgetEndpoints();
         const Time now = MilliClock::now();
         gateway_.endpointObservation.recordRestore(now + EndpointRegistry::REREGISTRATION_TIME);
         gateway_.streams.versions().recordRestore(now);
@@ -249,10 +197,10 @@
     const StoreEra era = gateway_.storeEra.current();
     const std::int64_t before = gateway_.configuration ? gateway_.configuration->version : 0;
     const std::size_t records = snapshot.records.size();
-    co_await applyConfigurationRecords(std::move(snapshot.records), era);
+    co_await intake_.applyConfigurations(std::move(snapshot.records), era);
     cursor.next = StorePosition {era, snapshot.next};
     // The store may have lost a version that other gateways have in force.
-    peersToAsk_ = gateway_.settings.peers.size();
+    peers_.askEach();
     logReadAgain(cursor, records, gateway_.configuration && gateway_.configuration->version != before ? 1 : 0, 0);
 }
 
@@ -264,8 +212,10 @@
         co_return cursor.next ? ReadResult::UpToDate : ReadResult::SnapshotNeeded;
     }
     const StorePosition from = *cursor.next;
-    const CallTimeouts timeouts {CONFIGURATION_POLL_WAIT + ANSWER_TIMEOUT, ANSWER_TIMEOUT, CONFIGURATION_TIMEOUT};
-    auto answer = co_await store_.read(platform::KeyedTopic::Operators, from.offset, CONFIGURATION_POLL_WAIT, timeouts);
+    // After a failure, a connection that stays silent must not take as long as a poll.
+    const Duration wait = cursor.failures > 0 ? Duration(0) : CONFIGURATION_POLL_WAIT;
+    const CallTimeouts timeouts {wait + ANSWER_TIMEOUT, ANSWER_TIMEOUT, CONFIGURATION_TIMEOUT};
+    auto answer = co_await store_.read(platform::KeyedTopic::Operators, from.offset, wait, timeouts);
     auto *records = std::get_if<platform::KeyedRecords>(&answer);
     const std::optional<StoreEra> era = records == nullptr ? std::get<platform::OffsetUnavailable>(answer).era : records->era;
     const bool accepted = acceptAnswer(cursor, era, MilliClock::now());
@@ -276,7 +226,7 @@
         co_return ReadResult::SnapshotNeeded;
     }
     if (accepted) {
-        co_await applyConfigurationRecords(std::move(records->records), from.era);
+        co_await intake_.applyConfigurations(std::move(records->records), from.era);
         cursor.next = StorePosition {from.era, records->next};
     }
     co_return ReadResult::UpToDate;
@@ -301,7 +251,7 @@
     std::set<EndpointId> present;
     for (const platform::KeyedRecord &record : snapshot.records) {
         present.insert(EndpointId(record.key));
-        applyEndpointRecord(record, end.era, now);
+        intake_.applyEndpoint(record, end.era, now);
     }
     const auto missing = std::ranges::count_if(registry.endpoints(), [&present](const auto &item) {
         return !present.contains(item.first);
@@ -309,9 +259,7 @@
     registry.retain(present, end, now);
     cursor.absence = registry.recordHistoryRead(sentAt, now, gateway_.settings.heartbeatInterval);
     recordEndpointsRead(false);
-    std::erase_if(newestRecords_.endpoints, [&](const auto &item) {
-        return item.second.position() < end && !present.contains(EndpointId(item.first));
-    });
+    intake_.retainEndpoints(present, end);
     cursor.next = end;
     nextEndpoint_ = end;
     logReadAgain(cursor, snapshot.records.size(), registry.changeCount() - before, static_cast<std::size_t>(missing));
@@ -343,7 +291,7 @@
         co_return ReadResult::UpToDate;
     }
     for (const platform::KeyedRecord &record : records->records) {
-        applyEndpointRecord(record, from.era, now);
+        intake_.applyEndpoint(record, from.era, now);
     }
     cursor.next = StorePosition {from.era, records->next};
     nextEndpoint_ = *cursor.next;
@@ -361,127 +309,6 @@
     gateway_.endpointObservation.recordSeenToEnd();
 }
 
-awaitable<void> StoreFollower::applyConfigurationRecords(std::vector<platform::KeyedRecord> records, StoreEra era)
-{
-    if (records.size() > 1) {
-        co_await sortByVersion(records);
-    }
-    bool inForce = false;
-    for (auto record = records.rbegin(); record != records.rend() && !inForce; ++record) {
-        PositionedRecord positioned {era, std::move(*record)};
-        inForce = co_await applyConfigurationRecord(std::move(positioned));
-    }
-}
-
-awaitable<void> StoreFollower::sortByVersion(std::vector<platform::KeyedRecord> &records)
-{
-    std::map<Offset, std::int64_t> versions;
-    const auto work = [&](const Checkpoint &checkpoint) {
-        for (const platform::KeyedRecord &record : records) {
-            // A text without a version goes last, so that it is reported as unreadable.
-            const std::optional<std::int64_t> version = platform::configurationVersion(record.value.value_or(std::string()), checkpoint);
-            versions[record.offset] = version.value_or(std::numeric_limits<std::int64_t>::max());
-        }
-    };
-    co_await runInPieces(gateway_.io, Pace::Shared, work);
-    std::ranges::sort(records, {}, [&versions](const platform::KeyedRecord &record) {
-        return std::pair(versions[record.offset], record.offset);
-    });
-}
-
-awaitable<bool> StoreFollower::applyConfigurationRecord(PositionedRecord positioned)
-{
-    platform::KeyedRecord &record = positioned.record;
-    if (record.key != platform::CONFIGURATION_KEY || !record.value) {
-        co_return false;
-    }
-    ConfigurationCost cost;
-    cost.textBytes = record.value->size();
-    platform::ConfigurationReading reading;
-    PreparedConfiguration prepared;
-    std::string failure;
-    const auto work = [&](const Checkpoint &checkpoint) {
-        reading = platform::readConfigurationText(std::move(*record.value), earlierReading(), checkpoint);
-        if (isNewer(reading.configuration->version, positioned.position())) {
-            prepared = prepareConfiguration(reading.configuration, checkpoint);
-        }
-    };
-    // A process without a configuration serves no calls that could wait.
-    const Pace pace = gateway_.configuration ? Pace::Shared : Pace::Prompt;
-    try {
-        cost.times = co_await runInPieces(gateway_.io, pace, work);
-    } catch (const MalformedInputError &error) {
-        failure = error.what();
-    }
-    if (!failure.empty()) {
-        logEvent(LogEvent::ServingConfigurationUnreadable, {{"offset", record.offset}, {"error", failure}});
-        co_return false;
-    }
-    cost.decodedRoutes = reading.decodedRoutes;
-    if (!prepared.configuration) {
-        co_return false;
-    }
-    co_return putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
-}
-
-bool StoreFollower::isNewer(std::int64_t version, const StorePosition &position) const
-{
-    const std::optional<ConfigurationRank> known = newestRecords_.configurationRank();
-    return !known || ConfigurationRank {version, position} > *known;
-}
-
-platform::EarlierReading StoreFollower::earlierReading() const
-{
-    const std::optional<PositionedRecord> &newest = newestRecords_.configuration;
-    if (!gateway_.configuration || !newest || !newest->record.value) {
-        return {};
-    }
-    return {gateway_.configuration.get(), *newest->record.value, routeTexts_};
-}
-
-bool StoreFollower::putInForce(PositionedRecord positioned,
-                               platform::ConfigurationReading reading,
-                               PreparedConfiguration prepared,
-                               const ConfigurationCost &cost)
-{
-    std::optional<PositionedRecord> &newest = newestRecords_.configuration;
-    const bool sameVersion = gateway_.configuration && reading.configuration->version == gateway_.configuration->version;
-    // The record is passed on to other gateways, which need no keys to authenticate callers.
-    positioned.record.value = std::move(reading.text);
-    if (!sameVersion) {
-        gateway_.applyConfiguration(std::move(prepared), cost);
-    } else if (newest && newest->record.value != positioned.record.value) {
-        // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
-        gateway_.replaceConfiguration(std::move(prepared), cost);
-    }
-    newest = std::move(positioned);
-    newestRecords_.configurationVersion = gateway_.configuration->version;
-    routeTexts_ = std::move(reading.routes);
-    return true;
-}
-
-void StoreFollower::applyEndpointRecord(const platform::KeyedRecord &record, StoreEra era, Time now)
-{
-    const EndpointId id(record.key);
-    std::optional<EndpointRecord> endpoint;
-    if (record.value) {
-        try {
-            endpoint = platform::decodeEndpoint(record.key, *record.value);
-        } catch (const MalformedInputError &error) {
-            logEvent(LogEvent::EndpointRecordUnreadable, {{"endpoint", id}, {"offset", record.offset}, {"error", error.what()}});
-        }
-    }
-    if (endpoint) {
-        gateway_.streams.versions().observe(endpoint->service, endpoint->version, now);
-    }
-    const PositionedRecord positioned {era, record};
-    const auto known = newestRecords_.endpoints.find(record.key);
-    if (known == newestRecords_.endpoints.end() || known->second.position() < positioned.position()) {
-        newestRecords_.endpoints.insert_or_assign(record.key, positioned);
-    }
-    gateway_.registry.apply(id, positioned.position(), endpoint, now);
-}
-
 void StoreFollower::recordSuccess(TopicCursor &cursor)
 {
     cursor.failures = 0;
--- a/tests/gateway/slowrelay.h
+++ b/tests/gateway/slowrelay.h
@@ -42,6 +42,18 @@
         bytesPerSecond_ = bytesPerSecond;
     }
 
+    /// \brief Delivers nothing any more on connections after the next \a connections ones, which stay open without an answer.
+    void fallSilentAfter(std::size_t connections)
+    {
+        silentFrom_ = accepted_ + connections;
+    }
+
+    /// \brief Number of connections that were accepted.
+    [[nodiscard]] std::size_t accepted() const
+    {
+        return accepted_;
+    }
+
     /// \brief Bytes of the server that were delivered on all connections.
     [[nodiscard]] std::size_t delivered() const
     {
@@ -65,7 +77,9 @@
         while (!error) {
             auto link = std::make_shared<Link>(Link {tcp::socket(io_), tcp::socket(io_)});
             co_await acceptor_.async_accept(link->caller, boost::asio::redirect_error(boost::asio::use_awaitable, error));
-            if (!error) {
+            if (!error && accepted_++ >= silentFrom_) {
+                silent_.push_back(std::move(link));
+            } else if (!error) {
                 boost::asio::co_spawn(io_, connect(std::move(link)), boost::asio::detached);
             }
         }
@@ -111,6 +125,10 @@
     tcp::acceptor acceptor_;
     std::size_t bytesPerSecond_ = UNLIMITED;
     std::size_t delivered_ = 0;
+    std::size_t accepted_ = 0;
+    std::size_t silentFrom_ = UNLIMITED;
+    /// \brief Connections that get no answer.
+    std::vector<std::shared_ptr<Link>> silent_;
 };
 
 } // namespace mimosatally::test
