Streams go on by a rule that every gateway computes, though nobody remembers which version began them

Cause of both: the fact which version began a stream is only in the memory of the gateway that delivers it, or follows from there being one version at the time of the question. Evidence: MT5045 outcome=unknown for each take-up; with the callers' connections lost in place of the gateways, or without the join, all go on. Ruled out: records in the store (a priced write a second and gateway; the cases' stores take none) and reports of engines.

Change: module Streams. On resumable routes the version is chosen by weighted rendezvous hashing of the request's id over the registered slots of each version, and the first event is forwarded only if its writer has that version, by a view of at most 30 s. A gateway that knows nothing of a stream computes the choice for all weights of the last 45 to 90 s; where they agree the stream goes on, else it is refused. No exceptions: a version without room is refused as not run. What gateways told goes first. States that were not watched are replayed from the history.

--- a/include/mimosatally/routing/phaserouter.h
+++ b/include/mimosatally/routing/phaserouter.h
@@ -30,6 +30,8 @@
     /// \brief Software version that the engines of the call must have, because an engine of this version wrote the events before; empty if any may run
     /// the call. No engine fits a version that is not known.
     std::optional<SoftwareVersion> version = std::nullopt;
+    /// \brief The call begins a stream with this version, so it leaves the room that is kept for those that go on only there.
+    bool beginsStream = false;
     /// \brief Slots of the service's endpoints that the call leaves free for more urgent calls.
     double reservedSlots = 0;
 };
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 declare -A LEVEL=([core]=0 [config]=1 [serving]=1 [queueing]=2 [routing]=2 [placement]=2 [authority]=2 [claims]=2 [membership]=2 [usage]=2 [usage]=2
-    [audit]=3 [rpc]=3 [http]=3 [logservice]=4 [platform]=4 [supervision]=4 [entry]=5 [agent]=5 [gateway]=5 [cli]=6)
+    [streams]=3 [audit]=3 [rpc]=3 [http]=3 [logservice]=4 [platform]=4 [supervision]=4 [entry]=5 [agent]=5 [gateway]=5 [cli]=6)
 
 failed=0
 while IFS=: read -r file line text; do
--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -322,6 +322,9 @@
         std::string events = framer_.takeCompleteEvents();
         call.hold(framer_.heldBytes(), MAX_BUFFERED_ANSWER_BYTES);
         if (!events.empty()) {
+            if (!mayBegin(gateway_.router.record(endpoint), MilliClock::now())) {
+                co_return false;
+            }
             gateway_.router.recordFirstByte(ticket, MilliClock::now());
             stream_.bind(gateway_.router.record(endpoint));
             placementRequest_.version = stream_.version();
--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -132,7 +132,7 @@
     const RequestId root = call_.resumed ? call_.resumed->root : RequestId();
     // Of several services any may have begun the stream, so no conclusion is drawn from the versions of one of them.
     const ServiceId service = route_.services.size() == 1 ? stream_.service() : ServiceId();
-    const std::optional<StreamOrigin> origin = co_await gateway_.streamLookup.lookUp(root, service);
+    const std::optional<StreamOrigin> origin = co_await gateway_.streamLookup.lookUp(root, service, &route_);
     const bool isServed = origin && std::ranges::any_of(route_.services, [&origin](const WeightedService &candidate) {
                               return candidate.service == origin->service;
                           });
@@ -147,6 +147,34 @@
     co_return true;
 }
 
+bool CallFlow::bindNewStream(Time now)
+{
+    const bool begins = isResumable(route_) && !call_.resumed && !stream_.version() && !call_.id.empty();
+    if (!begins) {
+        return true;
+    }
+    OriginRules &rules = gateway_.streams.rules();
+    ruleVersion_ = rules.chooseVersion(call_.id, stream_.service());
+    ruleAsOf_ = gateway_.endpointsAsOf();
+    placementRequest_.version = rules.isMixed(stream_.service()) ? ruleVersion_ : std::nullopt;
+    placementRequest_.beginsStream = true;
+    return gateway_.hasFreshView(now);
+}
+
+bool CallFlow::mayBegin(const EndpointRecord *endpoint, Time now)
+{
+    if (!isResumable(route_) || call_.resumed || stream_.version() || !ruleVersion_) {
+        return true;
+    }
+    const bool isOld = !gateway_.settings.peers.empty() && (!ruleAsOf_ || now - *ruleAsOf_ > OriginRules::VIEW_LIFETIME);
+    if (!isOld && isSameVersion(stream_.writer(endpoint), *ruleVersion_)) {
+        return true;
+    }
+    // The endpoints have changed since the call was placed.
+    const std::optional<SoftwareVersion> present = gateway_.streams.rules().chooseVersion(call_.id, stream_.service());
+    return gateway_.hasFreshView(now) && present && isSameVersion(stream_.writer(endpoint), *present);
+}
+
 awaitable<bool> CallFlow::placeAndAttempt()
 {
     // After a stall of the process, a request and the close by its caller arrive together; onPeerClosed() reports that only after the next wait.
@@ -173,6 +201,15 @@
     if (contention_) {
         placementRequest_.reservedSlots = contention_->reservedSlots(placementRequest_.service, now);
     }
+    if (!bindNewStream(now)) {
+        lastFailure_ = "the endpoints were not read for too long";
+        if (attempts_ > 0) {
+            co_await giveUp();
+        } else {
+            co_await refuse(DEFAULT_RETRY_AFTER, "endpoints-unknown");
+        }
+        co_return false;
+    }
     const Placement placement = gateway_.router.place(placementRequest_, now);
     if (!placement.run) {
         const bool waits = awaitsVersion(placement, now);
@@ -227,7 +264,8 @@
 
 bool CallFlow::awaitsVersion(const Placement &placement, Time now)
 {
-    if (!placementRequest_.version || placement.versionGone || placement.retryAfter) {
+    const bool continues = call_.resumed || stream_.version();
+    if (!continues || !placementRequest_.version || placement.versionGone || placement.retryAfter) {
         return false;
     }
     if (!versionWaitEnd_) {
--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -69,6 +69,11 @@
     /// \brief Binds a call that continues a stream of an earlier call to the service and version of the stream, or ends the call.
     /// \return whether the call goes on.
     boost::asio::awaitable<bool> bindResumedStream();
+    /// \brief Binds a call that may begin a stream which callers can take up to the version that the rule names.
+    /// \return false if this process knows too little of the endpoints to begin one.
+    [[nodiscard]] bool bindNewStream(Time now);
+    /// \brief Returns whether an event of the endpoint's version may begin the stream.
+    [[nodiscard]] bool mayBegin(const EndpointRecord *endpoint, Time now);
     boost::asio::awaitable<bool> placeAndAttempt();
     /// \brief Decides whether a call that is placed for the first time may be sent. \return empty if it is sent now, otherwise whether another placement
     /// follows.
@@ -169,6 +174,9 @@
     PlacementRequest placementRequest_;
     StreamIdentity stream_;
     StreamRegistration registration_;
+    /// \brief Version with which the stream begins by the rule, as far as the endpoints were known at a time; empty if the rule names none.
+    std::optional<SoftwareVersion> ruleVersion_;
+    std::optional<Time> ruleAsOf_;
     /// \brief Time at which the request had come in, which is before it was read if the process stood still.
     Time arrived_;
     std::shared_ptr<CallGuard> guard_;
--- a/src/gateway/endpointhistory.cpp
+++ b/src/gateway/endpointhistory.cpp
@@ -60,6 +60,7 @@
 {
     const std::uint64_t gaps = gateway_.streams.versions().gapCount();
     HeartbeatSpan span;
+    RegistrationReplay replay(true);
     Offset from(0);
     std::optional<StoreEra> era;
     std::size_t count = 0;
@@ -78,6 +79,7 @@
                 throw UnreachableError("the history of the endpoints was deleted while it was read");
             }
             from = *deleted->first;
+            replay = RegistrationReplay(false);
             continue;
         }
         const auto &records = std::get<platform::KeyedRecords>(answer);
@@ -86,40 +88,44 @@
         }
         era = records.era;
         for (const platform::KeyedRecord &record : records.records) {
-            observe(record, span);
+            observe(record, span, replay);
         }
+        complete = complete || (from == Offset(0) && !records.records.empty());
         count += records.records.size();
         more = records.next < records.end && !records.records.empty();
-        complete = complete || (from == Offset(0) && !records.records.empty());
         from = records.next;
     }
     if (gateway_.streams.versions().gapCount() != gaps) {
         throw UnreachableError("versions may have been missed while the history of the endpoints was read");
     }
-    recordCoverage(span, began, complete, count);
+    const Duration covered = complete ? coverageOf(replay) : gateway_.settings.heartbeatInterval * span.intervals();
+    gateway_.streams.versions().recordCoverage(began - covered);
+    logEvent(LogEvent::EndpointHistoryRead, {{"records", count}, {"covered_ms", covered}, {"complete", complete}});
     readAtGap_ = gaps;
 }
 
-void EndpointHistory::observe(const platform::KeyedRecord &record, HeartbeatSpan &span)
+void EndpointHistory::observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay)
 {
-    if (!record.value) {
-        return;
-    }
+    std::optional<EndpointRecord> endpoint;
     try {
-        const EndpointRecord endpoint = platform::decodeEndpoint(record.key, *record.value);
-        gateway_.streams.versions().observe(endpoint.service, endpoint.version, MilliClock::now());
-        span.add(endpoint);
+        endpoint = record.value ? std::optional(platform::decodeEndpoint(record.key, *record.value)) : std::nullopt;
     } catch (const MalformedInputError &error) {
         // An entry that cannot be read names no endpoint, so no stream comes from it.
         gateway_.metrics.increment("mimosatally_endpoint_history_unreadable_total", {});
     }
+    if (endpoint) {
+        gateway_.streams.versions().observe(endpoint->service, endpoint->version, MilliClock::now());
+        span.add(*endpoint);
+    }
+    replay.apply(EndpointId(record.key), endpoint, [this](const RegisteredSlots &slots) {
+        gateway_.streams.rules().recordEarlierSlots(slots, MilliClock::now());
+    });
 }
 
-void EndpointHistory::recordCoverage(const HeartbeatSpan &span, Time began, bool complete, std::size_t records)
+Duration EndpointHistory::coverageOf(const RegistrationReplay &replay) const
 {
-    const Duration covered = complete ? originLifetime(Duration::max()) : gateway_.settings.heartbeatInterval * span.intervals();
-    gateway_.streams.versions().recordCoverage(began - covered);
-    logEvent(LogEvent::EndpointHistoryRead, {{"records", records}, {"covered_ms", covered}, {"complete", complete}});
+    // Before the first repeated heartbeat, the states of the endpoints are not known, only their versions are.
+    return replay.isWhole() ? VersionHistory::COMPLETE_COVERAGE : gateway_.streams.lifetime();
 }
 
 } // namespace mimosatally::internal
--- a/src/gateway/endpointhistory.h
+++ b/src/gateway/endpointhistory.h
@@ -22,9 +22,9 @@
     boost::asio::awaitable<void> read();
     /// \brief Reads all pages. \throws UnreachableError \throws MalformedInputError
     boost::asio::awaitable<void> readPages();
-    void observe(const platform::KeyedRecord &record, HeartbeatSpan &span);
-    /// \param began when the read began. \param complete the store still has all records that it ever had.
-    void recordCoverage(const HeartbeatSpan &span, Time began, bool complete, std::size_t records);
+    void observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay);
+    /// \brief Returns the time that a history covers of which the store still has all records.
+    [[nodiscard]] Duration coverageOf(const RegistrationReplay &replay) const;
 
     GatewayState &gateway_;
     platform::StoreClient store_;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -79,14 +79,15 @@
     , extraAttempts(processSettings.extraAttemptLimit)
     , random_(seedOf(processSettings))
 {
+    streams.rules().setHeartbeatInterval(settings.heartbeatInterval);
 }
 
-bool GatewayState::applyConfiguration(PreparedConfiguration next, const ConfigurationCost &cost)
+bool GatewayState::applyConfiguration(PreparedConfiguration next, const ConfigurationCost &cost, bool follows)
 {
     if (configuration && next.configuration->version <= configuration->version) {
         return false;
     }
-    const Duration applyTime = putInForce(std::move(next));
+    const Duration applyTime = putInForce(std::move(next), follows);
     const std::optional<std::vector<Organisation>> &organisations = configuration->organisations;
     logEvent(LogEvent::ServingConfigurationInForce,
              {{"version", configuration->version},
@@ -105,7 +106,7 @@
 
 void GatewayState::replaceConfiguration(PreparedConfiguration next, const ConfigurationCost &cost)
 {
-    const Duration applyTime = putInForce(std::move(next));
+    const Duration applyTime = putInForce(std::move(next), false);
     metrics.increment("mimosatally_configuration_replaced_total", {});
     logEvent(LogEvent::ServingConfigurationReplaced,
              {{"version", configuration->version},
@@ -124,7 +125,7 @@
     configurationCallback_ = std::move(callback);
 }
 
-Duration GatewayState::putInForce(PreparedConfiguration next)
+Duration GatewayState::putInForce(PreparedConfiguration next, bool follows)
 {
     const Time begun = MilliClock::now();
     const bool sameServices = configuration && configuration->services == next.configuration->services;
@@ -148,6 +149,7 @@
         limitIdleConnections();
     }
     streams.extendLifetime(originLifetime(longestStream(*configuration)));
+    streams.rules().recordConfiguration(*configuration, follows, begun);
     metrics.set("mimosatally_organisation_keys", {}, static_cast<double>(keys.size()));
     metrics.set("mimosatally_configuration_version", {}, static_cast<double>(configuration->version));
     if (configurationCallback_) {
@@ -177,6 +179,7 @@
     for (const auto &[id, record] : registry.endpoints()) {
         streams.versions().observe(record.service, record.version, now);
     }
+    recordEndpointStates(now);
     if (!configuration || registry.changeCount() == appliedChanges_) {
         return;
     }
@@ -187,6 +190,25 @@
     limitIdleConnections();
 }
 
+void GatewayState::recordEndpointStates(Time now)
+{
+    if (registry.changeCount() != recordedChanges_) {
+        recordedChanges_ = registry.changeCount();
+        streams.rules().recordEndpoints(registry.endpoints(), now);
+    }
+}
+
+std::optional<Time> GatewayState::endpointsAsOf() const
+{
+    return std::max(endpointObservation.asOf(), peerEndpointsAsOf);
+}
+
+bool GatewayState::hasFreshView(Time now) const
+{
+    const std::optional<Time> asOf = endpointsAsOf();
+    return settings.peers.empty() || (asOf && now - *asOf <= OriginRules::VIEW_LIFETIME);
+}
+
 void GatewayState::expireActiveCalls()
 {
     // A call that ends is removed by its own coroutine, later.
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -42,7 +42,8 @@
     GatewayState(boost::asio::io_context &context, const GatewaySettings &processSettings);
 
     /// \brief Puts a configuration in force unless its version, or a newer one, already is. \return true if it did.
-    bool applyConfiguration(PreparedConfiguration next, const ConfigurationCost &cost = ConfigurationCost());
+    /// \param follows no version between the last one and this one was missed.
+    bool applyConfiguration(PreparedConfiguration next, const ConfigurationCost &cost = ConfigurationCost(), bool follows = false);
 
     /// \brief Replaces the configuration in force by another text of the same version.
     void replaceConfiguration(PreparedConfiguration next, const ConfigurationCost &cost = ConfigurationCost());
@@ -53,6 +54,16 @@
     /// \brief Passes changes of the endpoint registry on to the router.
     void applyEndpoints(Time now);
 
+    /// \brief Records the registered endpoints for the rules by which streams begin, if they have changed since the last call.
+    void recordEndpointStates(Time now);
+
+    /// \brief Returns whether this process knows the endpoints well enough to begin streams that others may take up. One that has read neither the store nor a
+    /// peer for OriginRules::VIEW_LIFETIME does not, unless it is the only one.
+    [[nodiscard]] bool hasFreshView(Time now) const;
+
+    /// \brief Returns as of when the endpoints are known; empty if none were read.
+    [[nodiscard]] std::optional<Time> endpointsAsOf() const;
+
     /// \brief Sets the number of gateways, this one included, that share the limits of the endpoints; see PhaseRouter::setProcessCount().
     void setProcessCount(int count, Time now);
 
@@ -93,6 +104,8 @@
     /// \brief How fresh the endpoints read from the store are.
     StoreObservation endpointObservation;
     StreamLookup streamLookup;
+    /// \brief When the last endpoint records that a peer has told were asked for.
+    std::optional<Time> peerEndpointsAsOf;
     /// \brief True time, by which usage windows are told apart.
     FleetClock fleetClock;
     UsageLedger usageLedger;
@@ -115,7 +128,7 @@
 
 private:
     /// \return time that it took.
-    Duration putInForce(PreparedConfiguration next);
+    Duration putInForce(PreparedConfiguration next, bool follows);
     /// \brief Ends the calls in progress whose keys are not valid any more.
     void endRevokedCalls();
     void logEndpointChanges();
@@ -127,6 +140,7 @@
     std::map<EndpointId, EndpointRecord> loggedEndpoints_;
     std::mt19937_64 random_;
     std::uint64_t appliedChanges_ = 0;
+    std::uint64_t recordedChanges_ = 0;
     int processCount_ = 1;
 };
 
--- a/src/gateway/peerreader.cpp
+++ b/src/gateway/peerreader.cpp
@@ -89,11 +89,15 @@
     PeerQuery query;
     query.endpointsFrom = from;
     query.wantsConfiguration = false;
+    const Time asked = MilliClock::now();
     NewestRecords records = co_await fetchPeerRecords(rpc_, peer, query);
     const Time now = MilliClock::now();
     for (const auto &[key, positioned] : records.endpoints) {
         intake_.applyEndpoint(positioned.record, positioned.era, now);
     }
+    if (from != NO_ENDPOINTS) {
+        gateway_.peerEndpointsAsOf = asked;
+    }
     // The process may be ready from here on, so the router must know the endpoints at once.
     gateway_.applyEndpoints(now);
     co_return std::move(records.configuration);
--- a/src/gateway/recordintake.cpp
+++ b/src/gateway/recordintake.cpp
@@ -30,19 +30,21 @@
     });
     // The store has often shown a newer version since the peer was asked; the rest of the text is not read then.
     if (!version || isNewer(*version, record->position())) {
-        co_await applyConfiguration(*record);
+        co_await applyConfiguration(*record, false);
     }
 }
 
-awaitable<void> RecordIntake::applyConfigurations(std::vector<platform::KeyedRecord> records, StoreEra era)
+awaitable<void> RecordIntake::applyConfigurations(std::vector<platform::KeyedRecord> records, StoreEra era, bool follows)
 {
     if (records.size() > 1) {
         co_await sortByVersion(records);
     }
+    // Of several versions only the last one is read, which others may have had in force.
+    const bool isNext = follows && records.size() == 1;
     bool inForce = false;
     for (auto record = records.rbegin(); record != records.rend() && !inForce; ++record) {
         PositionedRecord positioned {era, std::move(*record)};
-        inForce = co_await applyConfiguration(std::move(positioned));
+        inForce = co_await applyConfiguration(std::move(positioned), isNext);
     }
 }
 
@@ -62,7 +64,7 @@
     });
 }
 
-awaitable<bool> RecordIntake::applyConfiguration(PositionedRecord positioned)
+awaitable<bool> RecordIntake::applyConfiguration(PositionedRecord positioned, bool follows)
 {
     platform::KeyedRecord &record = positioned.record;
     if (record.key != platform::CONFIGURATION_KEY || !record.value) {
@@ -102,7 +104,7 @@
     if (!prepared.configuration || !isNewer(reading.configuration->version, positioned.position())) {
         co_return false;
     }
-    co_return putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost);
+    co_return putInForce(std::move(positioned), std::move(reading), std::move(prepared), cost, follows);
 }
 
 bool RecordIntake::isNewer(std::int64_t version, const StorePosition &position) const
@@ -111,17 +113,15 @@
     return !known || ConfigurationRank {version, position} > *known;
 }
 
-bool RecordIntake::putInForce(PositionedRecord positioned,
-                              platform::ConfigurationReading reading,
-                              PreparedConfiguration prepared,
-                              const ConfigurationCost &cost)
+bool RecordIntake::putInForce(
+    PositionedRecord positioned, platform::ConfigurationReading reading, PreparedConfiguration prepared, const ConfigurationCost &cost, bool follows)
 {
     std::shared_ptr<const PositionedRecord> &newest = newest_.configuration;
     const bool sameVersion = gateway_.configuration && reading.configuration->version == gateway_.configuration->version;
     // The record is passed on to other gateways, which need no keys to authenticate callers.
     positioned.record.value = std::move(reading.text);
     if (!sameVersion) {
-        gateway_.applyConfiguration(std::move(prepared), cost);
+        gateway_.applyConfiguration(std::move(prepared), cost, follows);
     } else if (newest && newest->record.value != positioned.record.value) {
         // An operator may write another text with the version that the store has lost. All gateways end with the one that was written last.
         gateway_.replaceConfiguration(std::move(prepared), cost);
@@ -132,7 +132,7 @@
     return true;
 }
 
-void RecordIntake::applyEndpoint(const platform::KeyedRecord &record, StoreEra era, Time now)
+std::optional<EndpointRecord> RecordIntake::applyEndpoint(const platform::KeyedRecord &record, StoreEra era, Time now)
 {
     const EndpointId id(record.key);
     std::optional<EndpointRecord> endpoint;
@@ -152,6 +152,7 @@
         newest_.endpoints.insert_or_assign(record.key, positioned);
     }
     gateway_.registry.apply(id, positioned.position(), endpoint, now);
+    return endpoint;
 }
 
 void RecordIntake::forgetEndpoints()
--- a/src/gateway/recordintake.h
+++ b/src/gateway/recordintake.h
@@ -20,13 +20,15 @@
     [[nodiscard]] const NewestRecords &newest() const;
 
     /// \brief Puts the readable configuration of \a records with the highest version in force; those before it are not decoded.
-    boost::asio::awaitable<void> applyConfigurations(std::vector<platform::KeyedRecord> records, StoreEra era);
+    /// \param follows the records are all that were written after the last ones.
+    boost::asio::awaitable<void> applyConfigurations(std::vector<platform::KeyedRecord> records, StoreEra era, bool follows);
 
     /// \brief Puts the configuration of another gateway in force if it is newer than the one in force.
     boost::asio::awaitable<void> applyPeerConfiguration(std::shared_ptr<const PositionedRecord> record);
 
     /// \brief Records the newest state of an endpoint. A record that cannot be read removes it, with a log line.
-    void applyEndpoint(const platform::KeyedRecord &record, StoreEra era, Time now);
+    /// \return what the record says; empty if it removes the endpoint.
+    std::optional<EndpointRecord> applyEndpoint(const platform::KeyedRecord &record, StoreEra era, Time now);
 
     /// \brief Forgets the endpoints' records, after the store has gone back without stating a newer era.
     void forgetEndpoints();
@@ -36,11 +38,12 @@
 
 private:
     /// \brief Reads a record and puts it in force if it is newer. \return whether it is in force now.
-    boost::asio::awaitable<bool> applyConfiguration(PositionedRecord positioned);
+    boost::asio::awaitable<bool> applyConfiguration(PositionedRecord positioned, bool follows);
     /// \brief Sorts the records by their versions and, within one version, by their offsets.
     boost::asio::awaitable<void> sortByVersion(std::vector<platform::KeyedRecord> &records);
     /// \return whether the configuration that was read is in force now.
-    bool putInForce(PositionedRecord positioned, platform::ConfigurationReading reading, PreparedConfiguration prepared, const ConfigurationCost &cost);
+    bool putInForce(
+        PositionedRecord positioned, platform::ConfigurationReading reading, PreparedConfiguration prepared, const ConfigurationCost &cost, bool follows);
     /// \brief Returns whether a record of this version and position goes before the configuration in force.
     [[nodiscard]] bool isNewer(std::int64_t version, const StorePosition &position) const;
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -197,7 +197,11 @@
     const StoreEra era = gateway_.storeEra.current();
     const std::int64_t before = gateway_.configuration ? gateway_.configuration->version : 0;
     const std::size_t records = snapshot.records.size();
-    co_await intake_.applyConfigurations(std::move(snapshot.records), era);
+    const bool isOnlyRecord = before == 0 && snapshot.next == Offset(1) && records == 1;
+    co_await intake_.applyConfigurations(std::move(snapshot.records), era, false);
+    if (isOnlyRecord) {
+        gateway_.streams.rules().recordOnlyConfiguration();
+    }
     cursor.next = StorePosition {era, snapshot.next};
     // The store may have lost a version that other gateways have in force.
     peers_.askEach();
@@ -226,7 +230,7 @@
         co_return ReadResult::SnapshotNeeded;
     }
     if (accepted) {
-        co_await intake_.applyConfigurations(std::move(records->records), from.era);
+        co_await intake_.applyConfigurations(std::move(records->records), from.era, true);
         cursor.next = StorePosition {from.era, records->next};
     }
     co_return ReadResult::UpToDate;
@@ -249,10 +253,14 @@
     }
     const std::uint64_t before = registry.changeCount();
     std::set<EndpointId> present;
+    std::map<EndpointId, EndpointRecord> endpoints;
     for (const platform::KeyedRecord &record : snapshot.records) {
         present.insert(EndpointId(record.key));
-        intake_.applyEndpoint(record, end.era, now);
+        if (const std::optional<EndpointRecord> endpoint = intake_.applyEndpoint(record, end.era, now)) {
+            endpoints.emplace(record.key, *endpoint);
+        }
     }
+    replay_.restart(std::move(endpoints));
     const auto missing = std::ranges::count_if(registry.endpoints(), [&present](const auto &item) {
         return !present.contains(item.first);
     });
@@ -291,7 +299,10 @@
         co_return ReadResult::UpToDate;
     }
     for (const platform::KeyedRecord &record : records->records) {
-        intake_.applyEndpoint(record, from.era, now);
+        const std::optional<EndpointRecord> endpoint = intake_.applyEndpoint(record, from.era, now);
+        replay_.apply(EndpointId(record.key), endpoint, [&](const RegisteredSlots &slots) {
+            gateway_.streams.rules().recordEarlierSlots(slots, now);
+        });
     }
     cursor.next = StorePosition {from.era, records->next};
     nextEndpoint_ = *cursor.next;
@@ -307,6 +318,7 @@
 {
     gateway_.streams.versions().recordRead(complete, gateway_.endpointObservation.sentAt());
     gateway_.endpointObservation.recordSeenToEnd();
+    gateway_.recordEndpointStates(MilliClock::now());
 }
 
 void StoreFollower::recordSuccess(TopicCursor &cursor)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -84,6 +84,8 @@
     RecordIntake &intake_;
     PeerReader &peers_;
     platform::StoreClient store_;
+    /// \brief Endpoints as the records that were read from the store have them; gateway_.registry may be ahead by what peers have told.
+    RegistrationReplay replay_;
     /// \brief Position of the first endpoint record that was not read.
     StorePosition nextEndpoint_;
     std::optional<Time> configurationReadAt_;
--- a/src/gateway/streamidentity.h
+++ b/src/gateway/streamidentity.h
@@ -26,6 +26,9 @@
     /// \param current present entry of the endpoint; null if there is none.
     [[nodiscard]] bool accepts(const EndpointRecord *current) const;
 
+    /// \brief Returns the version that answers the attempt; empty if the endpoint has started again since the attempt was sent.
+    [[nodiscard]] SoftwareVersion writer(const EndpointRecord *current) const;
+
     /// \brief Binds the stream to the version of the attempt's endpoint, which has written an event, unless it is bound already.
     void bind(const EndpointRecord *current);
 
@@ -39,9 +42,6 @@
     [[nodiscard]] std::int64_t sentStartedAt() const;
 
 private:
-    /// \brief Returns the version that answers the attempt; empty if the endpoint has started again since the attempt was sent.
-    [[nodiscard]] SoftwareVersion writer(const EndpointRecord *current) const;
-
     RequestId root_;
     ServiceId service_;
     std::optional<SoftwareVersion> version_;
--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -64,6 +64,16 @@
     return only ? std::optional(StreamOrigin {lookup.service, *only}) : std::nullopt;
 }
 
+std::optional<StreamOrigin> StreamLookup::ruleOrigin(const Lookup &lookup) const
+{
+    const Time now = MilliClock::now();
+    OriginRules &rules = tracker_.rules();
+    const bool hasOneService = lookup.route != nullptr && lookup.route->services.size() == 1;
+    const bool known = hasOneService && observation_.isNewerThan(lookup.mark) && tracker_.versions().isCovered(rules.neededHistory(), now);
+    const std::optional<OriginChoice> choice = known ? rules.conclude(lookup.root, *lookup.route, now) : std::nullopt;
+    return choice ? std::optional(StreamOrigin {choice->service, choice->version}) : std::nullopt;
+}
+
 bool StreamLookup::isDecided(const Lookup &lookup) const
 {
     return !isOpen(lookup.root) || onlyOrigin(lookup);
@@ -78,16 +88,19 @@
     if (knowledge.origin) {
         return {knowledge.origin, lookup.asked ? "peer" : "recorded", knowledge.recordedAt};
     }
-    const std::optional<StreamOrigin> only = onlyOrigin(lookup);
-    return {only, only ? "only_version" : "unknown", observation_.asOf()};
+    if (const std::optional<StreamOrigin> only = onlyOrigin(lookup)) {
+        return {only, "only_version", observation_.asOf()};
+    }
+    const std::optional<StreamOrigin> byRule = ruleOrigin(lookup);
+    return {byRule, byRule ? "rule" : "unknown", observation_.asOf()};
 }
 
-awaitable<std::optional<StreamOrigin>> StreamLookup::lookUp(RequestId root, ServiceId service)
+awaitable<std::optional<StreamOrigin>> StreamLookup::lookUp(RequestId root, ServiceId service, const Route *route)
 {
     if (root.value().size() > StreamOrigins::MAX_ROOT_BYTES) {
         root = RequestId();
     }
-    Lookup lookup {std::move(root), std::move(service), MilliClock::now(), observation_.mark()};
+    Lookup lookup {std::move(root), std::move(service), MilliClock::now(), observation_.mark(), route};
     if (isOpen(lookup.root)) {
         lookup.asked = true;
         co_await waitForKnowledge(lookup);
@@ -137,18 +150,23 @@
 awaitable<void> StreamLookup::observeStore(const Lookup &lookup)
 {
     const Time end = MilliClock::now() + MAX_STORE_WAIT;
-    const auto canConclude = [this, &lookup] {
-        return !lookup.service.empty() && !tracker_.versions().isMixed(lookup.service, MilliClock::now()) && isOpen(lookup.root);
-    };
-    while (canConclude() && !observation_.isNewerThan(lookup.mark) && MilliClock::now() < end) {
+    while (canConclude(lookup) && !observation_.isNewerThan(lookup.mark) && MilliClock::now() < end) {
         observation_.request(lookup.mark);
         co_await waitOnce(lookup.root, end);
     }
-    if (cover_ && canConclude() && observation_.isNewerThan(lookup.mark) && !tracker_.versions().isCovered(MilliClock::now())) {
+    const bool needsHistory = canConclude(lookup) && observation_.isNewerThan(lookup.mark) && !onlyOrigin(lookup);
+    if (cover_ && needsHistory && !tracker_.versions().isCovered(tracker_.rules().neededHistory(), MilliClock::now())) {
         co_await cover_();
     }
 }
 
+bool StreamLookup::canConclude(const Lookup &lookup) const
+{
+    const bool byRule = lookup.route != nullptr && lookup.route->services.size() == 1 && isResumable(*lookup.route) && !lookup.root.empty();
+    const bool byVersion = !lookup.service.empty() && !tracker_.versions().isMixed(lookup.service, MilliClock::now());
+    return isOpen(lookup.root) && (byRule || byVersion);
+}
+
 awaitable<void> StreamLookup::waitForRecord(const Lookup &lookup, Time end)
 {
     while (isOpen(lookup.root) && MilliClock::now() < end) {
--- a/src/gateway/streamlookup.h
+++ b/src/gateway/streamlookup.h
@@ -52,7 +52,8 @@
     /// Takes at most FIRST_WAIT and MAX_STORE_WAIT, and the time of one read of the store's history in a process that has just started. The origin can be
     /// another service, if the route has had several.
     /// \param service empty if the stream can come from several services, so that no version of one of them says anything about it.
-    boost::asio::awaitable<std::optional<StreamOrigin>> lookUp(RequestId root, ServiceId service);
+    /// \param route of the call; null if nothing follows from it. It must live until the lookup has ended.
+    boost::asio::awaitable<std::optional<StreamOrigin>> lookUp(RequestId root, ServiceId service, const Route *route = nullptr);
 
     /// \brief Records the end of an attempt, as StreamTracker::streamEnded() does, and tells other gateways at once if they have to know.
     void streamEnded(const RequestId &root, StreamTracker::End end);
@@ -68,6 +69,7 @@
         Time began;
         /// \brief A conclusion by absence needs an observation of the store that is newer.
         StoreObservation::Mark mark;
+        const Route *route = nullptr;
         bool asked = false;
     };
 
@@ -90,7 +92,11 @@
     [[nodiscard]] bool isOpen(const RequestId &root) const;
     /// \brief Returns the origin that follows from the absence of other versions in an observation that is newer than the lookup.
     [[nodiscard]] std::optional<StreamOrigin> onlyOrigin(const Lookup &lookup) const;
+    /// \brief Returns the origin that follows from the rule by which streams begin, in an observation that is newer than the lookup.
+    [[nodiscard]] std::optional<StreamOrigin> ruleOrigin(const Lookup &lookup) const;
     [[nodiscard]] bool isDecided(const Lookup &lookup) const;
+    /// \brief Returns whether an observation of the store can decide the lookup.
+    [[nodiscard]] bool canConclude(const Lookup &lookup) const;
     [[nodiscard]] Finding findingOf(const Lookup &lookup) const;
 
     boost::asio::awaitable<void> waitForKnowledge(Lookup &lookup);
--- a/src/gateway/streamtracker.cpp
+++ b/src/gateway/streamtracker.cpp
@@ -24,6 +24,7 @@
 StreamTracker::StreamTracker(Metrics &metrics)
     : metrics_(metrics)
 {
+    rules_.setLifetime(lifetime_);
 }
 
 void StreamTracker::extendLifetime(Duration lifetime)
@@ -31,6 +32,17 @@
     lifetime_ = std::max(lifetime_, lifetime);
     origins_.setLifetime(lifetime_);
     versions_.setLifetime(lifetime_);
+    rules_.setLifetime(lifetime_);
+}
+
+Duration StreamTracker::lifetime() const
+{
+    return lifetime_;
+}
+
+OriginRules &StreamTracker::rules()
+{
+    return rules_;
 }
 
 VersionHistory &StreamTracker::versions()
--- a/src/gateway/streamtracker.h
+++ b/src/gateway/streamtracker.h
@@ -2,6 +2,8 @@
 
 #include "versionhistory.h"
 
+#include <mimosatally/Streams>
+
 #include <deque>
 #include <map>
 #include <unordered_map>
@@ -65,8 +67,14 @@
     /// \brief Returns the versions of services that have several.
     [[nodiscard]] std::vector<StreamNotice> mixedVersions(Time now) const;
 
+    /// \brief Returns for how long the origin of a stream is needed.
+    [[nodiscard]] Duration lifetime() const;
+
     VersionHistory &versions();
 
+    /// \brief Rules by which streams of resumable routes begin.
+    OriginRules &rules();
+
 private:
     struct OwnStream {
         StreamOrigin origin;
@@ -93,6 +101,7 @@
     Metrics &metrics_;
     StreamOrigins origins_;
     VersionHistory versions_;
+    OriginRules rules_;
     std::unordered_map<RequestId, OwnStream> ownStreams_;
     /// \brief Streams in flight that other gateways have not been told of.
     std::map<ServiceId, std::unordered_set<RequestId>> unannounced_;
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -82,7 +82,12 @@
 
 bool VersionHistory::isCovered(Time now) const
 {
-    return coveredSince_ && now - *coveredSince_ >= lifetime_;
+    return isCovered(lifetime_, now);
+}
+
+bool VersionHistory::isCovered(Duration time, Time now) const
+{
+    return coveredSince_ && now - *coveredSince_ >= time;
 }
 
 std::optional<SoftwareVersion> VersionHistory::onlyVersion(const ServiceId &service, Time now) const
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -21,6 +21,8 @@
     static constexpr std::size_t MAX_VERSIONS = 8;
     /// \brief An endpoint whose entry was removed can still write the first event of a call that was placed before.
     static constexpr Duration FIRST_EVENT_DELAY = Duration(5000);
+    /// \brief Time that a history without a beginning covers; longer than any that is asked for.
+    static constexpr Duration COMPLETE_COVERAGE = Duration(600'000);
 
     /// \brief Sets how long before now the first event of a stream that is taken up can be.
     void setLifetime(Duration lifetime);
@@ -48,6 +50,9 @@
     /// \brief Returns whether all versions of the lifetime before \a now were observed.
     [[nodiscard]] bool isCovered(Time now) const;
 
+    /// \brief Returns whether all versions of \a time before \a now were observed.
+    [[nodiscard]] bool isCovered(Duration time, Time now) const;
+
     /// \brief Returns the version of \a service if there was no other one during the lifetime before \a now.
     [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceId &service, Time now) const;
 
--- a/src/routing/versionplacement.cpp
+++ b/src/routing/versionplacement.cpp
@@ -77,7 +77,7 @@
                                                const PlacementRequest &request,
                                                Time now) const
 {
-    if (request.version || fleet.versions.size() < 2) {
+    if ((request.version && !request.beginsStream) || fleet.versions.size() < 2) {
         return;
     }
     std::size_t mostEndpoints = 0;
--- a/tests/gateway/versionedengine.h
+++ b/tests/gateway/versionedengine.h
@@ -84,15 +84,17 @@
     }
 
     /// \brief Puts a configuration with the resumable streaming routes `/resume/` of service `plain` and `/other/` of service `other` in force.
-    void configure()
+    /// \param split the first route goes to both services in equal parts.
+    void configure(bool split = false)
     {
         const auto route = [](const std::string &name, const std::string &service) {
             return R"({"name":")" + name + R"(","host":"h","pathPrefix":"/)" + name
-                   + R"(/","kind":"streaming","resumable":true,"timeoutMs":5000,"targetLatencyMs":1000,"priority":1,"maxAttempts":2,"service":")" + service
-                   + R"("})";
+                   + R"(/","kind":"streaming","resumable":true,"timeoutMs":5000,"targetLatencyMs":1000,"priority":1,"maxAttempts":2,)" + service + "}";
         };
+        const std::string plain = R"("service":"plain")";
+        const std::string both = R"("trafficSplit":[{"service":"plain","weight":1},{"service":"other","weight":1}])";
         const std::string document =
-            R"({"version":1,"routes":[)" + route("resume", "plain") + "," + route("other", "other")
+            R"({"version":1,"routes":[)" + route("resume", split ? both : plain) + "," + route("other", R"("service":"other")")
             + R"(],"services":[{"name":"plain","maxConns":100},{"name":"other","maxConns":100}],"limits":{"maxHeaderBytes":32768,"idleTimeoutMs":15000}})";
         put("keyed.op", "config", document);
     }
