Streams of a split route go on after their gateway was lost

Cause: the service of a call was drawn at random, and only the gateway that delivers a stream knew the result, as long as each service has one version. No conclusion was drawn for a route with several services. Evidence: on a route with one service all streams go on after the same loss.

Change: on resumable routes the service is chosen by weighted rendezvous hashing of the request's id, and computed again at the take-up for all splits that the route had in the last 45 to 90 s. A version of the configuration that was not read, a route that is new and a longer route that has gone make the conclusion impossible.

Tests: lostorigintest.cpp.

--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -72,6 +72,9 @@
 
 ServiceId CallFlow::chooseService()
 {
+    if (isResumable(route_) && !call_.id.empty()) {
+        return gateway_.streams.rules().chooseService(call_.id, route_);
+    }
     int total = 0;
     for (const WeightedService &weightedService : route_.services) {
         total += weightedService.weight;
--- a/src/gateway/streamlookup.cpp
+++ b/src/gateway/streamlookup.cpp
@@ -68,8 +68,7 @@
 {
     const Time now = MilliClock::now();
     OriginRules &rules = tracker_.rules();
-    const bool hasOneService = lookup.route != nullptr && lookup.route->services.size() == 1;
-    const bool known = hasOneService && observation_.isNewerThan(lookup.mark) && tracker_.versions().isCovered(rules.neededHistory(), now);
+    const bool known = lookup.route != nullptr && observation_.isNewerThan(lookup.mark) && tracker_.versions().isCovered(rules.neededHistory(), now);
     const std::optional<OriginChoice> choice = known ? rules.conclude(lookup.root, *lookup.route, now) : std::nullopt;
     return choice ? std::optional(StreamOrigin {choice->service, choice->version}) : std::nullopt;
 }
@@ -162,7 +161,7 @@
 
 bool StreamLookup::canConclude(const Lookup &lookup) const
 {
-    const bool byRule = lookup.route != nullptr && lookup.route->services.size() == 1 && isResumable(*lookup.route) && !lookup.root.empty();
+    const bool byRule = lookup.route != nullptr && isResumable(*lookup.route) && !lookup.root.empty();
     const bool byVersion = !lookup.service.empty() && !tracker_.versions().isMixed(lookup.service, MilliClock::now());
     return isOpen(lookup.root) && (byRule || byVersion);
 }
--- a/tests/gateway/lostorigintest.cpp
+++ b/tests/gateway/lostorigintest.cpp
@@ -148,3 +148,16 @@
     const Loss loss = GENERATE(Loss::OneGateway, Loss::TwoGateways, Loss::AllGateways);
     checkCell(Ambiguity::SecondVersionJoins, loss, HALF);
 }
+
+// Guards against streams of a split route that are lost with their gateways, because any of its services may have begun them.
+TEST_CASE("Streams of a split route go on after their gateways were lost", "[gateway][takeup][lostorigin]")
+{
+    const Loss loss = GENERATE(Loss::OneGateway, Loss::TwoGateways, Loss::AllGateways);
+    checkCell(Ambiguity::SplitRoute, loss, NEARLY_ALL);
+}
+
+// Guards against the same where one of the services has two versions.
+TEST_CASE("Streams of a split route with two versions go on after all gateways were lost", "[gateway][takeup][lostorigin]")
+{
+    checkCell(Ambiguity::SplitAndTwoVersions, Loss::AllGateways, NEARLY_ALL);
+}
