The version of a new stream is checked before its events are taken

Cause: the check came after the framer had taken the events, so that a rejected attempt's events counted as delivered for the next one.

--- a/src/gateway/callattempt.cpp
+++ b/src/gateway/callattempt.cpp
@@ -318,13 +318,14 @@
     }
     while (!call.hasEnded() && !framer_.repeatsEvents()) {
         const std::string_view data = co_await call.read();
+        if (!mayBegin(gateway_.router.record(endpoint), MilliClock::now())) {
+            gateway_.metrics.increment("mimosatally_stream_begins_rejected_total", {});
+            co_return false;
+        }
         framer_.append(data);
         std::string events = framer_.takeCompleteEvents();
         call.hold(framer_.heldBytes(), MAX_BUFFERED_ANSWER_BYTES);
         if (!events.empty()) {
-            if (!mayBegin(gateway_.router.record(endpoint), MilliClock::now())) {
-                co_return false;
-            }
             gateway_.router.recordFirstByte(ticket, MilliClock::now());
             stream_.bind(gateway_.router.record(endpoint));
             placementRequest_.version = stream_.version();
