States that a history shows count only if they ended within the window

Cause: a process that has just started took each state of the kept history for one of now, so that a release of minutes ago left all of its streams in doubt.

Change: a state whose end lies further back than the window, by the heartbeats written since, is left out.

--- a/include/mimosatally/streams/originrule.h
+++ b/include/mimosatally/streams/originrule.h
@@ -23,6 +23,9 @@
 template<class Id>
 std::optional<Id> chooseByRendezvous(std::string_view key, const std::map<Id, double> &weights)
 {
+    if (weights.size() == 1 && weights.begin()->second > 0) {
+        return weights.begin()->first;
+    }
     std::optional<Id> chosen;
     double lowest = 0;
     for (const auto &[id, weight] : weights) {
--- a/src/gateway/endpointhistory.cpp
+++ b/src/gateway/endpointhistory.cpp
@@ -61,6 +61,7 @@
     const std::uint64_t gaps = gateway_.streams.versions().gapCount();
     HeartbeatSpan span;
     RegistrationReplay replay(true);
+    std::vector<State> states;
     Offset from(0);
     std::optional<StoreEra> era;
     std::size_t count = 0;
@@ -80,6 +81,7 @@
             }
             from = *deleted->first;
             replay = RegistrationReplay(false);
+            states.clear();
             continue;
         }
         const auto &records = std::get<platform::KeyedRecords>(answer);
@@ -88,7 +90,7 @@
         }
         era = records.era;
         for (const platform::KeyedRecord &record : records.records) {
-            observe(record, span, replay);
+            observe(record, span, replay, states);
         }
         complete = complete || (from == Offset(0) && !records.records.empty());
         count += records.records.size();
@@ -98,13 +100,14 @@
     if (gateway_.streams.versions().gapCount() != gaps) {
         throw UnreachableError("versions may have been missed while the history of the endpoints was read");
     }
+    recordStates(states, span);
     const Duration covered = complete ? coverageOf(replay) : gateway_.settings.heartbeatInterval * span.intervals();
     gateway_.streams.versions().recordCoverage(began - covered);
     logEvent(LogEvent::EndpointHistoryRead, {{"records", count}, {"covered_ms", covered}, {"complete", complete}});
     readAtGap_ = gaps;
 }
 
-void EndpointHistory::observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay)
+void EndpointHistory::observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay, std::vector<State> &states)
 {
     std::optional<EndpointRecord> endpoint;
     try {
@@ -117,11 +120,23 @@
         gateway_.streams.versions().observe(endpoint->service, endpoint->version, MilliClock::now());
         span.add(*endpoint);
     }
-    replay.apply(EndpointId(record.key), endpoint, [this](const RegisteredSlots &slots) {
-        gateway_.streams.rules().recordEarlierSlots(slots, MilliClock::now());
+    replay.apply(EndpointId(record.key), endpoint, [&](const RegisteredSlots &slots) {
+        states.push_back({span.size(), slots});
     });
 }
 
+void EndpointHistory::recordStates(const std::vector<State> &states, const HeartbeatSpan &span)
+{
+    OriginRules &rules = gateway_.streams.rules();
+    for (std::size_t i = 0; i < states.size(); ++i) {
+        const std::size_t end = i + 1 < states.size() ? states[i + 1].place : span.size();
+        // A state that ended before the window is not possible any more.
+        if (gateway_.settings.heartbeatInterval * span.intervalsAfter(end) <= rules.window()) {
+            rules.recordEarlierSlots(states[i].slots, MilliClock::now());
+        }
+    }
+}
+
 Duration EndpointHistory::coverageOf(const RegistrationReplay &replay) const
 {
     // Before the first repeated heartbeat, the states of the endpoints are not known, only their versions are.
--- a/src/gateway/endpointhistory.h
+++ b/src/gateway/endpointhistory.h
@@ -22,7 +22,16 @@
     boost::asio::awaitable<void> read();
     /// \brief Reads all pages. \throws UnreachableError \throws MalformedInputError
     boost::asio::awaitable<void> readPages();
-    void observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay);
+    /// \brief Slots that were registered from a place of the history on.
+    struct State {
+        std::size_t place;
+        RegisteredSlots slots;
+    };
+
+    /// \param[out] states gets the further states that the record shows.
+    void observe(const platform::KeyedRecord &record, HeartbeatSpan &span, RegistrationReplay &replay, std::vector<State> &states);
+    /// \brief Records the states that may have held within the window of the rules.
+    void recordStates(const std::vector<State> &states, const HeartbeatSpan &span);
     /// \brief Returns the time that a history covers of which the store still has all records.
     [[nodiscard]] Duration coverageOf(const RegistrationReplay &replay) const;
 
