--- a/src/gateway/callflow.h
+++ b/src/gateway/callflow.h
@@ -7,8 +7,8 @@
 #include "endpointcall.h"
 #include "extraattempt.h"
 #include "gatewaystate.h"
-#include "streamidentity.h"
 #include "streamregistration.h"
+#include "streams/streamidentity.h"
 
 #include <mimosatally/Http>
 
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "streamorigins.h"
+#include "streams/streamorigins.h"
 #include "usagedatagram.h"
 
 #include <mimosatally/Membership>
--- a/src/gateway/streamlookup.h
+++ b/src/gateway/streamlookup.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "storeobservation.h"
-#include "streamtracker.h"
+#include "streams/streamtracker.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/unit/streamidentitytest.cpp
+++ b/tests/unit/streamidentitytest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/streamidentity.h"
+#include "streams/streamidentity.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/streamorigintest.cpp
+++ b/tests/unit/streamorigintest.cpp
@@ -1,5 +1,5 @@
 #include "gateway/endpointhistory.h"
-#include "gateway/streamtracker.h"
+#include "streams/streamtracker.h"
 
 #include <catch2/catch.hpp>
 
