--- a/src/gateway/recordintake.cpp
+++ b/src/gateway/recordintake.cpp
@@ -23,7 +23,7 @@
 
 awaitable<void> RecordIntake::applyPeerConfiguration(std::shared_ptr<const PositionedRecord> record)
 {
-    const std::string_view text = record->record.value ? std::string_view(*record->record.value) : std::string_view();
+    const std::string text = record->record.value.value_or(std::string());
     std::optional<std::int64_t> version;
     co_await runInPieces(gateway_.io, Pace::Shared, [&](const Checkpoint &checkpoint) {
         version = platform::configurationVersion(text, checkpoint);
@@ -77,8 +77,9 @@
     const std::shared_ptr<const PositionedRecord> newest = newest_.configuration;
     const std::shared_ptr<const std::vector<platform::EntryText>> routeTexts = routeTexts_;
     platform::EarlierReading earlier;
-    if (inForce && newest && newest->record.value && routeTexts) {
-        earlier = {inForce.get(), *newest->record.value, *routeTexts};
+    if (inForce && newest && routeTexts) {
+        const std::optional<std::string> &text = newest->record.value;
+        earlier = text ? platform::EarlierReading {inForce.get(), *text, *routeTexts} : earlier;
     }
     platform::ConfigurationReading reading;
     PreparedConfiguration prepared;
--- a/src/streams/originrules.cpp
+++ b/src/streams/originrules.cpp
@@ -134,12 +134,12 @@
 
 std::map<ServiceId, WeightRange> OriginRules::possibleServices(const Route &route, Time now) const
 {
-    const auto isOld = [this, now](Time since) {
-        return since == Time::min() || now - since >= window();
+    const auto isOld = [this, now](const std::optional<Time> &since) {
+        return since && (*since == Time::min() || now - *since >= window());
     };
     const RoutePlace place {route.host, route.pathPrefix};
     const auto found = routes_.find(place);
-    if (!configurationsSince_ || !isOld(*configurationsSince_) || found == routes_.end() || !found->second.since || !isOld(*found->second.since)) {
+    if (!isOld(configurationsSince_) || found == routes_.end() || !isOld(found->second.since)) {
         return {};
     }
     // A request that goes to this route now may have gone to a longer one that is gone.
@@ -153,8 +153,11 @@
 std::optional<OriginChoice> OriginRules::conclude(const RequestId &root, const Route &route, Time now) const
 {
     const std::optional<ServiceId> service = certainChoice(root.value(), possibleServices(route, now));
-    const auto history = service ? versions_.find(*service) : versions_.end();
-    if (root.empty() || history == versions_.end()) {
+    if (!service || root.empty()) {
+        return std::nullopt;
+    }
+    const auto history = versions_.find(*service);
+    if (history == versions_.end()) {
         return std::nullopt;
     }
     const std::optional<SoftwareVersion> version = certainChoice(root.value(), history->second.ranges(now, window()));
