No error of a question to a peer ends the process

Cause: questions to peers no longer run in a supervised task, and an exception other than Error would have left the event loop. Found by reading; no run showed it.

Change: each exception but a violated invariant is a failure of that peer.

--- a/src/gateway/peerreader.cpp
+++ b/src/gateway/peerreader.cpp
@@ -60,7 +60,9 @@
     std::string failure;
     try {
         co_await fetchRecords(peer, endpointsFrom);
-    } catch (const Error &error) {
+    } catch (const InvariantViolation &) {
+        throw;
+    } catch (const std::exception &error) {
         failure = error.what();
     }
     questions_.end(peer);
