--- a/src/gateway/callflow.cpp
+++ b/src/gateway/callflow.cpp
@@ -153,6 +153,7 @@
 bool CallFlow::bindNewStream(Time now)
 {
     const bool begins = isResumable(route_) && !call_.resumed && !stream_.version() && !call_.id.empty();
+    placementRequest_.beginsStream = begins;
     if (!begins) {
         return true;
     }
@@ -160,7 +161,6 @@
     ruleVersion_ = rules.chooseVersion(call_.id, stream_.service());
     ruleAsOf_ = gateway_.endpointsAsOf();
     placementRequest_.version = rules.isMixed(stream_.service()) ? ruleVersion_ : std::nullopt;
-    placementRequest_.beginsStream = true;
     return gateway_.hasFreshView(now);
 }
 
