--- a/include/mimosatally/streams/originrules.h
+++ b/include/mimosatally/streams/originrules.h
@@ -7,7 +7,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace mimosatally
 {
@@ -72,25 +75,54 @@
 private:
     /// \brief Place of a route; a request goes to the one with the longest prefix of its path.
     struct RoutePlace {
-        std::string host;
-        std::string pathPrefix;
+        std::string_view host;
+        std::string_view pathPrefix;
+
+        bool operator==(const RoutePlace &) const = default;
+    };
+
+    struct PlaceHash {
+        using is_transparent = void;
+        std::size_t operator()(const RoutePlace &place) const;
+        std::size_t operator()(const std::pair<std::string, std::string> &place) const;
+    };
 
-        auto operator<=>(const RoutePlace &) const = default;
+    struct PlaceEqual {
+        using is_transparent = void;
+        bool operator()(const RoutePlace &left, const std::pair<std::string, std::string> &right) const;
+        bool operator()(const std::pair<std::string, std::string> &left, const RoutePlace &right) const;
+        bool operator()(const std::pair<std::string, std::string> &left, const std::pair<std::string, std::string> &right) const;
     };
 
+    /// \brief Route that is in force.
     struct RouteHistory {
         WeightHistory<ServiceId> services;
-        /// \brief Set while the route is in force.
-        std::optional<Time> since;
-        Time goneAt = Time::min();
+        /// \brief Services at the last record.
+        std::vector<WeightedService> last;
+        Time since;
+        /// \brief Number of the last configuration that has the route.
+        std::uint64_t configuration = 0;
+    };
+
+    /// \brief Route that was in force within the window.
+    struct GoneRoute {
+        std::string host;
+        std::string pathPrefix;
+        Time goneAt;
     };
 
     /// \brief Returns the services that may have begun a stream of \a route, with their weights; empty if that is not known.
     [[nodiscard]] std::map<ServiceId, WeightRange> possibleServices(const Route &route, Time now) const;
-    void forgetRoutes(Time now);
+    void recordRoute(const Route &route, Time now);
+    void removeOldRoutes(Time now);
 
     std::map<ServiceId, WeightHistory<SoftwareVersion>> versions_;
-    std::map<RoutePlace, RouteHistory> routes_;
+    /// \brief A configuration can have thousands of routes, which are looked up in one turn of the event loop when it is put in force.
+    std::unordered_map<std::pair<std::string, std::string>, RouteHistory, PlaceHash, PlaceEqual> routes_;
+    std::vector<GoneRoute> goneRoutes_;
+    std::uint64_t configurations_ = 0;
+    /// \brief Routes of the last configuration that are in routes_.
+    std::size_t presentRoutes_ = 0;
     /// \brief All configurations from this time on are recorded; empty before the first one.
     std::optional<Time> configurationsSince_;
     Duration lifetime_ = Duration(0);
--- a/src/streams/originrules.cpp
+++ b/src/streams/originrules.cpp
@@ -63,50 +63,93 @@
     }
 }
 
+std::size_t OriginRules::PlaceHash::operator()(const RoutePlace &place) const
+{
+    constexpr std::size_t factor = 31;
+    const std::hash<std::string_view> hash;
+    return hash(place.host) * factor + hash(place.pathPrefix);
+}
+
+std::size_t OriginRules::PlaceHash::operator()(const std::pair<std::string, std::string> &place) const
+{
+    return operator()(RoutePlace {place.first, place.second});
+}
+
+bool OriginRules::PlaceEqual::operator()(const RoutePlace &left, const std::pair<std::string, std::string> &right) const
+{
+    return left.host == right.first && left.pathPrefix == right.second;
+}
+
+bool OriginRules::PlaceEqual::operator()(const std::pair<std::string, std::string> &left, const RoutePlace &right) const
+{
+    return operator()(right, left);
+}
+
+bool OriginRules::PlaceEqual::operator()(const std::pair<std::string, std::string> &left, const std::pair<std::string, std::string> &right) const
+{
+    return left == right;
+}
+
 void OriginRules::recordConfiguration(const ServingConfiguration &configuration, bool follows, Time now)
 {
     if (!configurationsSince_ || !follows) {
         configurationsSince_ = now;
     }
-    std::map<RoutePlace, const Route *> present;
+    ++configurations_;
+    presentRoutes_ = 0;
     for (const Route &route : configuration.routes) {
         if (isResumable(route)) {
-            present[{route.host, route.pathPrefix}] = &route;
+            recordRoute(route, now);
         }
     }
-    for (const auto &[place, route] : present) {
-        RouteHistory &history = routes_[place];
-        WeightHistory<ServiceId>::Weights weights;
-        for (const WeightedService &service : route->services) {
-            weights[service.service] += service.weight;
-        }
-        history.services.record(weights, now, window());
-        history.since = history.since ? history.since : std::optional(now);
-    }
-    for (auto &[place, history] : routes_) {
-        if (history.since && !present.contains(place)) {
-            history.since.reset();
-            history.goneAt = now;
-        }
+    if (presentRoutes_ != routes_.size()) {
+        removeOldRoutes(now);
     }
-    forgetRoutes(now);
+    std::erase_if(goneRoutes_, [&](const GoneRoute &route) {
+        return now - route.goneAt > window();
+    });
 }
 
-void OriginRules::recordOnlyConfiguration()
+void OriginRules::recordRoute(const Route &route, Time now)
 {
-    configurationsSince_ = Time::min();
-    for (auto &[place, history] : routes_) {
-        history.since = Time::min();
+    auto known = routes_.find(RoutePlace {route.host, route.pathPrefix});
+    if (known == routes_.end()) {
+        known = routes_.try_emplace({route.host, route.pathPrefix}).first;
+        known->second.since = now;
+    }
+    RouteHistory &history = known->second;
+    presentRoutes_ += history.configuration == configurations_ ? 0 : 1;
+    history.configuration = configurations_;
+    if (history.last == route.services) {
+        return;
+    }
+    history.last = route.services;
+    WeightHistory<ServiceId>::Weights weights;
+    for (const WeightedService &service : route.services) {
+        weights[service.service] += service.weight;
     }
+    history.services.record(weights, now, window());
 }
 
-void OriginRules::forgetRoutes(Time now)
+void OriginRules::removeOldRoutes(Time now)
 {
     std::erase_if(routes_, [&](const auto &item) {
-        return !item.second.since && now - item.second.goneAt > window();
+        const bool isGone = item.second.configuration != configurations_;
+        if (isGone) {
+            goneRoutes_.push_back({item.first.first, item.first.second, now});
+        }
+        return isGone;
     });
 }
 
+void OriginRules::recordOnlyConfiguration()
+{
+    configurationsSince_ = Time::min();
+    for (auto &[place, history] : routes_) {
+        history.since = Time::min();
+    }
+}
+
 ServiceId OriginRules::chooseService(const RequestId &root, const Route &route) const
 {
     std::map<ServiceId, double> weights;
@@ -137,15 +180,14 @@
     const auto isOld = [this, now](const std::optional<Time> &since) {
         return since && (*since == Time::min() || now - *since >= window());
     };
-    const RoutePlace place {route.host, route.pathPrefix};
-    const auto found = routes_.find(place);
+    const auto found = routes_.find(RoutePlace {route.host, route.pathPrefix});
     if (!isOld(configurationsSince_) || found == routes_.end() || !isOld(found->second.since)) {
         return {};
     }
     // A request that goes to this route now may have gone to a longer one that is gone.
-    const bool wasLonger = std::ranges::any_of(routes_, [&](const auto &item) {
-        return item.first.host == place.host && item.first.pathPrefix.size() > place.pathPrefix.size() && item.first.pathPrefix.starts_with(place.pathPrefix)
-               && !item.second.since && now - item.second.goneAt <= window();
+    const bool wasLonger = std::ranges::any_of(goneRoutes_, [&](const GoneRoute &gone) {
+        return gone.host == route.host && gone.pathPrefix.size() > route.pathPrefix.size() && gone.pathPrefix.starts_with(route.pathPrefix)
+               && now - gone.goneAt <= window();
     });
     return wasLonger ? std::map<ServiceId, WeightRange>() : found->second.services.ranges(now, window());
 }
